--- /dev/null
+++ b/cmd/standin/platform.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"context"
+	"flag"
+
+	"github.com/google/subcommands"
+
+	"balsamhill/pkg/platform/standin"
+)
+
+type platformCommand struct {
+	listen string
+}
+
+func (*platformCommand) Name() string     { return "platform" }
+func (*platformCommand) Synopsis() string { return "run the platform stand-in" }
+func (*platformCommand) Usage() string {
+	return `standin platform -listen ADDR
+
+Runs the table service, the object store and the VM list in memory. Faults are
+switched with PUT /standin/faults, for example:
+  curl -X PUT -d '{"down":true}' http://127.0.0.1:9000/standin/faults
+
+`
+}
+
+func (c *platformCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.listen, "listen", "127.0.0.1:0", "host:port to listen on")
+}
+
+func (c *platformCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return serveUntilDone(ctx, c.listen, standin.New(), func(string) error { return nil })
+}
--- /dev/null
+++ b/pkg/control/events.go
@@ -0,0 +1,81 @@
+package control
+
+import (
+	"time"
+
+	"balsamhill/pkg/platform"
+	"balsamhill/pkg/preset"
+	"balsamhill/pkg/routing"
+)
+
+// Event is a message to the control loop. The types below are all events.
+type Event interface {
+	event()
+}
+
+// VMListRead carries a copy of the platform's list.
+type VMListRead struct {
+	VMs []platform.VM
+}
+
+// PresetOffered carries a version read from the store or received from a peer.
+type PresetOffered struct {
+	Version preset.Version
+	// Source is "store" or the ID of the peer.
+	Source string
+}
+
+// DrainNoticed says that a server announced on the wire, or a peer reported,
+// that the server is leaving.
+type DrainNoticed struct {
+	ServerID string
+	// Incarnation is that of the server when it announced; 0 means the current one.
+	Incarnation uint64
+	// FromPeer is the ID of the reporting peer, empty if seen on the wire.
+	FromPeer string
+}
+
+func (VMListRead) event()    {}
+func (PresetOffered) event() {}
+func (DrainNoticed) event()  {}
+
+// Action is something that the owner of the State has to do. The types below
+// are all actions.
+type Action interface {
+	action()
+}
+
+// Publish makes a snapshot visible to traffic.
+type Publish struct {
+	Snapshot *routing.Snapshot
+}
+
+// PresetAdopted reports that another version is in force here; peers are told.
+type PresetAdopted struct {
+	Version preset.Version
+	Source  string
+	// Previous is the revision that was in force before, 0 for none.
+	Previous uint64
+}
+
+// DrainLearned asks to tell the peers that a server is leaving.
+type DrainLearned struct {
+	ServerID    string
+	Incarnation uint64
+}
+
+// ServerChanged reports a change of a server's availability, for the log.
+type ServerChanged struct {
+	ServerID string
+	Service  string
+	From, To string
+	Reason   string
+}
+
+func (Publish) action()       {}
+func (PresetAdopted) action() {}
+func (DrainLearned) action()  {}
+func (ServerChanged) action() {}
+
+// Tick is the interval at which the owner runs the systems.
+const Tick = 100 * time.Millisecond
--- /dev/null
+++ b/pkg/control/status.go
@@ -0,0 +1,20 @@
+package control
+
+// Status is the part of a gateway's state that /status shows.
+type Status struct {
+	Preset   string
+	Revision uint64
+	// AdoptedAt is in nanoseconds on the gateway's monotonic clock.
+	AdoptedAt int64
+	Source    string
+}
+
+// Status returns the current status.
+func (s *State) Status() Status {
+	current := s.adopter.Current()
+	status := Status{Revision: current.Revision, AdoptedAt: s.adopted.at, Source: s.adopted.source}
+	if current.Preset != nil {
+		status.Preset = current.Preset.Name
+	}
+	return status
+}
--- /dev/null
+++ b/pkg/demo/demo.go
@@ -0,0 +1,155 @@
+// Package demo runs a whole small system in one process on free loopback ports:
+// one gateway, the platform stand-in and stand-in servers of the three Signline
+// services in both regions.
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"balsamhill/examples"
+	"balsamhill/pkg/gateway"
+	"balsamhill/pkg/platform"
+	"balsamhill/pkg/platform/httpplatform"
+	"balsamhill/pkg/platform/standin"
+	"balsamhill/pkg/presetstore"
+	"balsamhill/pkg/serverstandin"
+	"balsamhill/pkg/settings"
+)
+
+// Addresses is the first line on standard output.
+type Addresses struct {
+	Gateway  string `json:"gateway"`
+	Admin    string `json:"admin"`
+	Platform string `json:"platform"`
+}
+
+// serversPerRegion is the number of stand-in servers of each service and region.
+const serversPerRegion = 2
+
+// Run starts everything, prints the addresses as one JSON line, and serves until
+// ctx ends. It returns after the graceful shutdown.
+func Run(ctx context.Context, out io.Writer, log *slog.Logger) error {
+	platformAddress, err := startHTTP(standin.New())
+	if err != nil {
+		return err
+	}
+	client := httpplatform.New("http://" + platformAddress)
+	defer client.Close()
+	err = storePresets(ctx, client)
+	if err != nil {
+		return err
+	}
+	s, err := demoSettings(platformAddress)
+	if err != nil {
+		return err
+	}
+	err = startServers(ctx, client, s)
+	if err != nil {
+		return err
+	}
+	g, err := gateway.New(s, client, log)
+	if err != nil {
+		return err
+	}
+	err = json.NewEncoder(out).Encode(Addresses{
+		Gateway:  "http://" + g.TrafficAddress(),
+		Admin:    "http://" + g.AdminAddress(),
+		Platform: "http://" + platformAddress,
+	})
+	if err != nil {
+		return eris.Wrap(err, "print addresses")
+	}
+	return g.Run(ctx)
+}
+
+// startHTTP serves a handler on a free loopback port until the process ends.
+func startHTTP(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", eris.Wrap(err, "open listener")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
+func storePresets(ctx context.Context, client *httpplatform.Client) error {
+	store := presetstore.New(client)
+	author := func(id string) presetstore.Author {
+		return presetstore.Author{Operator: "demo", Why: "first start", WriteID: "demo-" + id, Now: time.Now()}
+	}
+	for _, document := range examples.Presets() {
+		outcome := store.Apply(ctx, author(document.Name), document.Text, nil)
+		if outcome.Status != presetstore.Accepted {
+			return eris.Wrapf(outcome.Err, "store preset %q", document.Name)
+		}
+	}
+	outcome := store.Use(ctx, author("use"), "ordinary", nil)
+	if outcome.Status != presetstore.Accepted {
+		return eris.Wrap(outcome.Err, "use preset ordinary")
+	}
+	return nil
+}
+
+// demoSettings takes the Signline example and moves it to free ports.
+func demoSettings(platformAddress string) (*settings.Settings, error) {
+	s, err := settings.Parse("signline.jsonc", examples.SignlineSettings())
+	if err != nil {
+		return nil, err
+	}
+	s.Traffic.Listen = "127.0.0.1:0"
+	s.Admin.Listen = "127.0.0.1:0"
+	s.Peers.Listen = ""
+	s.Platform.URL = "http://" + platformAddress
+	s.Shutdown.NoticeMillis = 500
+	return s, nil
+}
+
+// startServers starts stand-in servers of each service in both regions.
+func startServers(ctx context.Context, client *httpplatform.Client, s *settings.Settings) error {
+	for _, service := range s.Services {
+		for _, region := range []string{"khomas", "erongo"} {
+			for i := range serversPerRegion {
+				vm := platform.VM{
+					ID:            fmt.Sprintf("%s-%s-%d", service.Name, region, i+1),
+					Role:          platform.RoleServer,
+					Incarnation:   1,
+					Service:       service.Name,
+					Region:        region,
+					FailureDomain: fmt.Sprintf("%s-%d", region, i%2+1),
+					State:         platform.VMLive,
+				}
+				err := startServer(ctx, client, service, vm)
+				if err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func startServer(ctx context.Context, client *httpplatform.Client, service settings.Service, vm platform.VM) error {
+	address, err := startHTTP(serverstandin.New(serverstandin.Config{
+		ID:          vm.ID,
+		Service:     vm.Service,
+		Region:      vm.Region,
+		Slots:       service.Slots,
+		ServiceTime: 5 * time.Millisecond,
+		Runs:        client,
+	}))
+	if err != nil {
+		return err
+	}
+	vm.Address = address
+	return client.RegisterVM(ctx, vm)
+}
--- /dev/null
+++ b/pkg/gateway/admin.go
@@ -0,0 +1,143 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// StatusDocument is the answer of /status.
+type StatusDocument struct {
+	ID            string `json:"id"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failureDomain"`
+	State         string `json:"state"`
+	Preset        string `json:"preset"`
+	Revision      uint64 `json:"revision"`
+	// InForceSince is this gateway's wall clock when it adopted the revision.
+	InForceSince time.Time `json:"inForceSince"`
+	// Source is "store" or the ID of the peer that the revision came from.
+	Source   string          `json:"source"`
+	InFlight int64           `json:"inFlight"`
+	Services []ServiceStatus `json:"services"`
+}
+
+// ServiceStatus is one service in /status.
+type ServiceStatus struct {
+	Name    string         `json:"name"`
+	Policy  string         `json:"policy"`
+	Usable  int            `json:"usable"`
+	Servers []ServerStatus `json:"servers"`
+}
+
+// ServerStatus explains for one server why it is or is not chosen.
+type ServerStatus struct {
+	ID            string  `json:"id"`
+	Address       string  `json:"address"`
+	Region        string  `json:"region"`
+	FailureDomain string  `json:"failureDomain"`
+	Availability  string  `json:"availability"`
+	Reason        string  `json:"reason,omitempty"`
+	Weight        float64 `json:"weight"`
+	InFlight      int64   `json:"inFlight"`
+	// EstimatedInFlight includes the requests of other gateways.
+	EstimatedInFlight float64 `json:"estimatedInFlight"`
+	LatencyMillis     float64 `json:"latencyMillis"`
+	Successes         uint64  `json:"successes"`
+	Failures          uint64  `json:"failures"`
+	Sheds             uint64  `json:"sheds"`
+}
+
+func (g *Gateway) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	mux.HandleFunc("GET /readyz", g.handleReady)
+	mux.HandleFunc("GET /status", g.handleStatus)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		g.metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	mux.HandleFunc("POST /notify", g.handleNotify)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
+	mux.HandleFunc("GET /debug/pprof/symbol", pprof.Symbol)
+	return mux
+}
+
+func (g *Gateway) handleReady(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case g.stopping.Load():
+		http.Error(w, "shutting down", http.StatusServiceUnavailable)
+	case !g.ready.Load():
+		http.Error(w, "the preset in force is not known yet", http.StatusServiceUnavailable)
+	default:
+		_, _ = w.Write([]byte("ready\n"))
+	}
+}
+
+// handleNotify makes the gateway read the preset in force at once. It carries
+// no data, so that a forged call can only cause a read.
+func (g *Gateway) handleNotify(w http.ResponseWriter, _ *http.Request) {
+	select {
+	case g.readNow <- struct{}{}:
+	default:
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (g *Gateway) handleStatus(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(g.Status())
+}
+
+// Status returns what /status shows.
+func (g *Gateway) Status() StatusDocument {
+	row := g.row()
+	document := StatusDocument{
+		ID:            row.ID,
+		Region:        row.Region,
+		FailureDomain: row.FailureDomain,
+		State:         string(row.State),
+		Preset:        row.Preset,
+		Revision:      row.Revision,
+		InForceSince:  row.InForceSince,
+		Source:        g.status.Load().Source,
+		InFlight:      g.proxy.InFlight(),
+	}
+	snapshot := g.snapshot.Load()
+	if snapshot == nil {
+		return document
+	}
+	now := g.now()
+	for _, service := range g.settings.Services {
+		view := snapshot.Services[service.Name]
+		status := ServiceStatus{Name: view.Name, Policy: string(view.Tuning.Policy), Usable: view.Usable()}
+		for _, server := range view.Servers {
+			status.Servers = append(status.Servers, ServerStatus{
+				ID:                server.ID,
+				Address:           server.Address,
+				Region:            server.Region,
+				FailureDomain:     server.FailureDomain,
+				Availability:      server.Availability.String(),
+				Reason:            server.Reason,
+				Weight:            server.Weight,
+				InFlight:          server.Stats.InFlight(),
+				EstimatedInFlight: server.Stats.EstimatedInFlight(now),
+				LatencyMillis:     float64(server.Stats.Latency()) / 1e6,
+				Successes:         server.Stats.Successes.Load(),
+				Failures:          server.Stats.Failures.Load(),
+				Sheds:             server.Stats.Sheds.Load(),
+			})
+		}
+		document.Services = append(document.Services, status)
+	}
+	return document
+}
--- /dev/null
+++ b/pkg/gateway/gateway.go
@@ -0,0 +1,222 @@
+// Package gateway assembles one gateway: the control loop, the readers of the
+// platform, the traffic path and the admin endpoints.
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
+
+	"balsamhill/pkg/control"
+	"balsamhill/pkg/membership"
+	"balsamhill/pkg/platform"
+	"balsamhill/pkg/presetstore"
+	"balsamhill/pkg/proxy"
+	"balsamhill/pkg/routing"
+	"balsamhill/pkg/settings"
+)
+
+// eventQueue bounds the events that wait for the control loop. A full queue
+// makes readers wait and drops nothing.
+const eventQueue = 1024
+
+// Gateway is one running gateway. Create it with New and run it with Run.
+type Gateway struct {
+	settings    *settings.Settings
+	platform    platform.Platform
+	presets     *presetstore.Store
+	log         *slog.Logger
+	started     time.Time
+	incarnation uint64
+
+	state    *control.State
+	events   chan control.Event
+	readNow  chan struct{}
+	snapshot atomic.Pointer[routing.Snapshot]
+	status   atomic.Pointer[control.Status]
+	ready    atomic.Bool
+	stopping atomic.Bool
+
+	proxy     *proxy.Proxy
+	transport *http.Transport
+	metrics   *metrics.Set
+	counters  *counters
+
+	trafficListener net.Listener
+	adminListener   net.Listener
+	traffic         *http.Server
+	admin           *http.Server
+	stop            chan struct{}
+	stopOnce        sync.Once
+}
+
+// New opens the listeners and prepares a gateway. Addresses with port 0 get a
+// free port; see TrafficAddress and AdminAddress.
+func New(s *settings.Settings, p platform.Platform, log *slog.Logger) (*Gateway, error) {
+	g := &Gateway{
+		settings:    s,
+		platform:    p,
+		presets:     presetstore.New(p),
+		log:         log,
+		started:     time.Now(),
+		incarnation: uint64(time.Now().UnixMicro()),
+		events:      make(chan control.Event, eventQueue),
+		readNow:     make(chan struct{}, 1),
+		metrics:     metrics.NewSet(),
+		transport:   proxy.NewTransport(),
+		stop:        make(chan struct{}),
+	}
+	g.counters = newCounters(g.metrics)
+	g.state = control.NewState(controlConfig(s))
+	addFixedServers(g.state, s)
+	g.status.Store(&control.Status{})
+	g.proxy = proxy.New(proxy.Config{
+		Routes:    routeTable(s),
+		Snapshot:  g.snapshot.Load,
+		Transport: g.transport,
+		Now:       g.now,
+		Metrics:   proxy.NewMetrics(g.metrics),
+	})
+	err := g.listen()
+	if err != nil {
+		return nil, err
+	}
+	return g, nil
+}
+
+func (g *Gateway) listen() error {
+	var err error
+	g.trafficListener, err = net.Listen("tcp", g.settings.Traffic.Listen)
+	if err != nil {
+		return eris.Wrap(err, "open traffic listener")
+	}
+	g.adminListener, err = net.Listen("tcp", g.settings.Admin.Listen)
+	if err != nil {
+		_ = g.trafficListener.Close()
+		return eris.Wrap(err, "open admin listener")
+	}
+	g.traffic = g.newTrafficServer()
+	g.admin = &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: 5 * time.Second}
+	return nil
+}
+
+func (g *Gateway) newTrafficServer() *http.Server {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           g.proxy,
+		Protocols:         protocols,
+		MaxHeaderBytes:    g.settings.Traffic.MaxHeaderBytes,
+		ReadHeaderTimeout: time.Duration(g.settings.Traffic.HeaderTimeoutMillis) * time.Millisecond,
+		IdleTimeout:       time.Duration(g.settings.Traffic.IdleTimeoutMillis) * time.Millisecond,
+		ErrorLog:          slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
+	}
+}
+
+// TrafficAddress returns host:port of the listener for callers.
+func (g *Gateway) TrafficAddress() string {
+	return g.trafficListener.Addr().String()
+}
+
+// AdminAddress returns host:port of the listener for operators.
+func (g *Gateway) AdminAddress() string {
+	return g.adminListener.Addr().String()
+}
+
+// now returns nanoseconds since the start on the monotonic clock. It starts at
+// 1 s because 0 means "never" in the decision packages.
+func (g *Gateway) now() int64 {
+	return int64(time.Since(g.started) + time.Second)
+}
+
+// Shutdown begins the graceful shutdown; Run returns when it is complete.
+func (g *Gateway) Shutdown() {
+	g.stopOnce.Do(func() { close(g.stop) })
+}
+
+// Run serves until Shutdown is called or ctx ends, and then until all requests
+// in flight are complete.
+func (g *Gateway) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var group run.Group
+	addLoop := func(loop func(context.Context)) {
+		loopContext, stop := context.WithCancel(background)
+		group.Add(func() error {
+			loop(loopContext)
+			return nil
+		}, func(error) { stop() })
+	}
+	addLoop(g.runControl)
+	addLoop(g.runPresetReader)
+	addLoop(g.runListReader)
+	addLoop(g.runRowWriter)
+	group.Add(func() error { return serve(g.admin, g.adminListener) }, func(error) { _ = g.admin.Close() })
+	group.Add(func() error { return g.serveTraffic(ctx) }, func(error) { _ = g.traffic.Close() })
+	err := group.Run()
+	g.transport.CloseIdleConnections()
+	return err
+}
+
+func serve(server *http.Server, listener net.Listener) error {
+	err := server.Serve(listener)
+	if eris.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// serveTraffic serves callers and returns after the graceful shutdown. The
+// other parts stay up until then, so that requests in flight keep their gateway.
+func (g *Gateway) serveTraffic(ctx context.Context) error {
+	failed := make(chan error, 1)
+	go func() { failed <- serve(g.traffic, g.trafficListener) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-g.stop:
+	case <-ctx.Done():
+	}
+	g.stopping.Store(true)
+	g.log.Info("graceful shutdown started", "inFlight", g.proxy.InFlight())
+	g.writeRow(context.WithoutCancel(ctx))
+	// Readiness fails from here on; the balancer in front needs time to notice.
+	time.Sleep(g.settings.Shutdown.Notice())
+	err := g.traffic.Shutdown(context.WithoutCancel(ctx))
+	g.log.Info("graceful shutdown complete")
+	return err
+}
+
+// row describes this gateway for the table service.
+func (g *Gateway) row() membership.Row {
+	status := g.status.Load()
+	state := membership.StateStarting
+	switch {
+	case g.stopping.Load():
+		state = membership.StateStopping
+	case g.snapshot.Load() != nil:
+		state = membership.StateReady
+	}
+	return membership.Row{
+		ID:            g.settings.VM.ID,
+		Incarnation:   g.incarnation,
+		Region:        g.settings.VM.Region,
+		FailureDomain: g.settings.VM.FailureDomain,
+		Traffic:       g.TrafficAddress(),
+		Admin:         g.AdminAddress(),
+		State:         state,
+		Preset:        status.Preset,
+		Revision:      status.Revision,
+		InForceSince:  g.started.Add(time.Duration(status.AdoptedAt) - time.Second),
+		WrittenAt:     time.Now(),
+	}
+}
--- /dev/null
+++ b/pkg/platform/httpplatform/client.go
@@ -0,0 +1,261 @@
+// Package httpplatform implements the platform interfaces over HTTP and JSON.
+package httpplatform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"balsamhill/pkg/platform"
+)
+
+// maxResponseBytes bounds the memory that one answer of the platform can take.
+const maxResponseBytes = 64 << 20
+
+// Client talks to the platform. It is safe for concurrent use. Deadlines come
+// from the caller's context.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+var _ platform.Platform = (*Client)(nil)
+
+// New returns a client for the platform at the base URL, for example
+// "http://127.0.0.1:9000".
+func New(base string) *Client {
+	dialer := &net.Dialer{
+		Timeout: time.Second,
+		// Detects a connection that a middlebox has forgotten within 4 s.
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
+	}
+	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: 16,
+		IdleConnTimeout:     15 * time.Second,
+	}
+	return &Client{base: strings.TrimRight(base, "/"), http: &http.Client{Transport: transport}}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.http.CloseIdleConnections()
+}
+
+// Get implements platform.Table.
+func (c *Client) Get(ctx context.Context, keys ...string) (platform.ReadResult, error) {
+	return c.read(ctx, http.MethodPost, "/table/get", platform.GetRequest{Keys: keys})
+}
+
+// Scan implements platform.Table.
+func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) (platform.ReadResult, error) {
+	query := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
+	return c.read(ctx, http.MethodGet, "/table/scan?"+query.Encode(), nil)
+}
+
+// Changes implements platform.Table.
+func (c *Client) Changes(ctx context.Context, prefix string, after uint64, limit int) (platform.ReadResult, error) {
+	query := url.Values{
+		"prefix": {prefix},
+		"after":  {strconv.FormatUint(after, 10)},
+		"limit":  {strconv.Itoa(limit)},
+	}
+	return c.read(ctx, http.MethodGet, "/table/changes?"+query.Encode(), nil)
+}
+
+func (c *Client) read(ctx context.Context, method, path string, body any) (platform.ReadResult, error) {
+	var answer platform.ReadResponse
+	status, err := c.call(ctx, method, path, body, &answer)
+	if err != nil {
+		return platform.ReadResult{}, err
+	}
+	if status != http.StatusOK {
+		return platform.ReadResult{}, statusError(status)
+	}
+	return platform.ReadResult(answer), nil
+}
+
+// Commit implements platform.Table.
+func (c *Client) Commit(ctx context.Context, txn platform.Txn) platform.CommitResult {
+	var answer platform.CommitResponse
+	status, err := c.call(ctx, http.MethodPost, "/table/commit", txn, &answer)
+	switch {
+	case err != nil && isDialError(err):
+		return platform.CommitResult{Status: platform.CommitNotApplied, Err: err}
+	case err != nil:
+		return platform.CommitResult{Status: platform.CommitUnknown, Err: err}
+	case status == http.StatusOK:
+		return platform.CommitResult{Status: platform.CommitApplied, Version: answer.Version, Time: answer.Time}
+	case status == http.StatusConflict:
+		return platform.CommitResult{Status: platform.CommitConflict, Conflicts: answer.Conflicts, Time: answer.Time}
+	case status == http.StatusServiceUnavailable, status >= 400 && status < 500:
+		return platform.CommitResult{Status: platform.CommitNotApplied, Err: statusError(status)}
+	default:
+		return platform.CommitResult{Status: platform.CommitUnknown, Err: statusError(status)}
+	}
+}
+
+// PutObject implements platform.Objects.
+func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, c.objectURL(name), bytes.NewReader(data))
+	if err != nil {
+		return eris.Wrap(err, "build object request")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return unavailable(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusNoContent {
+		return statusError(response.StatusCode)
+	}
+	return nil
+}
+
+// GetObject implements platform.Objects.
+func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.objectURL(name), nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "build object request")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode == http.StatusNotFound {
+		return nil, eris.Wrapf(platform.ErrNotFound, "object %q", name)
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, statusError(response.StatusCode)
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	return data, nil
+}
+
+func (c *Client) objectURL(name string) string {
+	return c.base + "/objects/" + url.PathEscape(name)
+}
+
+// ListVMs implements platform.VMList.
+func (c *Client) ListVMs(ctx context.Context) ([]platform.VM, error) {
+	var answer platform.VMListResponse
+	status, err := c.call(ctx, http.MethodGet, "/vms", nil, &answer)
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, statusError(status)
+	}
+	return answer.VMs, nil
+}
+
+// RegisterVM adds or replaces an entry of the stand-in's VM list. A real
+// platform maintains the list by itself.
+func (c *Client) RegisterVM(ctx context.Context, vm platform.VM) error {
+	return c.put(ctx, "/standin/vms/"+url.PathEscape(vm.ID), vm)
+}
+
+// SetFaults switches faults of the stand-in.
+func (c *Client) SetFaults(ctx context.Context, faults platform.Faults) error {
+	return c.put(ctx, "/standin/faults", faults)
+}
+
+// RecordRun tells the stand-in that a server has run the idempotency key and
+// returns how often the key has run on any stand-in server.
+func (c *Client) RecordRun(ctx context.Context, key string) (int64, error) {
+	var answer struct {
+		Runs int64 `json:"runs"`
+	}
+	status, err := c.call(ctx, http.MethodPost, "/standin/runs?key="+url.QueryEscape(key), nil, &answer)
+	if err != nil {
+		return 0, err
+	}
+	if status != http.StatusOK {
+		return 0, statusError(status)
+	}
+	return answer.Runs, nil
+}
+
+func (c *Client) put(ctx context.Context, path string, body any) error {
+	status, err := c.call(ctx, http.MethodPut, path, body, nil)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusNoContent {
+		return statusError(status)
+	}
+	return nil
+}
+
+// call sends a JSON request and decodes the JSON answer of a 200 or 409.
+func (c *Client) call(ctx context.Context, method, path string, body, answer any) (int, error) {
+	var reader io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return 0, eris.Wrap(err, "encode platform request")
+		}
+		reader = bytes.NewReader(data)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, reader)
+	if err != nil {
+		return 0, eris.Wrap(err, "build platform request")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.http.Do(request)
+	if err != nil {
+		return 0, unavailable(err)
+	}
+	defer response.Body.Close()
+	if answer == nil || (response.StatusCode != http.StatusOK && response.StatusCode != http.StatusConflict) {
+		// The body is drained so that the connection can be used again.
+		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, 4096))
+		return response.StatusCode, nil
+	}
+	err = json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(answer)
+	if err != nil {
+		return 0, unavailable(err)
+	}
+	return response.StatusCode, nil
+}
+
+// unavailableError keeps the cause so that dial errors can be recognized.
+type unavailableError struct {
+	cause error
+}
+
+func (e *unavailableError) Error() string        { return "platform unavailable: " + e.cause.Error() }
+func (e *unavailableError) Unwrap() error        { return e.cause }
+func (e *unavailableError) Is(target error) bool { return target == platform.ErrUnavailable }
+
+func unavailable(cause error) error {
+	return &unavailableError{cause: cause}
+}
+
+// isDialError reports whether the request never left this process.
+func isDialError(err error) bool {
+	var opError *net.OpError
+	return errors.As(err, &opError) && opError.Op == "dial"
+}
+
+func statusError(status int) error {
+	cause := eris.Errorf("platform answered %d %s", status, http.StatusText(status))
+	if status >= 500 {
+		return unavailable(cause)
+	}
+	return eris.Wrapf(platform.ErrProtocol, "status %d", status)
+}
--- /dev/null
+++ b/pkg/platform/standin/handler.go
@@ -0,0 +1,234 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"balsamhill/pkg/platform"
+)
+
+const (
+	maxBodyBytes = 16 << 20
+	defaultLimit = 1000
+)
+
+// Server is the stand-in. Its zero value is not usable; call New.
+type Server struct {
+	store  *store
+	vms    *vmList
+	faults atomic.Pointer[platform.Faults]
+	// commitsToLose counts down the answers that LoseCommitAnswers asks to lose.
+	commitsToLose atomic.Int64
+	mux           *http.ServeMux
+}
+
+var _ http.Handler = (*Server)(nil)
+
+// New returns an empty stand-in without faults.
+func New() *Server {
+	s := &Server{store: newStore(), vms: newVMList(), mux: http.NewServeMux()}
+	s.faults.Store(&platform.Faults{})
+	s.mux.HandleFunc("POST /table/get", s.faulty(s.handleGet))
+	s.mux.HandleFunc("GET /table/scan", s.faulty(s.handleScan))
+	s.mux.HandleFunc("GET /table/changes", s.faulty(s.handleChanges))
+	s.mux.HandleFunc("POST /table/commit", s.faulty(s.handleCommit))
+	s.mux.HandleFunc("PUT /objects/{name}", s.faulty(s.handlePutObject))
+	s.mux.HandleFunc("GET /objects/{name}", s.faulty(s.handleGetObject))
+	s.mux.HandleFunc("GET /vms", s.handleListVMs)
+	s.mux.HandleFunc("PUT /standin/faults", s.handleFaults)
+	s.mux.HandleFunc("PUT /standin/vms/{id}", s.handlePutVM)
+	s.mux.HandleFunc("DELETE /standin/vms/{id}", s.handleDeleteVM)
+	s.mux.HandleFunc("POST /standin/runs", s.handleRecordRun)
+	s.mux.HandleFunc("GET /standin/runs", s.handleRunCount)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+	s.mux.ServeHTTP(w, r)
+}
+
+// SetFaults replaces the faults in force.
+func (s *Server) SetFaults(faults platform.Faults) {
+	s.commitsToLose.Store(faults.LoseCommitAnswers)
+	s.faults.Store(&faults)
+}
+
+// PutVM adds or replaces an entry of the VM list.
+func (s *Server) PutVM(vm platform.VM) {
+	s.vms.put(vm, time.Now())
+}
+
+// Runs returns how often an idempotency key has run on any stand-in server.
+func (s *Server) Runs(key string) int64 {
+	return s.store.runCount(key)
+}
+
+// faulty applies outage and delay faults before the handler runs.
+func (s *Server) faulty(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		faults := s.faults.Load()
+		if faults.Hang {
+			<-r.Context().Done()
+			return
+		}
+		if faults.Down {
+			http.Error(w, "outage", http.StatusServiceUnavailable)
+			return
+		}
+		if faults.DelayMillis > 0 {
+			select {
+			case <-time.After(time.Duration(faults.DelayMillis) * time.Millisecond):
+			case <-r.Context().Done():
+				return
+			}
+		}
+		next(w, r)
+	}
+}
+
+func (s *Server) handleGet(w http.ResponseWriter, r *http.Request) {
+	var request platform.GetRequest
+	if !decode(w, r, &request) {
+		return
+	}
+	answer(w, http.StatusOK, platform.ReadResponse{Rows: s.store.get(request.Keys), Time: time.Now()})
+}
+
+func (s *Server) handleScan(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	rows, more := s.store.scan(query.Get("prefix"), query.Get("after"), limitOf(r))
+	answer(w, http.StatusOK, platform.ReadResponse{Rows: rows, More: more, Time: time.Now()})
+}
+
+func (s *Server) handleChanges(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after must be a number", http.StatusBadRequest)
+		return
+	}
+	rows, next, more := s.store.changes(query.Get("prefix"), after, limitOf(r))
+	answer(w, http.StatusOK, platform.ReadResponse{Rows: rows, Next: next, More: more, Time: time.Now()})
+}
+
+func (s *Server) handleCommit(w http.ResponseWriter, r *http.Request) {
+	var txn platform.Txn
+	if !decode(w, r, &txn) {
+		return
+	}
+	version, conflicts := s.store.commit(txn)
+	if s.loseAnswer() {
+		// Breaks the connection after the write took effect.
+		panic(http.ErrAbortHandler)
+	}
+	if len(conflicts) > 0 {
+		answer(w, http.StatusConflict, platform.CommitResponse{Conflicts: conflicts, Time: time.Now()})
+		return
+	}
+	answer(w, http.StatusOK, platform.CommitResponse{Version: version, Time: time.Now()})
+}
+
+func (s *Server) loseAnswer() bool {
+	if s.commitsToLose.Load() <= 0 {
+		return false
+	}
+	return s.commitsToLose.Add(-1) >= 0
+}
+
+func (s *Server) handlePutObject(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.store.putObject(r.PathValue("name"), data)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) handleGetObject(w http.ResponseWriter, r *http.Request) {
+	data, ok := s.store.object(r.PathValue("name"))
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	_, _ = w.Write(data)
+}
+
+func (s *Server) handleListVMs(w http.ResponseWriter, _ *http.Request) {
+	faults := s.faults.Load()
+	if faults.ListDown {
+		http.Error(w, "outage", http.StatusServiceUnavailable)
+		return
+	}
+	lag := time.Duration(faults.ListLagMillis) * time.Millisecond
+	answer(w, http.StatusOK, platform.VMListResponse{VMs: s.vms.at(time.Now().Add(-lag))})
+}
+
+func (s *Server) handleFaults(w http.ResponseWriter, r *http.Request) {
+	var faults platform.Faults
+	if !decode(w, r, &faults) {
+		return
+	}
+	s.SetFaults(faults)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) handlePutVM(w http.ResponseWriter, r *http.Request) {
+	var vm platform.VM
+	if !decode(w, r, &vm) {
+		return
+	}
+	if vm.ID != r.PathValue("id") {
+		http.Error(w, "id differs from path", http.StatusBadRequest)
+		return
+	}
+	s.PutVM(vm)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) handleDeleteVM(w http.ResponseWriter, r *http.Request) {
+	s.vms.remove(r.PathValue("id"), time.Now())
+	w.WriteHeader(http.StatusNoContent)
+}
+
+type runsResponse struct {
+	Runs int64 `json:"runs"`
+}
+
+func (s *Server) handleRecordRun(w http.ResponseWriter, r *http.Request) {
+	answer(w, http.StatusOK, runsResponse{Runs: s.store.recordRun(r.URL.Query().Get("key"))})
+}
+
+func (s *Server) handleRunCount(w http.ResponseWriter, r *http.Request) {
+	answer(w, http.StatusOK, runsResponse{Runs: s.store.runCount(r.URL.Query().Get("key"))})
+}
+
+func limitOf(r *http.Request) int {
+	limit, err := strconv.Atoi(r.URL.Query().Get("limit"))
+	if err != nil || limit <= 0 {
+		return defaultLimit
+	}
+	return limit
+}
+
+func decode(w http.ResponseWriter, r *http.Request, value any) bool {
+	err := json.NewDecoder(r.Body).Decode(value)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func answer(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// An error here means that the client has gone away.
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/pkg/preset/adopt.go
@@ -0,0 +1,22 @@
+package preset
+
+// Adopter decides which version of the preset is in force on one VM. Revisions
+// only rise. It is not safe for concurrent use; the control loop owns it.
+type Adopter struct {
+	current Version
+}
+
+// Current returns the version in force; its Preset is nil before the first.
+func (a *Adopter) Current() Version {
+	return a.current
+}
+
+// Offer adopts the version if its revision is higher than the one in force. It
+// reports whether the version was adopted.
+func (a *Adopter) Offer(v Version) bool {
+	if v.Preset == nil || v.Revision <= a.current.Revision {
+		return false
+	}
+	a.current = v
+	return true
+}
--- /dev/null
+++ b/pkg/routing/server.go
@@ -0,0 +1,169 @@
+// Package routing chooses the server for a call. The control loop publishes an
+// immutable Snapshot; traffic goroutines load it once per call and pick from it
+// without locks. The package does no I/O, starts no goroutine and reads no
+// clock: times are nanoseconds on the caller's monotonic clock.
+package routing
+
+import (
+	"math"
+	"sync/atomic"
+)
+
+// Availability says whether a server may receive new calls.
+type Availability int
+
+const (
+	// Available servers receive new calls.
+	Available Availability = iota
+	// Draining servers are leaving and receive no new calls.
+	Draining
+	// Ejected servers failed recently.
+	Ejected
+	// InMaintenance servers are taken out by the preset in force.
+	InMaintenance
+	// OutsideSubset servers are left to other gateways.
+	OutsideSubset
+)
+
+// String returns the name shown by /status.
+func (a Availability) String() string {
+	switch a {
+	case Available:
+		return "available"
+	case Draining:
+		return "draining"
+	case Ejected:
+		return "ejected"
+	case InMaintenance:
+		return "maintenance"
+	case OutsideSubset:
+		return "outside-subset"
+	default:
+		return "unknown"
+	}
+}
+
+// Server is one server as seen by traffic. Its fields do not change after the
+// snapshot is published, except for Stats.
+type Server struct {
+	ID            string
+	Service       string
+	Address       string
+	Region        string
+	FailureDomain string
+	Incarnation   uint64
+	Availability  Availability
+	// Reason explains the availability to operators.
+	Reason string
+	// Weight is the share of work that the server gets compared to a warm,
+	// healthy one, greater than 0 and at most 1.
+	Weight float64
+	// Penalty is added to the expected latency, in nanoseconds, for the distance
+	// between this gateway and the server.
+	Penalty int64
+	Stats   *Stats
+}
+
+// Stats are a gateway's observations of one server. Traffic goroutines and the
+// control loop share them through atomics only.
+type Stats struct {
+	inFlight atomic.Int64
+	// reported is the requests in flight of the last load report.
+	reported   atomic.Int64
+	reportedAt atomic.Int64
+	// sentSinceReport counts own dispatches that the last report does not hold.
+	sentSinceReport atomic.Int64
+	latency         atomic.Int64
+	answeredAt      atomic.Int64
+	Successes       atomic.Uint64
+	Failures        atomic.Uint64
+	Sheds           atomic.Uint64
+	// ConsecutiveFailures counts failures since the last success.
+	ConsecutiveFailures atomic.Int64
+	// DrainNoticedAt is the time of the last drain notice on the wire, 0 for none.
+	DrainNoticedAt atomic.Int64
+}
+
+// latencyWeight is the weight of one sample in the moving average of latencies.
+const latencyWeight = 0.1
+
+// Start records the dispatch of a request.
+func (s *Stats) Start() {
+	s.inFlight.Add(1)
+	s.sentSinceReport.Add(1)
+}
+
+// End records the end of a request of any outcome.
+func (s *Stats) End() {
+	s.inFlight.Add(-1)
+}
+
+// Success records an answer and its latency in nanoseconds.
+func (s *Stats) Success(now, latency int64) {
+	s.Successes.Add(1)
+	s.ConsecutiveFailures.Store(0)
+	s.answeredAt.Store(now)
+	old := s.latency.Load()
+	if old == 0 {
+		s.latency.Store(latency)
+		return
+	}
+	// A lost update of the average is harmless, so no compare-and-swap loop.
+	s.latency.Store(old + int64(latencyWeight*float64(latency-old)))
+}
+
+// Failure records a connection failure, a timeout or a 5xx answer other than 503.
+func (s *Stats) Failure() {
+	s.Failures.Add(1)
+	s.ConsecutiveFailures.Add(1)
+}
+
+// Shed records a 503 answer.
+func (s *Stats) Shed() {
+	s.Sheds.Add(1)
+}
+
+// Report records a load report: the requests in flight at the server from all
+// gateways.
+func (s *Stats) Report(now, inFlight int64) {
+	s.reported.Store(inFlight)
+	s.reportedAt.Store(now)
+	s.sentSinceReport.Store(0)
+}
+
+// InFlight returns this gateway's own requests in flight.
+func (s *Stats) InFlight() int64 {
+	return s.inFlight.Load()
+}
+
+// Latency returns the moving average in nanoseconds, 0 if none is known.
+func (s *Stats) Latency() int64 {
+	return s.latency.Load()
+}
+
+// AnsweredAt returns the time of the last answer, 0 if none.
+func (s *Stats) AnsweredAt() int64 {
+	return s.answeredAt.Load()
+}
+
+// ReportedAt returns the time of the last load report, 0 if none.
+func (s *Stats) ReportedAt() int64 {
+	return s.reportedAt.Load()
+}
+
+// reportHalfLife is the age in nanoseconds at which a load report counts half.
+const reportHalfLife = 50e6
+
+// EstimatedInFlight combines the last report, faded by its age, with own
+// dispatches since. It is never below the own requests in flight.
+func (s *Stats) EstimatedInFlight(now int64) float64 {
+	own := float64(s.inFlight.Load())
+	reportedAt := s.reportedAt.Load()
+	if reportedAt == 0 {
+		return own
+	}
+	age := float64(max(0, now-reportedAt))
+	faded := float64(s.reported.Load()) * math.Exp2(-age/reportHalfLife)
+	estimate := faded + float64(max(0, s.sentSinceReport.Load()))
+	return max(own, estimate)
+}
--- /dev/null
+++ b/pkg/routing/snapshot.go
@@ -0,0 +1,140 @@
+package routing
+
+import (
+	"math/rand/v2"
+
+	"balsamhill/pkg/preset"
+)
+
+// Snapshot is everything that a call needs to know. It is immutable; the
+// control loop publishes a new one after each change.
+type Snapshot struct {
+	Version  preset.Version
+	Services map[string]*ServiceView
+}
+
+// ServiceView is one service in a snapshot.
+type ServiceView struct {
+	Name  string
+	Slots int
+	// Servers holds all known servers, whether available or not.
+	Servers []*Server
+	// Local holds the available servers of the own region, Remote those of
+	// other regions.
+	Local  []*Server
+	Remote []*Server
+	// SpillShare is the share of calls, 0 to 1, that go to Remote although Local
+	// is not empty.
+	SpillShare float64
+	Tuning     preset.Tuning
+	policy     Policy
+}
+
+// Pick describes one choice.
+type Pick struct {
+	// Rand is owned by the calling goroutine.
+	Rand *rand.Rand
+	// Now is the time in nanoseconds.
+	Now int64
+	// Tried holds servers that must not be chosen again for this call.
+	Tried []*Server
+}
+
+// Policy chooses one of the candidates, which are not empty. Implementations
+// are safe for concurrent use, take no lock, and look at a bounded number of
+// candidates unless their comment says otherwise.
+type Policy interface {
+	Choose(candidates []*Server, pick Pick) *Server
+}
+
+// Usable returns how many servers may receive new calls.
+func (v *ServiceView) Usable() int {
+	return len(v.Local) + len(v.Remote)
+}
+
+// retriesOfChoice bounds how often a choice is repeated because the chosen
+// server had been tried before.
+const retriesOfChoice = 4
+
+// Choose returns a server, or nil if none is available that has not been tried.
+func (v *ServiceView) Choose(pick Pick) *Server {
+	first, second := v.Local, v.Remote
+	if len(first) == 0 || (len(second) > 0 && v.SpillShare > 0 && pick.Rand.Float64() < v.SpillShare) {
+		first, second = second, first
+	}
+	server := v.chooseFrom(first, pick)
+	if server == nil {
+		server = v.chooseFrom(second, pick)
+	}
+	return server
+}
+
+func (v *ServiceView) chooseFrom(candidates []*Server, pick Pick) *Server {
+	if len(candidates) == 0 {
+		return nil
+	}
+	for range retriesOfChoice {
+		server := v.policy.Choose(candidates, pick)
+		if !contains(pick.Tried, server) {
+			return server
+		}
+	}
+	// Falls back to a scan from a random place, so that an untried server is
+	// found if there is one.
+	start := pick.Rand.IntN(len(candidates))
+	for i := range candidates {
+		server := candidates[(start+i)%len(candidates)]
+		if !contains(pick.Tried, server) {
+			return server
+		}
+	}
+	return nil
+}
+
+func contains(servers []*Server, wanted *Server) bool {
+	for _, server := range servers {
+		if server.ID == wanted.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// NewServiceView sorts servers into regions and prepares the policy.
+func NewServiceView(name string, slots int, region string, tuning preset.Tuning, servers []*Server) *ServiceView {
+	view := &ServiceView{
+		Name:    name,
+		Slots:   slots,
+		Servers: servers,
+		Tuning:  tuning,
+		policy:  NewPolicy(tuning.Policy),
+	}
+	for _, server := range servers {
+		switch {
+		case server.Availability != Available:
+		case server.Region == region:
+			view.Local = append(view.Local, server)
+		default:
+			view.Remote = append(view.Remote, server)
+		}
+	}
+	return view
+}
+
+// NewPolicy returns the policy of a name; unknown names give the default.
+func NewPolicy(name preset.Policy) Policy {
+	switch name {
+	case preset.PolicyRandom:
+		return Random{}
+	case preset.PolicyRoundRobin:
+		return &RoundRobin{}
+	case preset.PolicyLeastInFlight:
+		return LeastInFlight{}
+	case preset.PolicyPowerOfTwo:
+		return PowerOfTwo{}
+	case preset.PolicyWeightedLoad:
+		return WeightedLoad{}
+	default:
+		return HotCold{}
+	}
+}
--- /dev/null
+++ b/processtest/process_test.go
@@ -0,0 +1,205 @@
+// Package processtest runs the system as separate processes: gateways, the
+// platform stand-in, stand-in servers and the operator tool.
+package processtest
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"balsamhill/examples"
+)
+
+// binaries is the folder with the programs that TestMain builds.
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "balsamhill")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binaries = dir
+	output, err := exec.Command("go", "build", "-o", dir, "balsamhill/cmd/...").CombinedOutput()
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", output, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// deadline bounds waiting for events that should come at once. It is generous
+// because it only decides how long a broken system takes to fail.
+const deadline = 30 * time.Second
+
+// process is one running program.
+type process struct {
+	command *exec.Cmd
+	// firstLine is the first line on standard output.
+	firstLine string
+}
+
+// start runs a program and waits for its first line, which holds its addresses.
+func start(t *testing.T, name string, args ...string) *process {
+	t.Helper()
+	command := exec.Command(filepath.Join(binaries, name), args...)
+	command.Stderr = &testWriter{t: t, prefix: name}
+	stdout, err := command.StdoutPipe()
+	assert.NilError(t, err)
+	assert.NilError(t, command.Start())
+	p := &process{command: command}
+	t.Cleanup(func() {
+		_ = command.Process.Kill()
+		_ = command.Wait()
+	})
+	p.firstLine, err = bufio.NewReader(stdout).ReadString('\n')
+	assert.NilError(t, err, name)
+	return p
+}
+
+// testWriter passes a program's standard error to the test's log.
+type testWriter struct {
+	t      *testing.T
+	prefix string
+}
+
+func (w *testWriter) Write(data []byte) (int, error) {
+	// Lines that arrive after the test's end must not panic in t.Log.
+	if w.t.Context().Err() == nil {
+		w.t.Logf("%s: %s", w.prefix, strings.TrimSpace(string(data)))
+	}
+	return len(data), nil
+}
+
+func (p *process) address(t *testing.T) string {
+	t.Helper()
+	var line struct {
+		Address string `json:"address"`
+	}
+	assert.NilError(t, json.Unmarshal([]byte(p.firstLine), &line))
+	return line.Address
+}
+
+// run runs a program to its end and returns its output and exit code.
+func run(t *testing.T, name string, args ...string) (string, int) {
+	t.Helper()
+	command := exec.Command(filepath.Join(binaries, name), args...)
+	output, err := command.CombinedOutput()
+	if command.ProcessState == nil {
+		t.Fatal(err)
+	}
+	return string(output), command.ProcessState.ExitCode()
+}
+
+// eventually polls until a condition holds.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	limit := time.Now().Add(deadline)
+	for !condition() {
+		if time.Now().After(limit) {
+			t.Fatalf("not reached: %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// fleet is a platform stand-in with the example presets stored.
+type fleet struct {
+	t        *testing.T
+	platform *process
+	url      string
+}
+
+func startFleet(t *testing.T) *fleet {
+	t.Helper()
+	p := start(t, "standin", "platform")
+	f := &fleet{t: t, platform: p, url: "http://" + p.address(t)}
+	for _, document := range examples.Presets() {
+		path := filepath.Join(t.TempDir(), document.Name+".jsonc")
+		assert.NilError(t, os.WriteFile(path, document.Text, 0o600))
+		f.tool(0, "preset", "apply", "-f", path)
+	}
+	f.tool(0, "preset", "use", "ordinary")
+	return f
+}
+
+// tool runs the operator tool and checks its exit code.
+func (f *fleet) tool(wantExit int, args ...string) string {
+	f.t.Helper()
+	output, exit := run(f.t, "balsamhill", append([]string{"-platform", f.url}, args...)...)
+	assert.Equal(f.t, exit, wantExit, output)
+	return output
+}
+
+func (f *fleet) startServer(service, region string, args ...string) *process {
+	f.t.Helper()
+	all := append([]string{"server", "-service", service, "-region", region, "-platform", f.url}, args...)
+	return start(f.t, "standin", all...)
+}
+
+// gatewayProcess is a running daemon.
+type gatewayProcess struct {
+	*process
+	traffic, admin string
+}
+
+// startGateway runs a daemon with the Signline example settings on free ports
+// and waits until it is ready.
+func (f *fleet) startGateway(id, region string) *gatewayProcess {
+	f.t.Helper()
+	text := string(examples.SignlineSettings())
+	replace := func(from, to string) {
+		assert.Assert(f.t, strings.Contains(text, from), from)
+		text = strings.Replace(text, from, to, 1)
+	}
+	for _, port := range []string{"8080", "8081", "8082"} {
+		replace("127.0.0.1:"+port, "127.0.0.1:0")
+	}
+	replace("http://127.0.0.1:9000", f.url)
+	replace(`"gw-khomas-1"`, `"`+id+`"`)
+	replace(`"region": "khomas"`, `"region": "`+region+`"`)
+	replace(`"noticeMillis": 10000`, `"noticeMillis": 100`)
+	path := filepath.Join(f.t.TempDir(), id+".jsonc")
+	assert.NilError(f.t, os.WriteFile(path, []byte(text), 0o600))
+	p := start(f.t, "balsamhilld", "serve", "-config", path)
+	var addresses struct {
+		Gateway string `json:"gateway"`
+		Admin   string `json:"admin"`
+	}
+	assert.NilError(f.t, json.Unmarshal([]byte(p.firstLine), &addresses))
+	g := &gatewayProcess{process: p, traffic: addresses.Gateway, admin: addresses.Admin}
+	eventually(f.t, id+" ready", func() bool {
+		status, _ := get(g.admin + "/readyz")
+		return status == http.StatusOK
+	})
+	return g
+}
+
+// get returns the status and the body; status 0 means that there was no answer.
+func get(url string) (int, string) {
+	response, err := http.Get(url)
+	if err != nil {
+		return 0, ""
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return response.StatusCode, string(body)
+}
