--- a/pkg/control/events.go
+++ b/pkg/control/events.go
@@ -35,9 +35,34 @@
 	FromPeer string
 }
 
+// PeerSummary carries what another gateway of the region sees of servers.
+type PeerSummary struct {
+	// Peer is the ID of the gateway.
+	Peer  string
+	Loads []PeerLoad
+}
+
+// PeerLoad is a peer's view of one server.
+type PeerLoad struct {
+	ServerID string
+	// InFlight is the peer's own number of requests in flight on the server.
+	InFlight int64
+	// Latency is the peer's moving average in nanoseconds, 0 if none.
+	Latency int64
+	// Ejected says that the peer has ejected the server.
+	Ejected bool
+}
+
+// PeerLost says that a peer is gone, so that its summary no longer counts.
+type PeerLost struct {
+	Peer string
+}
+
 func (VMListRead) event()    {}
 func (PresetOffered) event() {}
 func (DrainNoticed) event()  {}
+func (PeerSummary) event()   {}
+func (PeerLost) event()      {}
 
 // Action is something that the owner of the State has to do. The types below
 // are all actions.
