--- a/processtest/process_test.go
+++ b/processtest/process_test.go
@@ -203,3 +203,35 @@
 	}
 	return response.StatusCode, string(body)
 }
+
+// waitForService waits until a gateway serves a service.
+func (f *fleet) waitForService(g *gatewayProcess, service string) {
+	f.t.Helper()
+	eventually(f.t, service+" served", func() bool {
+		status, _ := get(g.traffic + "/" + service + "/ready")
+		return status == http.StatusOK
+	})
+}
+
+// faults switches faults of the platform stand-in.
+func (f *fleet) faults(document string) {
+	f.t.Helper()
+	request, err := http.NewRequest(http.MethodPut, f.url+"/standin/faults", strings.NewReader(document))
+	assert.NilError(f.t, err)
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(f.t, err)
+	defer response.Body.Close()
+	assert.Equal(f.t, response.StatusCode, http.StatusNoContent)
+}
+
+// inFlight returns the callers' requests in flight, -1 if the gateway does not answer.
+func (g *gatewayProcess) inFlight() int64 {
+	_, body := get(g.admin + "/status")
+	var status struct {
+		InFlight int64 `json:"inFlight"`
+	}
+	if json.Unmarshal([]byte(body), &status) != nil {
+		return -1
+	}
+	return status.InFlight
+}
