Wait for upgraded connections and end kept-alive ones in a graceful shutdown

http.Server.Shutdown neither waits for hijacked connections nor asks callers on kept-alive connections to leave before it closes idle ones. The shutdown now sends Connection: close after the notice and waits until no request is in flight.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -186,12 +186,27 @@
 	case <-g.stop:
 	case <-ctx.Done():
 	}
+	return g.shutDownTraffic(context.WithoutCancel(ctx))
+}
+
+// drainPoll is the interval at which requests on upgraded connections are
+// counted during a graceful shutdown; http.Server does not wait for those.
+const drainPoll = 100 * time.Millisecond
+
+// shutDownTraffic stops new work and waits without limit for requests in flight.
+func (g *Gateway) shutDownTraffic(ctx context.Context) error {
 	g.stopping.Store(true)
 	g.log.Info("graceful shutdown started", "inFlight", g.proxy.InFlight())
-	g.writeRow(context.WithoutCancel(ctx))
-	// Readiness fails from here on; the balancer in front needs time to notice.
+	g.writeRow(ctx)
+	// Readiness fails from here on; the balancer in front needs time to notice
+	// before the listener closes.
 	time.Sleep(g.settings.Shutdown.Notice())
-	err := g.traffic.Shutdown(context.WithoutCancel(ctx))
+	// Answers now carry Connection: close, so that kept-alive connections move on.
+	g.traffic.SetKeepAlivesEnabled(false)
+	err := g.traffic.Shutdown(ctx)
+	for g.proxy.InFlight() > 0 {
+		time.Sleep(drainPoll)
+	}
 	g.log.Info("graceful shutdown complete")
 	return err
 }
--- a/processtest/relay_test.go
+++ b/processtest/relay_test.go
@@ -105,4 +105,3 @@
 	}
 	r.pairs = nil
 }
-
