Take accepted presets directly from the operator tool

Cause: a store that goes down after it accepted a change and before any gateway read it keeps the change from all gateways, although the operator was told that it was accepted. Options: wait with the acceptance until a gateway has read the change (does not help when the store is already down); stage documents before the commit (a gateway could not tell a commit from an abandoned stage).

--- a/pkg/gateway/admin.go
+++ b/pkg/gateway/admin.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"balsamhill/pkg/presetoffer"
 )
 
 // StatusDocument is the answer of /status.
@@ -63,6 +65,7 @@
 		metrics.WriteProcessMetrics(w)
 	})
 	mux.HandleFunc("POST /notify", g.handleNotify)
+	mux.HandleFunc("POST "+presetoffer.Path, g.handleOffer)
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -58,6 +58,9 @@
 // Admin configures the listener for operators and monitoring.
 type Admin struct {
 	Listen string `json:"listen"`
+	// OperatorKeyFile holds the key that signs preset offers of the operator
+	// tool. It is required to take offers on an address that is not loopback.
+	OperatorKeyFile string `json:"operatorKeyFile,omitempty"`
 }
 
 // Peers configures the exchange between gateways.
