Report all problems of presets and settings with their lines

Cause: Parse stopped at the first type error or unknown field, named no line for presets and left the accepted values out of some messages. A preset that named one field of a class reset the other fields of that class to zero, so that a document with only "retryPercent" switched the class's timeouts and body limit off. A time limit above 292 years overflowed time.Duration, and a queueMillis of 0 silently meant 100 ms. Settings accepted port names, port 0 of fixed servers, an empty platform.region, and servers without an ID.

Change: the new package strictjson decodes JSON with comments, reports every unknown, repeated or mistyped field with its line and what is accepted, and lets map entries keep the defaults of fields they leave out.

Before: one problem at a time; partial classes lost their defaults.

Conclusion: operators see all problems of a file in one go.

--- a/pkg/preset/defaults.go
+++ b/pkg/preset/defaults.go
@@ -34,6 +34,12 @@
 	return Tuning{Policy: PolicyHotCold, QueueFactor: defaultQueueFactor, QueueMillis: defaultQueueMillis}
 }
 
+// SetDefaults implements strictjson.Defaulter: an entry of "services" keeps the
+// defaults of the fields that it leaves out.
+func (t *Tuning) SetDefaults() {
+	*t = DefaultTuning()
+}
+
 // Limits returns the limits of a class.
 func (p *Preset) Limits(class Class) Limits {
 	return p.Classes[class]
--- a/pkg/preset/parse.go
+++ b/pkg/preset/parse.go
@@ -1,16 +1,15 @@
 package preset
 
 import (
-	"bytes"
-	"encoding/json"
+	"cmp"
 	"errors"
 	"fmt"
-	"regexp"
 	"slices"
 	"strings"
 
 	"github.com/rotisserie/eris"
-	"github.com/tailscale/hujson"
+
+	"balsamhill/pkg/strictjson"
 )
 
 // MaxDocumentBytes bounds a preset document, so that one fits in a peer message.
@@ -19,102 +18,50 @@
 // ErrInvalid is wrapped by all errors of Parse.
 var ErrInvalid = eris.New("invalid preset")
 
-var namePattern = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
-
 // Parse reads a preset from JSON with comments, fills in defaults and checks it.
-// The error joins all problems found.
+// Fields that the document leaves out keep their defaults, also within the entry
+// of a class or a service. The error joins all problems found, each with its
+// line, its field and what is accepted.
 func Parse(document []byte) (*Preset, error) {
 	if len(document) > MaxDocumentBytes {
 		return nil, eris.Wrapf(ErrInvalid, "document has %d bytes; the limit is %d", len(document), MaxDocumentBytes)
 	}
-	standard, err := hujson.Standardize(bytes.Clone(document))
-	if err != nil {
-		return nil, eris.Wrapf(ErrInvalid, "%v", err)
-	}
-	var head struct {
-		Name string `json:"name"`
-		Kind Kind   `json:"kind"`
-	}
-	err = json.Unmarshal(standard, &head)
-	if err != nil {
-		return nil, eris.Wrapf(ErrInvalid, "%v", err)
-	}
-	p := Default(head.Name, head.Kind)
-	decoder := json.NewDecoder(bytes.NewReader(standard))
-	decoder.DisallowUnknownFields()
-	err = decoder.Decode(p)
-	if err != nil {
-		return nil, eris.Wrapf(ErrInvalid, "%v", err)
+	p := Default("", "")
+	decoded, problems := strictjson.Decode(document, p)
+	// A field that could not be decoded is not checked as well: its value is not
+	// the operator's.
+	undecoded := make(map[string]bool)
+	for _, problem := range problems {
+		undecoded[problem.Field] = true
+	}
+	if !undecoded[""] {
+		for _, found := range p.problems() {
+			if !undecoded[found.Field] {
+				found.Line = decoded.Line(found.Field)
+				problems = append(problems, found)
+			}
+		}
 	}
-	err = p.Validate()
-	if err != nil {
-		return nil, err
+	slices.SortStableFunc(problems, func(a, b strictjson.Problem) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Field, b.Field))
+	})
+	if len(problems) > 0 {
+		return nil, joinProblems(problems, strictjson.Problem.String)
 	}
 	return p, nil
 }
 
 // Validate checks the values and joins all problems found.
 func (p *Preset) Validate() error {
-	var problems []error
-	report := func(field, format string, args ...any) {
-		problems = append(problems, fmt.Errorf("%w: %s: %s", ErrInvalid, field, fmt.Sprintf(format, args...)))
-	}
-	if !namePattern.MatchString(p.Name) {
-		report("name", "%q must be lower-case letters, digits and hyphens, at most 63", p.Name)
-	}
-	kinds := []Kind{KindOrdinary, KindPeak, KindMaintenance}
-	if !slices.Contains(kinds, p.Kind) {
-		report("kind", "%q is not one of ordinary, peak, maintenance", p.Kind)
-	}
-	for class, limits := range p.Classes {
-		validateLimits(class, limits, report)
-	}
-	for name, tuning := range p.Services {
-		validateTuning(name, tuning, report)
-	}
-	percent := func(field string, value, highest float64) {
-		if value < 0 || value > highest {
-			report(field, "%g is not between 0 and %g", value, highest)
-		}
-	}
-	percent("measuring.probePercent", p.Measuring.ProbePercent, 5)
-	percent("measuring.linkPercent", p.Measuring.LinkPercent, 5)
-	percent("spillOver.loadPercent", p.SpillOver.LoadPercent, 100)
-	return errors.Join(problems...)
+	return joinProblems(p.problems(), strictjson.Problem.Message)
 }
 
-type reportFunc func(field, format string, args ...any)
-
-func validateLimits(class Class, limits Limits, report reportFunc) {
-	field := "classes." + string(class)
-	if !slices.Contains([]Class{ClassFetch, ClassBooking, ClassUpload}, class) {
-		report(field, "is not one of fetch, booking, upload")
-	}
-	if limits.TimeoutMillis < 0 || limits.IdleMillis < 0 || limits.MaxBodyBytes < 0 {
-		report(field, "limits must not be negative")
-	}
-	if limits.RetryPercent < 0 || limits.RetryPercent > 20 {
-		report(field+".retryPercent", "%g is not between 0 and 20", limits.RetryPercent)
-	}
-	if limits.HedgePercent < 0 || limits.HedgePercent > 5 {
-		report(field+".hedgePercent", "%g is not between 0 and 5", limits.HedgePercent)
-	}
-	if class != ClassFetch && limits.HedgePercent > 0 {
-		report(field+".hedgePercent", "only the class fetch may be hedged")
-	}
-}
-
-func validateTuning(service string, tuning Tuning, report reportFunc) {
-	field := "services." + service
-	if tuning.Policy != "" && !slices.Contains(Policies(), tuning.Policy) {
-		report(field+".policy", "%q is not one of %s", tuning.Policy, joinPolicies())
-	}
-	if tuning.QueueFactor < 0 || tuning.QueueFactor > 100 {
-		report(field+".queueFactor", "%g is not between 0 and 100", tuning.QueueFactor)
-	}
-	if tuning.QueueMillis < 0 || tuning.QueueMillis > 60_000 {
-		report(field+".queueMillis", "%d is not between 0 and 60000", tuning.QueueMillis)
+func joinProblems(problems []strictjson.Problem, text func(strictjson.Problem) string) error {
+	errs := make([]error, 0, len(problems))
+	for _, problem := range problems {
+		errs = append(errs, fmt.Errorf("%w: %s", ErrInvalid, text(problem)))
 	}
+	return errors.Join(errs...)
 }
 
 // Policies returns all known policies.
--- /dev/null
+++ b/pkg/preset/validate.go
@@ -0,0 +1,114 @@
+package preset
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+
+	"balsamhill/pkg/strictjson"
+)
+
+// Accepted ranges of the fields. Times are bounded so that they fit a
+// time.Duration.
+const (
+	maxClassMillis      = 24 * hourMillis
+	maxBodyBytes        = 1 << 40
+	maxRetryPercent     = 20.0
+	maxHedgePercent     = 5.0
+	minQueueFactor      = 0.1
+	maxQueueFactor      = 100.0
+	maxQueueMillis      = 60_000
+	maxMeasuringPercent = 5.0
+	maxLoadPercent      = 100.0
+	maxDescriptionBytes = 500
+)
+
+var (
+	namePattern = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+	vmPattern   = regexp.MustCompile(`^[^\s]{1,128}$`)
+)
+
+// Classes returns all route classes.
+func Classes() []Class {
+	return []Class{ClassFetch, ClassBooking, ClassUpload}
+}
+
+type validator struct {
+	found []strictjson.Problem
+}
+
+func (v *validator) report(field, format string, args ...any) {
+	v.found = append(v.found, strictjson.Problem{Field: field, Text: fmt.Sprintf(format, args...)})
+}
+
+func (v *validator) percent(field string, value, highest float64) {
+	if !(value >= 0 && value <= highest) {
+		v.report(field, "%g is not between 0 and %g", value, highest)
+	}
+}
+
+func (v *validator) whole(field string, value, lowest, highest int64) {
+	if value < lowest || value > highest {
+		v.report(field, "%d is not between %d and %d", value, lowest, highest)
+	}
+}
+
+// problems checks the values and returns the findings in order of their fields;
+// the lines are not filled in.
+func (p *Preset) problems() []strictjson.Problem {
+	v := &validator{}
+	if !namePattern.MatchString(p.Name) {
+		v.report("name", "%q must be 1 to 63 lower-case letters, digits and hyphens and start with a letter", p.Name)
+	}
+	kinds := []Kind{KindOrdinary, KindPeak, KindMaintenance}
+	if !slices.Contains(kinds, p.Kind) {
+		v.report("kind", "%q is not one of ordinary, peak, maintenance", p.Kind)
+	}
+	if len(p.Description) > maxDescriptionBytes {
+		v.report("description", "has %d bytes; the limit is %d", len(p.Description), maxDescriptionBytes)
+	}
+	for class, limits := range p.Classes {
+		v.limits(class, limits)
+	}
+	for name, tuning := range p.Services {
+		v.tuning(name, tuning)
+	}
+	v.percent("measuring.probePercent", p.Measuring.ProbePercent, maxMeasuringPercent)
+	v.percent("measuring.linkPercent", p.Measuring.LinkPercent, maxMeasuringPercent)
+	v.percent("spillOver.loadPercent", p.SpillOver.LoadPercent, maxLoadPercent)
+	for i, id := range p.Maintenance {
+		if !vmPattern.MatchString(id) {
+			v.report(fmt.Sprintf("maintenance[%d]", i), "%q is not the ID of a VM (1 to 128 characters without spaces)", id)
+		}
+	}
+	slices.SortFunc(v.found, func(a, b strictjson.Problem) int { return strings.Compare(a.Field, b.Field) })
+	return v.found
+}
+
+func (v *validator) limits(class Class, limits Limits) {
+	field := "classes." + string(class)
+	if !slices.Contains(Classes(), class) {
+		v.report(field, "%q is not one of fetch, booking, upload", class)
+		return
+	}
+	v.whole(field+".timeoutMillis", limits.TimeoutMillis, 0, maxClassMillis)
+	v.whole(field+".idleMillis", limits.IdleMillis, 0, maxClassMillis)
+	v.whole(field+".maxBodyBytes", limits.MaxBodyBytes, 0, maxBodyBytes)
+	v.percent(field+".retryPercent", limits.RetryPercent, maxRetryPercent)
+	v.percent(field+".hedgePercent", limits.HedgePercent, maxHedgePercent)
+	if class != ClassFetch && limits.HedgePercent > 0 {
+		v.report(field+".hedgePercent", "%g is not 0; only the class fetch may be hedged", limits.HedgePercent)
+	}
+}
+
+func (v *validator) tuning(service string, tuning Tuning) {
+	field := "services." + service
+	if !slices.Contains(Policies(), tuning.Policy) {
+		v.report(field+".policy", "%q is not one of %s", tuning.Policy, joinPolicies())
+	}
+	if !(tuning.QueueFactor >= minQueueFactor && tuning.QueueFactor <= maxQueueFactor) {
+		v.report(field+".queueFactor", "%g is not between %g and %g", tuning.QueueFactor, minQueueFactor, maxQueueFactor)
+	}
+	v.whole(field+".queueMillis", tuning.QueueMillis, 1, maxQueueMillis)
+}
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -1,16 +1,15 @@
 package settings
 
 import (
-	"bytes"
-	"encoding/json"
+	"cmp"
 	"errors"
 	"fmt"
 	"os"
-	"regexp"
-	"strings"
+	"slices"
 
 	"github.com/rotisserie/eris"
-	"github.com/tailscale/hujson"
+
+	"balsamhill/pkg/strictjson"
 )
 
 // ErrInvalid is wrapped by all errors of Parse.
@@ -28,73 +27,30 @@
 
 // Parse reads and validates a settings document. The name stands in errors.
 func Parse(name string, document []byte) (*Settings, error) {
-	standard, err := hujson.Standardize(bytes.Clone(document))
-	if err != nil {
-		return nil, fmt.Errorf("%w: %s: %w", ErrInvalid, name, err)
-	}
 	s := defaults()
-	decoder := json.NewDecoder(bytes.NewReader(standard))
-	decoder.DisallowUnknownFields()
-	err = decoder.Decode(s)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %s:%d: %w", ErrInvalid, name, errorLine(standard, decoder, err), err)
-	}
-	problems := s.validate()
-	joined := make([]error, 0, len(problems))
+	decoded, problems := strictjson.Decode(document, s)
+	// A field that could not be decoded is not checked as well: its value is not
+	// the one in the file.
+	undecoded := make(map[string]bool)
 	for _, problem := range problems {
-		joined = append(joined, fmt.Errorf("%w: %s:%d: %s", ErrInvalid, name, lineOf(document, problem.field), problem))
-	}
-	if len(joined) > 0 {
-		return nil, errors.Join(joined...)
-	}
-	return s, nil
-}
-
-// errorLine returns the line on which decoding failed. Standardize keeps line
-// breaks, so lines agree with the original document.
-func errorLine(document []byte, decoder *json.Decoder, err error) int {
-	offset := decoder.InputOffset()
-	var syntaxError *json.SyntaxError
-	var typeError *json.UnmarshalTypeError
-	switch {
-	case errors.As(err, &syntaxError):
-		offset = syntaxError.Offset
-	case errors.As(err, &typeError):
-		offset = typeError.Offset
+		undecoded[problem.Field] = true
 	}
-	if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
-		if at := bytes.Index(document, []byte(name)); at >= 0 {
-			offset = int64(at)
+	if !undecoded[""] {
+		for _, found := range s.validate() {
+			if !undecoded[found.field] {
+				problems = append(problems, strictjson.Problem{Line: decoded.Line(found.field), Field: found.field, Text: found.text})
+			}
 		}
 	}
-	offset = min(offset, int64(len(document)))
-	return 1 + bytes.Count(document[:offset], []byte("\n"))
-}
-
-var indexPattern = regexp.MustCompile(`^(.*)\[(\d+)\]$`)
-
-// lineOf finds the line of a field such as "services[1].slots" by walking the
-// syntax tree. It returns the line of the nearest enclosing value that exists.
-func lineOf(document []byte, field string) int {
-	value, err := hujson.Parse(document)
-	if err != nil {
-		return 1
+	slices.SortStableFunc(problems, func(a, b strictjson.Problem) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Field, b.Field))
+	})
+	errs := make([]error, 0, len(problems))
+	for _, problem := range problems {
+		errs = append(errs, fmt.Errorf("%w: %s:%d: %s", ErrInvalid, name, problem.Line, problem.Message()))
 	}
-	pointer := ""
-	best := value.StartOffset
-	for part := range strings.SplitSeq(field, ".") {
-		index := indexPattern.FindStringSubmatch(part)
-		if index != nil {
-			pointer += "/" + index[1] + "/" + index[2]
-		} else {
-			pointer += "/" + part
-		}
-		found := value.Find(pointer)
-		if found == nil {
-			break
-		}
-		best = found.StartOffset
+	if len(errs) > 0 {
+		return nil, errors.Join(errs...)
 	}
-	best = min(best, len(document))
-	return 1 + bytes.Count(document[:best], []byte("\n"))
+	return s, nil
 }
--- a/pkg/settings/validate.go
+++ b/pkg/settings/validate.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 
 	"balsamhill/pkg/preset"
@@ -18,10 +19,6 @@
 	text  string
 }
 
-func (p problem) String() string {
-	return p.field + ": " + p.text
-}
-
 type validator struct {
 	problems []problem
 }
@@ -30,6 +27,8 @@
 	v.problems = append(v.problems, problem{field: field, text: fmt.Sprintf(format, args...)})
 }
 
+var methodPattern = regexp.MustCompile(`^[A-Z]{1,32}$`)
+
 var identifierPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
 
 func (s *Settings) validate() []problem {
@@ -39,14 +38,10 @@
 	v.identifier("vm.failureDomain", s.VM.FailureDomain)
 	v.traffic(s.Traffic)
 	v.address("admin.listen", s.Admin.Listen)
-	if s.Admin.Listen == s.Traffic.Listen && !strings.HasSuffix(s.Admin.Listen, ":0") {
-		v.report("admin.listen", "must differ from traffic.listen")
-	}
+	v.listeners(s)
 	v.peers(s.Peers)
 	v.platform(s.Platform)
-	if s.Shutdown.NoticeMillis < 0 || s.Shutdown.NoticeMillis > 600_000 {
-		v.report("shutdown.noticeMillis", "%d is not between 0 and 600000", s.Shutdown.NoticeMillis)
-	}
+	v.whole("shutdown.noticeMillis", s.Shutdown.NoticeMillis, 0, 600_000)
 	if !slices.Contains([]string{"debug", "info", "warn", "error"}, s.Log.Level) {
 		v.report("log.level", "%q is not one of debug, info, warn, error", s.Log.Level)
 	}
@@ -61,7 +56,7 @@
 }
 
 func (v *validator) address(field, value string) {
-	host, _, err := net.SplitHostPort(value)
+	host, port, err := net.SplitHostPort(value)
 	if err != nil {
 		v.report(field, "%q is not host:port", value)
 		return
@@ -69,6 +64,40 @@
 	if _, err := netip.ParseAddr(host); err != nil {
 		v.report(field, "host %q is not an IP address", host)
 	}
+	if _, err := strconv.ParseUint(port, 10, 16); err != nil {
+		v.report(field, "port %q is not a number between 0 and 65535", port)
+	}
+}
+
+// remoteAddress checks an address to connect to.
+func (v *validator) remoteAddress(field, value string) {
+	v.address(field, value)
+	if strings.HasSuffix(value, ":0") {
+		v.report(field, "%q needs a port between 1 and 65535", value)
+	}
+}
+
+func (v *validator) whole(field string, value, lowest, highest int64) {
+	if value < lowest || value > highest {
+		v.report(field, "%d is not between %d and %d", value, lowest, highest)
+	}
+}
+
+// listeners checks that no two listeners share an address; port 0 is a free port.
+func (v *validator) listeners(s *Settings) {
+	used := make(map[string]string)
+	for _, listener := range []problem{
+		{"traffic.listen", s.Traffic.Listen}, {"admin.listen", s.Admin.Listen}, {"peers.listen", s.Peers.Listen},
+	} {
+		field, address := listener.field, listener.text
+		if address == "" || strings.HasSuffix(address, ":0") {
+			continue
+		}
+		if other, ok := used[address]; ok {
+			v.report(field, "%q must differ from %s", address, other)
+		}
+		used[address] = field
+	}
 }
 
 func (v *validator) traffic(t Traffic) {
@@ -76,15 +105,9 @@
 	if t.TLS != nil {
 		v.tls("traffic.tls", t.TLS, false)
 	}
-	if t.MaxHeaderBytes < 4<<10 || t.MaxHeaderBytes > 1<<20 {
-		v.report("traffic.maxHeaderBytes", "%d is not between 4096 and 1048576", t.MaxHeaderBytes)
-	}
-	if t.HeaderTimeoutMillis < 100 || t.HeaderTimeoutMillis > 120_000 {
-		v.report("traffic.headerTimeoutMillis", "%d is not between 100 and 120000", t.HeaderTimeoutMillis)
-	}
-	if t.IdleTimeoutMillis < 1_000 || t.IdleTimeoutMillis > 3_600_000 {
-		v.report("traffic.idleTimeoutMillis", "%d is not between 1000 and 3600000", t.IdleTimeoutMillis)
-	}
+	v.whole("traffic.maxHeaderBytes", int64(t.MaxHeaderBytes), 4<<10, 1<<20)
+	v.whole("traffic.headerTimeoutMillis", t.HeaderTimeoutMillis, 100, 120_000)
+	v.whole("traffic.idleTimeoutMillis", t.IdleTimeoutMillis, 1_000, 3_600_000)
 	for i, cidr := range t.TrustedProxies {
 		if _, err := netip.ParsePrefix(cidr); err != nil {
 			v.report(fmt.Sprintf("traffic.trustedProxies[%d]", i), "%q is not a CIDR range", cidr)
@@ -105,19 +128,15 @@
 }
 
 func (v *validator) peers(p Peers) {
-	if p.MaxGateways < 1 || p.MaxGateways > 500 {
-		v.report("peers.maxGateways", "%d is not between 1 and 500", p.MaxGateways)
-	}
-	if p.LinkBitsPerSecond < 100_000 {
-		v.report("peers.linkBitsPerSecond", "%d is less than 100000", p.LinkBitsPerSecond)
+	v.whole("peers.maxGateways", int64(p.MaxGateways), 1, 500)
+	v.whole("peers.linkBitsPerSecond", p.LinkBitsPerSecond, 100_000, 1_000_000_000_000)
+	for i, seed := range p.Seeds {
+		v.remoteAddress(fmt.Sprintf("peers.seeds[%d]", i), seed)
 	}
 	if p.Listen == "" {
 		return
 	}
 	v.address("peers.listen", p.Listen)
-	for i, seed := range p.Seeds {
-		v.address(fmt.Sprintf("peers.seeds[%d]", i), seed)
-	}
 	switch {
 	case p.TLS != nil:
 		v.tls("peers.tls", p.TLS, true)
@@ -138,9 +157,8 @@
 	if err != nil || (parsed.Scheme != "http" && parsed.Scheme != "https") || parsed.Host == "" {
 		v.report("platform.url", "%q is not an http or https URL", p.URL)
 	}
-	if p.ClaimTimeoutMillis < 10 || p.ClaimTimeoutMillis > 10_000 {
-		v.report("platform.claimTimeoutMillis", "%d is not between 10 and 10000", p.ClaimTimeoutMillis)
-	}
+	v.identifier("platform.region", p.Region)
+	v.whole("platform.claimTimeoutMillis", p.ClaimTimeoutMillis, 10, 10_000)
 }
 
 func (v *validator) services(services []Service) {
@@ -149,6 +167,7 @@
 	}
 	names := make(map[string]bool)
 	routes := make(map[string]string)
+	servers := make(map[string]bool)
 	for i, service := range services {
 		field := fmt.Sprintf("services[%d]", i)
 		v.identifier(field+".name", service.Name)
@@ -164,21 +183,27 @@
 			v.route(fmt.Sprintf("%s.routes[%d]", field, j), route, routes, service.Name)
 		}
 		for j, server := range service.Servers {
-			v.address(fmt.Sprintf("%s.servers[%d].address", field, j), server.Address)
+			v.server(fmt.Sprintf("%s.servers[%d]", field, j), server, servers)
 		}
 	}
 }
 
-func (v *validator) serviceLimits(field string, service Service) {
-	if service.Slots < 1 || service.Slots > 10_000 {
-		v.report(field+".slots", "%d is not between 1 and 10000", service.Slots)
-	}
-	if service.MaxConnections < 2 {
-		v.report(field+".maxConnections", "%d is less than 2", service.MaxConnections)
-	}
-	if service.ProbeMicros < 0 {
-		v.report(field+".probeMicros", "must not be negative")
+// server checks a fixed entry; IDs are unique over all services.
+func (v *validator) server(field string, server Server, seen map[string]bool) {
+	v.identifier(field+".id", server.ID)
+	if seen[server.ID] {
+		v.report(field+".id", "%q is used twice", server.ID)
 	}
+	seen[server.ID] = true
+	v.remoteAddress(field+".address", server.Address)
+	v.identifier(field+".region", server.Region)
+	v.identifier(field+".failureDomain", server.FailureDomain)
+}
+
+func (v *validator) serviceLimits(field string, service Service) {
+	v.whole(field+".slots", int64(service.Slots), 1, 10_000)
+	v.whole(field+".maxConnections", int64(service.MaxConnections), 2, 1_000_000)
+	v.whole(field+".probeMicros", service.ProbeMicros, 0, 10_000_000)
 	if service.ProbePath != "" && !strings.HasPrefix(service.ProbePath, "/") {
 		v.report(field+".probePath", "%q must start with /", service.ProbePath)
 	}
@@ -191,11 +216,17 @@
 	if route.PathPrefix != "" && !strings.HasPrefix(route.PathPrefix, "/") {
 		v.report(field+".pathPrefix", "%q must start with /", route.PathPrefix)
 	}
-	classes := []preset.Class{preset.ClassFetch, preset.ClassBooking, preset.ClassUpload}
-	if !slices.Contains(classes, route.Class) {
+	if !slices.Contains(preset.Classes(), route.Class) {
 		v.report(field+".class", "%q is not one of fetch, booking, upload", route.Class)
 	}
-	key := route.Host + " " + route.PathPrefix + " " + strings.Join(route.Methods, ",")
+	for i, method := range route.Methods {
+		if !methodPattern.MatchString(method) {
+			v.report(fmt.Sprintf("%s.methods[%d]", field, i), "%q is not a method in upper-case letters", method)
+		}
+	}
+	methods := slices.Clone(route.Methods)
+	slices.Sort(methods)
+	key := strings.ToLower(route.Host) + " " + route.PathPrefix + " " + strings.Join(methods, ",")
 	if other, ok := seen[key]; ok {
 		v.report(field, "matches the same requests as a route of service %q", other)
 	}
