--- a/pkg/platform/httpplatform/client.go
+++ b/pkg/platform/httpplatform/client.go
@@ -169,6 +169,18 @@
 	return c.put(ctx, "/standin/vms/"+url.PathEscape(vm.ID), vm)
 }
 
+// RemoveVM removes an entry from the stand-in's VM list.
+func (c *Client) RemoveVM(ctx context.Context, id string) error {
+	status, err := c.call(ctx, http.MethodDelete, "/standin/vms/"+url.PathEscape(id), nil, nil)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusNoContent {
+		return statusError(status)
+	}
+	return nil
+}
+
 // SetFaults switches faults of the stand-in.
 func (c *Client) SetFaults(ctx context.Context, faults platform.Faults) error {
 	return c.put(ctx, "/standin/faults", faults)
--- a/pkg/platform/standin/handler.go
+++ b/pkg/platform/standin/handler.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -72,6 +73,13 @@
 // faulty applies outage and delay faults before the handler runs.
 func (s *Server) faulty(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		// net/http only notices that the caller has gone away once the body is read.
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
 		faults := s.faults.Load()
 		if faults.Hang {
 			<-r.Context().Done()
@@ -82,11 +90,8 @@
 			return
 		}
 		if faults.DelayMillis > 0 {
-			select {
-			case <-time.After(time.Duration(faults.DelayMillis) * time.Millisecond):
-			case <-r.Context().Done():
-				return
-			}
+			// A slow store also carries out what its caller has given up on.
+			time.Sleep(time.Duration(faults.DelayMillis) * time.Millisecond)
 		}
 		next(w, r)
 	}
@@ -122,18 +127,36 @@
 	if !decode(w, r, &txn) {
 		return
 	}
-	version, conflicts := s.store.commit(txn)
-	if s.loseAnswer() {
-		// Breaks the connection after the write took effect.
-		panic(http.ErrAbortHandler)
+	if !validTxn(txn) {
+		http.Error(w, "keys must not be empty", http.StatusBadRequest)
+		return
 	}
+	version, conflicts := s.store.commit(txn)
 	if len(conflicts) > 0 {
 		answer(w, http.StatusConflict, platform.CommitResponse{Conflicts: conflicts, Time: time.Now()})
 		return
 	}
+	if s.loseAnswer() {
+		// Breaks the connection after the write took effect.
+		panic(http.ErrAbortHandler)
+	}
 	answer(w, http.StatusOK, platform.CommitResponse{Version: version, Time: time.Now()})
 }
 
+func validTxn(txn platform.Txn) bool {
+	for _, check := range txn.Checks {
+		if check.Key == "" {
+			return false
+		}
+	}
+	for _, write := range txn.Writes {
+		if write.Key == "" {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *Server) loseAnswer() bool {
 	if s.commitsToLose.Load() <= 0 {
 		return false
@@ -166,7 +189,7 @@
 		http.Error(w, "outage", http.StatusServiceUnavailable)
 		return
 	}
-	lag := time.Duration(faults.ListLagMillis) * time.Millisecond
+	lag := min(time.Duration(faults.ListLagMillis)*time.Millisecond, maxListLag)
 	answer(w, http.StatusOK, platform.VMListResponse{VMs: s.vms.at(time.Now().Add(-lag))})
 }
 
@@ -217,8 +240,11 @@
 	return limit
 }
 
+// decode refuses unknown fields, so that a misspelt fault is not ignored.
 func decode(w http.ResponseWriter, r *http.Request, value any) bool {
-	err := json.NewDecoder(r.Body).Decode(value)
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(value)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return false
--- a/pkg/platform/standin/vms.go
+++ b/pkg/platform/standin/vms.go
@@ -1,66 +1,75 @@
 package standin
 
 import (
-	"sort"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"balsamhill/pkg/platform"
 )
 
-// maxListHistory bounds the snapshots that are kept to serve a lagging list.
-const maxListHistory = 1000
+// maxListLag is the age up to which the VM list can be served.
+const maxListLag = time.Hour
 
-// vmList keeps the history of the VM list so that it can be served with a lag.
+// vmList keeps the recent history of each VM so that the list can be served with
+// a lag. A change costs the same however many VMs there are.
 type vmList struct {
 	mu      sync.Mutex
-	current map[string]platform.VM
-	history []vmSnapshot
+	history map[string][]vmEvent
 }
 
-type vmSnapshot struct {
-	at  time.Time
-	vms []platform.VM
+// vmEvent is the state of one VM from a time on.
+type vmEvent struct {
+	at      time.Time
+	vm      platform.VM
+	removed bool
 }
 
 func newVMList() *vmList {
-	return &vmList{current: make(map[string]platform.VM)}
+	return &vmList{history: make(map[string][]vmEvent)}
 }
 
 func (l *vmList) put(vm platform.VM, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.current[vm.ID] = vm
-	l.record(now)
+	l.record(vm.ID, vmEvent{at: now, vm: vm})
 }
 
 func (l *vmList) remove(id string, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.current, id)
-	l.record(now)
+	l.record(id, vmEvent{at: now, removed: true})
 }
 
-func (l *vmList) record(now time.Time) {
-	vms := make([]platform.VM, 0, len(l.current))
-	for _, vm := range l.current {
-		vms = append(vms, vm)
-	}
-	sort.Slice(vms, func(i, j int) bool { return vms[i].ID < vms[j].ID })
-	l.history = append(l.history, vmSnapshot{at: now, vms: vms})
-	if len(l.history) > maxListHistory {
-		l.history = l.history[len(l.history)-maxListHistory:]
+func (l *vmList) record(id string, event vmEvent) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	events := l.history[id]
+	// Keeps the last event before the longest lag: it holds at that time.
+	for len(events) > 1 && events[1].at.Before(event.at.Add(-maxListLag)) {
+		events = events[1:]
 	}
+	l.history[id] = append(events, event)
 }
 
-// at returns the list as it was at a time.
+// at returns the list as it was at a time, in order of the IDs.
 func (l *vmList) at(t time.Time) []platform.VM {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for i := len(l.history) - 1; i >= 0; i-- {
-		if !l.history[i].at.After(t) {
-			return l.history[i].vms
+	vms := make([]platform.VM, 0, len(l.history))
+	for _, events := range l.history {
+		event, ok := eventAt(events, t)
+		if ok && !event.removed {
+			vms = append(vms, event.vm)
+		}
+	}
+	slices.SortFunc(vms, func(a, b platform.VM) int { return strings.Compare(a.ID, b.ID) })
+	return vms
+}
+
+// eventAt returns the last event that is not after t.
+func eventAt(events []vmEvent, t time.Time) (vmEvent, bool) {
+	for _, event := range slices.Backward(events) {
+		if !event.at.After(t) {
+			return event, true
 		}
 	}
-	return []platform.VM{}
+	return vmEvent{}, false
 }
--- a/pkg/platform/wire.go
+++ b/pkg/platform/wire.go
@@ -20,7 +20,8 @@
 }
 
 // CommitResponse is the answer of POST /table/commit with status 200 (applied)
-// or 409 (conflict).
+// or 409 (conflict). Status 503 and other 4xx guarantee that nothing was written;
+// after any other status or no answer the transaction may take effect, also later.
 type CommitResponse struct {
 	Version   uint64    `json:"version,omitempty"`
 	Conflicts []Row     `json:"conflicts,omitempty"`
@@ -37,14 +38,16 @@
 type Faults struct {
 	// Down makes every call of the table service and the object store answer 503.
 	Down bool `json:"down,omitempty"`
-	// Hang makes every call wait until the caller gives up.
+	// Hang makes every call of the table service and the object store wait until
+	// the caller gives up; nothing takes effect.
 	Hang bool `json:"hang,omitempty"`
-	// DelayMillis delays each call of the table service and the object store.
+	// DelayMillis delays each call of the table service and the object store. A
+	// write takes effect after the delay even if the caller has given up by then.
 	DelayMillis int64 `json:"delayMillis,omitempty"`
 	// LoseCommitAnswers is the number of next commits that take effect but whose
-	// connection is closed before the answer.
+	// connection is closed before the answer. Commits with a conflict don't count.
 	LoseCommitAnswers int64 `json:"loseCommitAnswers,omitempty"`
-	// ListLagMillis is the age of the VM list that GET /vms returns.
+	// ListLagMillis is the age of the VM list that GET /vms returns, at most 1 h.
 	ListLagMillis int64 `json:"listLagMillis,omitempty"`
 	// ListDown makes GET /vms answer 503.
 	ListDown bool `json:"listDown,omitempty"`
