Make preset changes exact under races and lost answers

Cause: a write ID that was used again replaced the first change's audit row. A conflict of "use" reported no difference, and one of "apply" did not say who came first. Any edit of an unrelated preset made a change fail. A commit without an answer used up the whole time limit, so that the audit row could not be read back. An edit of an outdated revision was only found with -base.

Change: the transaction also checks that the audit row is absent; the conflict then shows whether an earlier attempt took effect, in one atomic answer. Head and preset come from one consistent read, each store call of a change has 2 s, changes that concern neither this preset nor what is in force are stepped over, and the base line of preset.WithBase is recognised. Outcome holds the difference for both actions and the accepted changes the operator had not seen. Store.Find looks up a write ID. Use takes the revision in force as its base.

Conclusion: a change is accepted at most once and its report is exact.

--- a/pkg/platform/platformtest/table.go
+++ b/pkg/platform/platformtest/table.go
@@ -52,7 +52,7 @@
 	table     *memtable.Table
 	down      bool
 	faults    []CommitFault
-	readFails int
+	readFails []bool
 	delayed   []platform.Txn
 }
 
@@ -78,11 +78,12 @@
 	t.faults = append(t.faults, faults...)
 }
 
-// FailReads makes the next reads fail with platform.ErrUnavailable.
-func (t *Table) FailReads(count int) {
+// FailReads says for the next reads, one each, whether they fail with
+// platform.ErrUnavailable; later ones are handled normally.
+func (t *Table) FailReads(fails ...bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.readFails = count
+	t.readFails = append(t.readFails, fails...)
 }
 
 // ClearFaults ends the outage and forgets faults that were not used up. Delayed
@@ -90,7 +91,7 @@
 func (t *Table) ClearFaults() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.down, t.faults, t.readFails = false, nil, 0
+	t.down, t.faults, t.readFails = false, nil, nil
 }
 
 // ApplyDelayed carries out the commits of DelayCommit in their order. It returns
@@ -149,8 +150,9 @@
 	if t.down {
 		return platform.ReadResult{}, eris.Wrap(platform.ErrUnavailable, "outage")
 	}
-	if t.readFails > 0 {
-		t.readFails--
+	fails := len(t.readFails) > 0 && t.readFails[0]
+	t.readFails = t.readFails[min(1, len(t.readFails)):]
+	if fails {
 		return platform.ReadResult{}, eris.Wrap(platform.ErrUnavailable, "failed read")
 	}
 	result := f()
--- a/pkg/presetstore/change.go
+++ b/pkg/presetstore/change.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
+	"fmt"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -16,7 +16,8 @@
 type Status int
 
 const (
-	// Unknown means that the store could not be asked whether the change was accepted.
+	// Unknown means that the change may or may not have been accepted, and may
+	// still be accepted until the store has dropped the last attempt.
 	Unknown Status = iota
 	// Accepted means that the change is durable.
 	Accepted
@@ -44,173 +45,215 @@
 	Head Head
 	// Current is the stored preset after a conflict, empty if it does not exist.
 	Current Stored
-	// Difference lists what is stored against what the operator wanted.
+	// Difference lists what is stored against what the operator wanted, one line
+	// for each field. After an accepted change it lists what the change replaced.
 	Difference []string
-	Err        error
+	// Since lists the accepted changes that the operator had not seen after a
+	// conflict, oldest first. It is empty if the audit trail could not be read.
+	Since []AuditEntry
+	// Unchecked means that an existing preset was replaced without knowing which
+	// revision the operator edited.
+	Unchecked bool
+	// Err says why the change was not accepted, or why that is not known.
+	Err error
 }
 
-// attempts bounds how often a transaction is repeated after a lost answer.
-const attempts = 3
+const (
+	// attempts bounds how often a transaction is repeated after a lost answer.
+	attempts = 3
+	// rebases bounds how often a change moves on to a newer head after changes of
+	// other presets, which do not concern it.
+	rebases = 5
+	// changeCallTimeout bounds each call of the store during a change, so that a
+	// commit without an answer leaves time to read the audit row.
+	changeCallTimeout = 2 * time.Second
+)
 
-// Apply stores a document. baseRevision is the preset's revision that the
-// operator edited, 0 for a new preset; nil means the one stored now.
-func (s *Store) Apply(ctx context.Context, author Author, document []byte, baseRevision *uint64) Outcome {
+// Apply stores a document. base is the preset's revision that the operator
+// edited, 0 for a new preset. If it is nil, the document's own base line counts
+// (see preset.WithBase), and without one the revision that is stored now.
+func (s *Store) Apply(ctx context.Context, author Author, document []byte, base *uint64) Outcome {
 	wanted, err := preset.Parse(document)
 	if err != nil {
 		return Outcome{Status: Refused, Err: err}
 	}
-	head, headVersion, err := s.readHead(ctx)
+	line, text, err := preset.SplitBase(document)
 	if err != nil {
-		return Outcome{Status: Unavailable, Err: err}
+		return Outcome{Status: Refused, Err: err}
 	}
-	stored, rowVersion, err := s.readDocument(ctx, wanted.Name)
-	if err != nil && !errors.Is(err, ErrNoPreset) {
-		return Outcome{Status: Unavailable, Err: err}
+	if base == nil && line != nil {
+		base = &line.Revision
+		if line.Name != wanted.Name {
+			// The document was made from another preset and is to become a new one.
+			base = new(uint64)
+		}
 	}
-	if baseRevision != nil && *baseRevision != stored.Revision {
-		return conflict(head, stored, document)
-	}
-	next := head
-	next.Revision++
-	if head.Name == wanted.Name {
-		next.InForceRevision = next.Revision
-	}
-	entry := entryOf(author, "apply", wanted.Name, head, next)
-	entry.Changes = preset.Diff([]byte(stored.Document), document)
-	txn := platform.Txn{
-		Checks: []platform.Check{
-			{Key: headKey, Version: headVersion},
-			{Key: documentPrefix + wanted.Name, Version: rowVersion},
-		},
-		Writes: []platform.Write{
-			write(headKey, next),
-			write(documentPrefix+wanted.Name, Stored{Name: wanted.Name, Revision: next.Revision, Document: string(document)}),
-			write(auditPrefix+author.WriteID, entry),
-		},
-	}
-	return s.commit(ctx, author, txn, next, wanted.Name, document)
+	return s.run(ctx, change{author: author, action: actionApply, name: wanted.Name, document: text, base: base})
+}
+
+// Use puts a stored preset in force. base is the revision in force that the
+// operator saw, nil for the one stored now.
+func (s *Store) Use(ctx context.Context, author Author, name string, base *uint64) Outcome {
+	return s.run(ctx, change{author: author, action: actionUse, name: name, base: base})
+}
+
+// snapshot is what one change is based on; the rows come from one consistent read.
+type snapshot struct {
+	head        Head
+	headVersion uint64
+	// stored is zero if the preset does not exist.
+	stored     Stored
+	rowVersion uint64
+}
+
+// concerns reports whether a change that was based on s has to be shown what
+// happened until now. Changes of presets that are neither in force nor the one
+// to be changed do not concern it.
+func (s snapshot) concerns(now snapshot) bool {
+	return now.rowVersion != s.rowVersion || now.head.Name != s.head.Name ||
+		now.head.InForceRevision != s.head.InForceRevision
 }
 
-// Use puts a stored preset in force. base is the head that the operator saw,
-// nil for the one stored now.
-func (s *Store) Use(ctx context.Context, author Author, name string, base *Head) Outcome {
-	head, headVersion, err := s.readHead(ctx)
+// run repeats a change on newer heads until it is accepted or concerned.
+func (s *Store) run(ctx context.Context, c change) Outcome {
+	if c.author.WriteID == "" {
+		return Outcome{Status: Refused, Err: eris.New("the write ID is empty")}
+	}
+	seen, err := s.readSnapshot(ctx, c.name)
 	if err != nil {
 		return Outcome{Status: Unavailable, Err: err}
 	}
-	stored, rowVersion, err := s.readDocument(ctx, name)
-	if errors.Is(err, ErrNoPreset) {
-		return Outcome{Status: Refused, Head: head, Err: err}
+	if c.action == actionUse && seen.rowVersion == 0 {
+		return Outcome{Status: Refused, Head: seen.head, Err: eris.Wrapf(ErrNoPreset, "%q", c.name)}
 	}
-	if err != nil {
-		return Outcome{Status: Unavailable, Err: err}
+	if c.base != nil && *c.base != c.revisionIn(seen) {
+		return s.conflict(ctx, c, *c.base, seen, seen)
 	}
-	if base != nil && *base != head {
-		return Outcome{Status: Conflict, Head: head, Current: stored}
-	}
-	next := head
-	next.Revision++
-	next.Name = name
-	next.InForceRevision = next.Revision
-	txn := platform.Txn{
-		Checks: []platform.Check{
-			{Key: headKey, Version: headVersion},
-			{Key: documentPrefix + name, Version: rowVersion},
-		},
-		Writes: []platform.Write{
-			write(headKey, next),
-			write(auditPrefix+author.WriteID, entryOf(author, "use", name, head, next)),
-		},
-	}
-	return s.commit(ctx, author, txn, next, name, []byte(stored.Document))
-}
-
-func entryOf(author Author, action, name string, from, to Head) AuditEntry {
-	return AuditEntry{
-		WriteID:  author.WriteID,
-		Time:     author.Now.UTC(),
-		Operator: author.Operator,
-		Why:      author.Why,
-		Action:   action,
-		Preset:   name,
-		Revision: to.Revision,
-		From:     from.Name,
-		To:       to.Name,
+	now := seen
+	for range rebases {
+		outcome := s.commit(ctx, c.plan(now))
+		if outcome.Status != Conflict {
+			outcome.Unchecked = c.action == actionApply && c.base == nil && now.rowVersion != 0
+			return outcome
+		}
+		now, err = s.readSnapshot(ctx, c.name)
+		if err != nil {
+			return Outcome{Status: Conflict, Err: eris.Wrap(err, "another change came first; what is stored now could not be read")}
+		}
+		if seen.concerns(now) {
+			break
+		}
 	}
+	return s.conflict(ctx, c, c.revisionIn(seen), seen, now)
 }
 
-func write(key string, value any) platform.Write {
-	data, err := json.Marshal(value)
+// conflict describes what happened since the revision that the change is based on.
+func (s *Store) conflict(ctx context.Context, c change, base uint64, seen, now snapshot) Outcome {
+	outcome := Outcome{Status: Conflict, Head: now.head, Current: now.stored, Difference: c.difference(seen, now)}
+	current := c.revisionIn(now)
+	switch {
+	case current == base && !seen.concerns(now):
+		outcome.Err = eris.Errorf("the store took other changes first, %d times in a row; nothing concerns this one, so try again", rebases)
+	case c.action == actionApply && current == base:
+		outcome.Err = eris.Errorf("revision %d of preset %q did not change, but %q was put in force at revision %d",
+			base, c.name, now.head.Name, now.head.InForceRevision)
+	case c.action == actionApply:
+		outcome.Err = eris.Errorf("the change was made to revision %d of preset %q, but revision %d is stored", base, c.name, current)
+	case current == base:
+		outcome.Err = eris.Errorf("preset %q was changed at revision %d", c.name, now.stored.Revision)
+	default:
+		outcome.Err = eris.Errorf("revision %d was seen in force, but %q is in force at revision %d", base, now.head.Name, current)
+	}
+	ctx, cancel := context.WithTimeout(ctx, changeCallTimeout)
+	defer cancel()
+	entries, err := s.Audit(ctx)
 	if err != nil {
-		// The values are structs of strings and numbers, which always encode.
-		panic(err)
+		return outcome
 	}
-	return platform.Write{Key: key, Value: data}
+	for _, entry := range entries {
+		if c.unseen(entry, base, seen) {
+			outcome.Since = append(outcome.Since, entry)
+		}
+	}
+	return outcome
 }
 
 // commit applies the transaction, and reads the audit row back when the answer
-// was lost. Repeating the transaction is safe because of its checks.
-func (s *Store) commit(ctx context.Context, author Author, txn platform.Txn, next Head, name string, document []byte) Outcome {
+// was lost. Repeating the transaction is safe because of its checks: they pass at
+// most once, and never again once the head has moved on.
+func (s *Store) commit(ctx context.Context, p plan) Outcome {
+	accepted := Outcome{Status: Accepted, Head: p.next, Difference: p.entry.Changes}
 	var last error
 	inDoubt := false
 	for range attempts {
-		result := s.table.Commit(ctx, txn)
+		result := s.commitOnce(ctx, p.txn)
 		switch result.Status {
 		case platform.CommitApplied:
-			return Outcome{Status: Accepted, Head: next}
+			return accepted
 		case platform.CommitConflict:
-			return s.resolveConflict(ctx, author, next, name, document, inDoubt)
+			// The conflict shows the audit row if an earlier attempt took effect.
+			for _, row := range result.Conflicts {
+				if row.Key == p.auditKey && row.Version != 0 {
+					return p.judge(row, accepted)
+				}
+			}
+			return Outcome{Status: Conflict}
 		case platform.CommitUnknown:
 			inDoubt = true
 		}
 		last = result.Err
-		found, err := s.wasAccepted(ctx, author.WriteID)
+		row, found, err := s.readAudit(ctx, p.auditKey)
 		if err == nil && found {
-			return Outcome{Status: Accepted, Head: next}
+			return p.judge(row, accepted)
 		}
 	}
 	if !inDoubt {
 		return Outcome{Status: Unavailable, Err: last}
 	}
-	return Outcome{Status: Unknown, Err: eris.Wrapf(last, "write %s may or may not have been accepted", author.WriteID)}
+	return Outcome{Status: Unknown, Err: eris.Wrap(last, "the store may or may not have accepted the change")}
 }
 
-// resolveConflict tells a real conflict from one with this change's own earlier
-// attempt, whose answer was lost.
-func (s *Store) resolveConflict(ctx context.Context, author Author, next Head, name string, document []byte, inDoubt bool) Outcome {
-	if inDoubt {
-		found, err := s.wasAccepted(ctx, author.WriteID)
-		if err != nil {
-			return Outcome{Status: Unknown, Err: err}
-		}
-		if found {
-			return Outcome{Status: Accepted, Head: next}
-		}
-	}
-	head, _, err := s.readHead(ctx)
-	if err != nil {
-		return Outcome{Status: Conflict, Err: err}
-	}
-	stored, err := s.Get(ctx, name)
-	if err != nil && !errors.Is(err, ErrNoPreset) {
-		return Outcome{Status: Conflict, Head: head, Err: err}
+func (s *Store) commitOnce(ctx context.Context, txn platform.Txn) platform.CommitResult {
+	ctx, cancel := context.WithTimeout(ctx, changeCallTimeout)
+	defer cancel()
+	return s.table.Commit(ctx, txn)
+}
+
+func (s *Store) readAudit(ctx context.Context, key string) (platform.Row, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, changeCallTimeout)
+	defer cancel()
+	result, err := s.table.Get(ctx, key)
+	if err != nil || len(result.Rows) == 0 {
+		return platform.Row{}, false, err
 	}
-	return conflict(head, stored, document)
+	return result.Rows[0], true, nil
 }
 
-func conflict(head Head, stored Stored, wanted []byte) Outcome {
-	return Outcome{
-		Status:     Conflict,
-		Head:       head,
-		Current:    stored,
-		Difference: preset.Diff([]byte(stored.Document), wanted),
+// readSnapshot reads what a change of the preset is based on.
+func (s *Store) readSnapshot(ctx context.Context, name string) (snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, changeCallTimeout)
+	defer cancel()
+	result, err := s.table.Get(ctx, headKey, documentPrefix+name)
+	if err != nil {
+		return snapshot{}, err
+	}
+	found := snapshot{}
+	found.head, found.stored, err = decodeInForce(result.Rows, name)
+	for _, row := range result.Rows {
+		if row.Key == headKey {
+			found.headVersion = row.Version
+		} else {
+			found.rowVersion = row.Version
+		}
 	}
+	return found, err
 }
 
-func (s *Store) wasAccepted(ctx context.Context, writeID string) (bool, error) {
-	result, err := s.table.Get(ctx, auditPrefix+writeID)
+func write(key string, value any) platform.Write {
+	data, err := json.Marshal(value)
 	if err != nil {
-		return false, err
+		// The values are structs of strings and numbers, which always encode.
+		panic(fmt.Sprintf("encode row %q: %v", key, err))
 	}
-	return len(result.Rows) > 0, nil
+	return platform.Write{Key: key, Value: data}
 }
--- a/pkg/presetstore/store.go
+++ b/pkg/presetstore/store.go
@@ -58,6 +58,8 @@
 	Action   string `json:"action"`
 	Preset   string `json:"preset"`
 	Revision uint64 `json:"revision"`
+	// Replaced is the revision of the document that "apply" replaced, 0 if none.
+	Replaced uint64 `json:"replaced,omitempty"`
 	// From and To are the names in force before and after.
 	From string `json:"from"`
 	To   string `json:"to"`
@@ -203,9 +205,28 @@
 		if !result.More {
 			return list, nil
 		}
+		if len(result.Rows) == 0 {
+			return nil, eris.Wrap(platform.ErrProtocol, "empty page of presets")
+		}
 	}
 }
 
+// Find reads the audit row of a write ID and reports whether there is one. A
+// change whose outcome is unknown may still be accepted after it was not found,
+// as long as the store holds an attempt.
+func (s *Store) Find(ctx context.Context, writeID string) (AuditEntry, bool, error) {
+	result, err := s.table.Get(ctx, auditPrefix+writeID)
+	if err != nil || len(result.Rows) == 0 {
+		return AuditEntry{}, false, err
+	}
+	var entry AuditEntry
+	err = json.Unmarshal(result.Rows[0].Value, &entry)
+	if err != nil {
+		return AuditEntry{}, false, eris.Wrapf(platform.ErrProtocol, "row %q: %v", result.Rows[0].Key, err)
+	}
+	return entry, true, nil
+}
+
 // Audit reads the audit trail, newest last.
 func (s *Store) Audit(ctx context.Context) ([]AuditEntry, error) {
 	var entries []AuditEntry
@@ -226,9 +247,12 @@
 			}
 			entries = append(entries, entry)
 		}
-		after = result.Next
 		if !result.More {
 			return entries, nil
 		}
+		if result.Next <= after {
+			return nil, eris.Wrap(platform.ErrProtocol, "the audit trail does not advance")
+		}
+		after = result.Next
 	}
 }
