Add the view of live gateways

Cause: gateways must know each other to exchange presets, notices and key queries, also while the store or the link is down.

Change: pkg/membership merges gateway rows, the platform's list and heartbeats into one view. It decides who is alive, which gateways gossip, which speak across the link, whom a key query must ask, and when a starting gateway has heard enough peers.

Before: only the row type existed.

Conclusion: a silent gateway leaves the live view by its heartbeats, but stays among those that may hold calls until a later read of the rows.

--- /dev/null
+++ b/pkg/membership/neighbours.go
@@ -0,0 +1,113 @@
+package membership
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// fullGossip is the number of peers in the region up to which all are neighbours.
+	fullGossip = 16
+	// ringNeighbours is the number of neighbours beyond that, half on each side.
+	ringNeighbours = 8
+	// speakersPerRegion is how many gateways of a region talk across the link.
+	speakersPerRegion = 2
+	// wantedAnswers bounds how many peers must answer at a start without the store.
+	wantedAnswers = 3
+)
+
+// rank orders gateways of a region; the lowest are its speakers.
+func rank(region, id string) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(region)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(id)
+	// Mixed once more, so that ranks of similar names are independent.
+	var buffer [8]byte
+	binary.LittleEndian.PutUint64(buffer[:], digest.Sum64())
+	return xxhash.Sum64(buffer[:])
+}
+
+// Speakers returns the gateways of a region that talk across the link, as far as
+// this gateway knows.
+func (v *View) Speakers(now int64, region string) []string {
+	ids := v.aliveIn(now, region)
+	slices.SortFunc(ids, func(a, b string) int {
+		return cmp.Or(cmp.Compare(rank(region, a), rank(region, b)), cmp.Compare(a, b))
+	})
+	return ids[:min(len(ids), speakersPerRegion)]
+}
+
+// IsSpeaker reports whether this gateway talks across the link.
+func (v *View) IsSpeaker(now int64) bool {
+	return slices.Contains(v.Speakers(now, v.self.Region), v.self.ID)
+}
+
+// aliveIn returns the IDs of the live gateways of a region, the own included.
+func (v *View) aliveIn(now int64, region string) []string {
+	var ids []string
+	if region == v.self.Region {
+		ids = append(ids, v.self.ID)
+	}
+	for id, m := range v.members {
+		if m.Region == region && v.Alive(now, id) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Neighbours returns the gateways of the own region that receive gossip: all of
+// them up to 16, else the nearest 8 on a ring in ID order.
+func (v *View) Neighbours(now int64) []string {
+	ids := v.aliveIn(now, v.self.Region)
+	own, _ := slices.BinarySearch(ids, v.self.ID)
+	if len(ids)-1 <= fullGossip {
+		return slices.Delete(ids, own, own+1)
+	}
+	var neighbours []string
+	for step := 1; step <= ringNeighbours/2; step++ {
+		neighbours = append(neighbours, ids[(own+step)%len(ids)], ids[(own+len(ids)-step)%len(ids)])
+	}
+	slices.Sort(neighbours)
+	return neighbours
+}
+
+// FarSpeakers returns the speakers of the other regions if this gateway is a
+// speaker of its own region, else nothing.
+func (v *View) FarSpeakers(now int64) []string {
+	if !v.IsSpeaker(now) {
+		return nil
+	}
+	var ids []string
+	for region := range v.farRegions() {
+		ids = append(ids, v.Speakers(now, region)...)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// HeartbeatInterval returns the time between heartbeats to a gateway. Regions
+// may disagree about who speaks, so one side's opinion is enough.
+func (v *View) HeartbeatInterval(now int64, id string) time.Duration {
+	m := v.members[id]
+	if m == nil || m.Region == v.self.Region {
+		return NearInterval
+	}
+	if slices.Contains(v.FarSpeakers(now), id) {
+		return NearInterval
+	}
+	return FarInterval
+}
+
+// MayAdoptAtStart applies the rule for a start without the store: enough peers
+// must have told their revision before the highest of them is adopted. known is
+// the number of gateways that exist as far as known, the own included.
+func MayAdoptAtStart(answers, known int) bool {
+	return answers >= max(1, min(wantedAnswers, known-1))
+}
--- /dev/null
+++ b/pkg/membership/view_test.go
@@ -0,0 +1,135 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+const second = int64(time.Second)
+
+func heard(v *View, now int64, id, region string) bool {
+	return v.Heard(now, Gateway{ID: id, Incarnation: 1, Region: region, Peer: id, State: StateReady})
+}
+
+// Guards that gossip reaches a whole region over the neighbours, whatever its
+// size, and that all gateways with the same view name the same speakers.
+func TestNeighboursConnectRegion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(1, 40).Draw(t, "size")
+		views := make(map[string]*View)
+		for i := range size {
+			id := fmt.Sprint("gw-", i)
+			views[id] = NewView(Gateway{ID: id, Region: "khomas"})
+			for j := range size {
+				heard(views[id], second, fmt.Sprint("gw-", j), "khomas")
+			}
+		}
+		reached := map[string]bool{"gw-0": true}
+		queue := []string{"gw-0"}
+		for len(queue) > 0 {
+			neighbours := views[queue[0]].Neighbours(2 * second)
+			assert.Assert(t, len(neighbours) <= fullGossip)
+			assert.Assert(t, !slices.Contains(neighbours, queue[0]))
+			queue = queue[1:]
+			for _, id := range neighbours {
+				if !reached[id] {
+					reached[id] = true
+					queue = append(queue, id)
+				}
+			}
+		}
+		assert.Equal(t, len(reached), size)
+		speakers := views["gw-0"].Speakers(2*second, "khomas")
+		assert.Equal(t, len(speakers), min(size, speakersPerRegion))
+		for _, v := range views {
+			assert.DeepEqual(t, v.Speakers(2*second, "khomas"), speakers)
+		}
+	})
+}
+
+// Guards that a silent speaker of the far region is replaced after its timeout
+// and speaks again once it is heard, while its row is still valid.
+func TestSilentSpeakerIsReplaced(t *testing.T) {
+	v := NewView(Gateway{ID: "gw-self", Region: "khomas"})
+	start := time.Now()
+	var rows []Row
+	for i := range 4 {
+		id := fmt.Sprint("gw-", i)
+		rows = append(rows, Row{ID: id, Incarnation: 1, Region: "erongo", Peer: id, WrittenAt: start})
+	}
+	v.ApplyRows(second, start, rows)
+	v.Expire(second)
+	before := v.Speakers(second, "erongo")
+	silent, talking := before[0], before[1]
+	now := second
+	for ; now < 9*second; now += second {
+		heard(v, now, talking, "erongo")
+		v.Expire(now)
+	}
+	after := v.Speakers(now, "erongo")
+	assert.Assert(t, !slices.Contains(after, silent))
+	assert.Assert(t, slices.Contains(after, talking))
+	heard(v, now, silent, "erongo")
+	assert.DeepEqual(t, v.Speakers(now, "erongo"), before)
+}
+
+// Guards the set of gateways that a key query must ask: silence does not remove
+// a gateway, only a later read of the rows does.
+func TestMayHoldCalls(t *testing.T) {
+	v := NewView(Gateway{ID: "gw-self", Region: "khomas"})
+	_, complete := v.MayHoldCalls()
+	assert.Assert(t, !complete)
+	start := time.Now()
+	v.ApplyRows(second, start, []Row{
+		{ID: "gw-row", Incarnation: 1, Region: "khomas", WrittenAt: start.Add(-RowLife)},
+		{ID: "gw-old", Incarnation: 1, Region: "khomas", WrittenAt: start.Add(-RowLife - 1)},
+		{ID: "gw-self", Incarnation: 1, Region: "khomas", WrittenAt: start},
+	})
+	heard(v, 2*second, "gw-heard", "khomas")
+	v.Expire(500 * second)
+	ids, complete := v.MayHoldCalls()
+	assert.Assert(t, complete)
+	assert.DeepEqual(t, ids, []string{"gw-heard", "gw-row"})
+	assert.Assert(t, !v.Alive(500*second, "gw-heard"))
+	v.ApplyRows(501*second, start, nil)
+	v.Expire(501 * second)
+	ids, _ = v.MayHoldCalls()
+	assert.Equal(t, len(ids), 0)
+}
+
+// Guards that messages and rows of a replaced incarnation change nothing.
+func TestIncarnationsRise(t *testing.T) {
+	v := NewView(Gateway{ID: "gw-self", Region: "khomas"})
+	assert.Assert(t, v.Heard(second, Gateway{ID: "gw", Incarnation: 2, Region: "khomas", Revision: 1}))
+	assert.Assert(t, !v.Heard(second, Gateway{ID: "gw", Incarnation: 1, Region: "erongo", Revision: 9}))
+	v.ApplyRows(second, time.Now(), []Row{{ID: "gw", Incarnation: 1, Region: "erongo", Revision: 9, WrittenAt: time.Now()}})
+	known := v.Known()
+	assert.Equal(t, known[0].Revision, uint64(1))
+	assert.Equal(t, known[0].Region, "khomas")
+	assert.Assert(t, !v.Heard(second, Gateway{ID: "gw-self", Incarnation: 9}))
+}
+
+// Guards the start rule's bounds.
+func TestMayAdoptAtStart(t *testing.T) {
+	for _, test := range []struct {
+		desc           string
+		answers, known int
+		want           bool
+	}{
+		{"nobody known", 0, 1, false},
+		{"the only peer", 1, 2, true},
+		{"one of two peers", 1, 3, false},
+		{"both peers", 2, 3, true},
+		{"two of many", 2, 12, false},
+		{"three of many", 3, 12, true},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			assert.Equal(t, MayAdoptAtStart(test.answers, test.known), test.want)
+		})
+	}
+}
