Add the exchange between gateways

Cause: a preset that one gateway read before the store went down must reach all others, and drain notices, suspicions and key queries need a direct way.

Change: pkg/peer keeps one yamux session with each known gateway and sends length-prefixed protobuf frames on an urgent and a bulk stream. pkg/tlsfiles loads the certificates and reloads them when they change.

Before: gateways did not know each other.

Conclusion: documents are pushed within the region and asked for across the link, so that the link carries one copy for each gateway that asks.

--- /dev/null
+++ b/pkg/peer/frame.go
@@ -0,0 +1,166 @@
+package peer
+
+import (
+	"encoding/binary"
+	"io"
+	"unicode"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"balsamhill/pkg/peer/peerpb"
+	"balsamhill/pkg/preset"
+)
+
+const (
+	// MaxFrameBytes bounds a frame without its length.
+	MaxFrameBytes = 256 << 10
+	lengthBytes   = 4
+	// maxNameBytes bounds IDs, regions and states, as in settings.
+	maxNameBytes = 63
+	// maxAddressBytes is enough for any host:port with an IPv6 zone.
+	maxAddressBytes = 100
+	// maxKeyBytes bounds an idempotency key in a query; longer keys are not asked.
+	maxKeyBytes = 1 << 10
+	// maxQueryKeys bounds the keys of one query, so that it fits in a frame.
+	maxQueryKeys = 64
+	// maxListed bounds the gateways and servers listed in one message.
+	maxListed = 2000
+)
+
+// ErrBadFrame is wrapped by errors about frames that a correct peer never sends.
+var ErrBadFrame = eris.New("bad frame")
+
+// EncodeFrame returns the frame with its length in front.
+func EncodeFrame(frame *peerpb.Frame) ([]byte, error) {
+	data, err := proto.MarshalOptions{}.MarshalAppend(make([]byte, lengthBytes), frame)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode frame")
+	}
+	size := len(data) - lengthBytes
+	if size > MaxFrameBytes {
+		return nil, eris.Wrapf(ErrBadFrame, "frame of %d bytes exceeds the limit", size)
+	}
+	binary.BigEndian.PutUint32(data, uint32(size))
+	return data, nil
+}
+
+// ReadFrame reads and checks one frame. Memory grows with the bytes that arrive,
+// not with the announced length.
+func ReadFrame(r io.Reader) (*peerpb.Frame, error) {
+	var header [lengthBytes]byte
+	_, err := io.ReadFull(r, header[:])
+	if err != nil {
+		return nil, err
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if size == 0 || size > MaxFrameBytes {
+		return nil, eris.Wrapf(ErrBadFrame, "length %d", size)
+	}
+	data, err := io.ReadAll(io.LimitReader(r, int64(size)))
+	if err != nil {
+		return nil, err
+	}
+	if len(data) < int(size) {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return DecodeFrame(data)
+}
+
+// DecodeFrame decodes and checks a frame without its length.
+func DecodeFrame(data []byte) (*peerpb.Frame, error) {
+	frame := &peerpb.Frame{}
+	err := proto.Unmarshal(data, frame)
+	if err != nil {
+		return nil, eris.Wrapf(ErrBadFrame, "%v", err)
+	}
+	problem := checkBody(frame)
+	if problem != "" {
+		return nil, eris.Wrap(ErrBadFrame, problem)
+	}
+	return frame, nil
+}
+
+// checkBody returns what is wrong with the frame, empty if nothing.
+func checkBody(frame *peerpb.Frame) string {
+	switch body := frame.GetBody().(type) {
+	case *peerpb.Frame_Heartbeat:
+		return checkHeartbeat(body.Heartbeat)
+	case *peerpb.Frame_PresetDocument:
+		size := len(body.PresetDocument.GetDocument())
+		if size == 0 || size > preset.MaxDocumentBytes || body.PresetDocument.GetRevision() == 0 {
+			return "preset document without revision or of invalid size"
+		}
+	case *peerpb.Frame_PresetRequest, *peerpb.Frame_KeyReply:
+	case *peerpb.Frame_ServerSummary:
+		return checkSummary(body.ServerSummary)
+	case *peerpb.Frame_DrainNotice:
+		if !validName(body.DrainNotice.GetServerId()) {
+			return "drain notice with an invalid server"
+		}
+	case *peerpb.Frame_Suspicion:
+		if !validName(body.Suspicion.GetServerId()) || !validName(body.Suspicion.GetOrigin()) {
+			return "suspicion with an invalid name"
+		}
+	case *peerpb.Frame_KeyQuery:
+		return checkQuery(body.KeyQuery)
+	default:
+		return "unknown type"
+	}
+	return ""
+}
+
+// checkHeartbeat accepts a heartbeat without ID and region, because only the
+// first of a session must have them.
+func checkHeartbeat(h *peerpb.Heartbeat) string {
+	first := h.GetId() != "" || h.GetRegion() != ""
+	if first && (!validName(h.GetId()) || !validName(h.GetRegion())) || !validName(h.GetState()) {
+		return "heartbeat with an invalid name"
+	}
+	if len(h.GetAddress()) > maxAddressBytes || len(h.GetKnown()) > maxListed {
+		return "heartbeat with an invalid address or list"
+	}
+	for _, g := range h.GetKnown() {
+		if !validName(g.GetId()) || !validName(g.GetRegion()) || len(g.GetAddress()) > maxAddressBytes {
+			return "heartbeat that names an invalid gateway"
+		}
+	}
+	return ""
+}
+
+func checkSummary(summary *peerpb.ServerSummary) string {
+	if len(summary.GetLoads()) > maxListed {
+		return "summary of too many servers"
+	}
+	for _, load := range summary.GetLoads() {
+		if !validName(load.GetServerId()) || load.GetInFlight() < 0 || load.GetLatency() < 0 {
+			return "summary with an invalid value"
+		}
+	}
+	return ""
+}
+
+func checkQuery(query *peerpb.KeyQuery) string {
+	if len(query.GetKeys()) == 0 || len(query.GetKeys()) > maxQueryKeys {
+		return "key query with an invalid number of keys"
+	}
+	for _, key := range query.GetKeys() {
+		if len(key.GetKey()) > maxKeyBytes || len(key.GetService()) > maxNameBytes {
+			return "key query with a key that is too long"
+		}
+	}
+	return ""
+}
+
+// validName bounds names, which appear in logs, metrics and /status.
+func validName(name string) bool {
+	if name == "" || len(name) > maxNameBytes {
+		return false
+	}
+	for _, r := range name {
+		if r > unicode.MaxASCII || !unicode.IsPrint(r) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/peer/link.go
@@ -0,0 +1,51 @@
+package peer
+
+import "balsamhill/pkg/peer/peerpb"
+
+// Kind says to which share of the link budget a frame is charged.
+type Kind int
+
+const (
+	// KindFixed is for heartbeats and presets: always sent, charged to the fixed
+	// share.
+	KindFixed Kind = iota
+	// KindGranted is for everything else: sent only if a share has room.
+	KindGranted
+)
+
+// Link decides on frames that cross the link between regions. It must be safe
+// for concurrent use.
+type Link interface {
+	// Allow charges a frame of this many bytes and reports whether it may be sent.
+	Allow(kind Kind, bytes int) bool
+}
+
+type unlimitedLink struct{}
+
+func (unlimitedLink) Allow(Kind, int) bool { return true }
+
+// frameOverhead is what a small frame costs on the link on top of its own bytes:
+// 12 for yamux, 22 for TLS, 40 for TCP and IP, 40 for the acknowledgement that
+// comes back.
+const frameOverhead = 114
+
+// post sends a frame to a peer and charges it if it crosses the link.
+func (e *Exchange) post(s *session, frame *peerpb.Frame, urgent bool) bool {
+	if s.region == e.config.Self.Region {
+		return s.send(frame, urgent)
+	}
+	data, err := EncodeFrame(frame)
+	if err != nil {
+		return false
+	}
+	kind := KindGranted
+	switch frame.GetBody().(type) {
+	case *peerpb.Frame_Heartbeat, *peerpb.Frame_PresetDocument, *peerpb.Frame_PresetRequest:
+		kind = KindFixed
+	}
+	if !e.config.Link.Allow(kind, len(data)+frameOverhead) {
+		e.counters.LinkRefused.Add(1)
+		return false
+	}
+	return s.send(frame, urgent)
+}
--- /dev/null
+++ b/pkg/peer/memory_test.go
@@ -0,0 +1,211 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+var errMemory = errors.New("memory network")
+
+// memoryNet connects exchanges in one process. Each connection has unbounded
+// buffers; a cut depends on the regions of its two ends.
+type memoryNet struct {
+	mu        sync.Mutex
+	listeners map[string]*memoryListener
+	// cut swallows everything between the regions and refuses no write.
+	cut   bool
+	conns []*memoryConn
+}
+
+type memoryListener struct {
+	net     *memoryNet
+	address string
+	region  string
+	conns   chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func newMemoryNet() *memoryNet {
+	return &memoryNet{listeners: make(map[string]*memoryListener)}
+}
+
+func (n *memoryNet) listen(address, region string) *memoryListener {
+	l := &memoryListener{net: n, address: address, region: region,
+		conns: make(chan net.Conn, 64), closed: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listeners[address] = l
+	return l
+}
+
+func (n *memoryNet) setCut(cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = cut
+}
+
+func (n *memoryNet) parted(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut && from != to
+}
+
+func (l *memoryListener) Dial(ctx context.Context, address string) (net.Conn, error) {
+	l.net.mu.Lock()
+	target := l.net.listeners[address]
+	l.net.mu.Unlock()
+	if target == nil {
+		return nil, errMemory
+	}
+	if l.net.parted(l.region, target.region) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	ours, theirs := memoryPipe(l.net, l.region, target.region)
+	select {
+	case target.conns <- theirs:
+		return ours, nil
+	case <-target.closed:
+		return nil, errMemory
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, errMemory
+	}
+}
+
+func (l *memoryListener) Close() error {
+	l.once.Do(func() {
+		l.net.mu.Lock()
+		delete(l.net.listeners, l.address)
+		l.net.mu.Unlock()
+		close(l.closed)
+	})
+	return nil
+}
+
+// memoryConn is one end of a connection.
+type memoryConn struct {
+	net      *memoryNet
+	from, to string
+	in, out  *memoryBuffer
+	// silent swallows what is written.
+	mu     sync.Mutex
+	silent bool
+}
+
+func memoryPipe(n *memoryNet, a, b string) (*memoryConn, *memoryConn) {
+	forward, backward := newMemoryBuffer(), newMemoryBuffer()
+	left := &memoryConn{net: n, from: a, to: b, in: backward, out: forward}
+	right := &memoryConn{net: n, from: b, to: a, in: forward, out: backward}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.conns = append(n.conns, left, right)
+	return left, right
+}
+
+// silence makes all open connections swallow everything; new ones work.
+func (n *memoryNet) silence() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.conns {
+		c.mu.Lock()
+		c.silent = true
+		c.mu.Unlock()
+	}
+}
+
+func (c *memoryConn) Read(p []byte) (int, error) { return c.in.read(p) }
+
+func (c *memoryConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	silent := c.silent
+	c.mu.Unlock()
+	if silent || c.net.parted(c.from, c.to) {
+		return len(p), nil
+	}
+	return c.out.write(p)
+}
+
+func (c *memoryConn) Close() error {
+	c.in.close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.silent && !c.net.parted(c.from, c.to) {
+		c.out.close()
+	}
+	return nil
+}
+
+func (c *memoryConn) LocalAddr() net.Addr              { return &net.TCPAddr{} }
+func (c *memoryConn) RemoteAddr() net.Addr             { return &net.TCPAddr{} }
+func (c *memoryConn) SetDeadline(time.Time) error      { return nil }
+func (c *memoryConn) SetReadDeadline(time.Time) error  { return nil }
+func (c *memoryConn) SetWriteDeadline(time.Time) error { return nil }
+
+// memoryBuffer is one direction of a connection.
+type memoryBuffer struct {
+	mu     sync.Mutex
+	data   []byte
+	closed bool
+	wake   chan struct{}
+}
+
+func newMemoryBuffer() *memoryBuffer {
+	return &memoryBuffer{wake: make(chan struct{}, 1)}
+}
+
+func (b *memoryBuffer) signal() {
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (b *memoryBuffer) write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return 0, io.ErrClosedPipe
+	}
+	b.data = append(b.data, p...)
+	b.signal()
+	return len(p), nil
+}
+
+func (b *memoryBuffer) read(p []byte) (int, error) {
+	for {
+		b.mu.Lock()
+		if len(b.data) > 0 {
+			n := copy(p, b.data)
+			b.data = b.data[n:]
+			b.mu.Unlock()
+			return n, nil
+		}
+		closed := b.closed
+		b.mu.Unlock()
+		if closed {
+			return 0, io.EOF
+		}
+		<-b.wake
+	}
+}
+
+func (b *memoryBuffer) close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+	b.signal()
+}
--- /dev/null
+++ b/pkg/peer/session.go
@@ -0,0 +1,180 @@
+package peer
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rotisserie/eris"
+
+	"balsamhill/pkg/peer/peerpb"
+)
+
+const (
+	// streamsPerSide is one stream for urgent frames and one for bulk, so that a
+	// document or summary does not delay a heartbeat or a key query.
+	streamsPerSide = 2
+	// queueFrames bounds the frames that wait for a peer that reads slowly.
+	queueFrames = 256
+	// writeTimeout bounds one write to the connection.
+	writeTimeout = 3 * time.Second
+	// helloTimeout bounds the time from the connection to the first heartbeat.
+	helloTimeout = 1500 * time.Millisecond
+)
+
+// session is one connection to a peer. Its fields without a comment do not
+// change after the first heartbeat.
+type session struct {
+	conn    *countedConn
+	mux     *yamux.Session
+	dialled bool
+	address string
+
+	id          string
+	incarnation uint64
+	region      string
+	openedAt    int64
+
+	urgent, bulk chan []byte
+	// registered is closed once the fields above are set.
+	registered chan struct{}
+	closed     chan struct{}
+	closeOnce  sync.Once
+
+	// heardAt is the time of the last heartbeat.
+	heardAt atomic.Int64
+	// revision is the highest that the peer told.
+	revision atomic.Uint64
+
+	// The fields below belong to the exchange's lock.
+	sentHeartbeat int64
+	summarised    bool
+	// servedAt is when the peer last got a document that it asked for.
+	servedAt int64
+	// countedSent and countedReceived are what the byte counters hold already.
+	countedSent, countedReceived uint64
+}
+
+func muxConfig() *yamux.Config {
+	config := yamux.DefaultConfig()
+	// Heartbeats detect silent peers; keep-alives would only add bytes to the link.
+	config.EnableKeepAlive = false
+	config.AcceptBacklog = streamsPerSide
+	config.ConnectionWriteTimeout = writeTimeout
+	config.StreamOpenTimeout = 0
+	config.StreamCloseTimeout = writeTimeout
+	config.LogOutput = io.Discard
+	return config
+}
+
+// newSession starts the multiplexer over a secured connection.
+func newSession(conn *countedConn, secured net.Conn, dialled bool, address string) (*session, error) {
+	s := &session{
+		conn:    conn,
+		dialled: dialled,
+		address: address,
+		urgent:  make(chan []byte, queueFrames),
+		bulk:    make(chan []byte, queueFrames),
+		closed:  make(chan struct{}),
+
+		registered: make(chan struct{}),
+	}
+	var err error
+	if dialled {
+		s.mux, err = yamux.Client(secured, muxConfig())
+	} else {
+		s.mux, err = yamux.Server(secured, muxConfig())
+	}
+	return s, eris.Wrap(err, "start multiplexer")
+}
+
+// close ends the session at once. It may be called more than once.
+func (s *session) close() {
+	s.closeOnce.Do(func() {
+		close(s.closed)
+		// Close waits for the multiplexer's goroutines, which may be in a read.
+		go func() { _ = s.mux.Close() }()
+	})
+}
+
+// send queues a frame. It reports false if the peer reads too slowly or the
+// frame is too large; a full urgent queue ends the session.
+func (s *session) send(frame *peerpb.Frame, urgent bool) bool {
+	data, err := EncodeFrame(frame)
+	if err != nil {
+		return false
+	}
+	queue := s.bulk
+	if urgent {
+		queue = s.urgent
+	}
+	select {
+	case queue <- data:
+		return true
+	default:
+	}
+	if urgent {
+		s.close()
+	}
+	return false
+}
+
+// write opens a stream and writes the frames of a queue until the session ends.
+func (s *session) write(queue chan []byte) {
+	defer s.close()
+	stream, err := s.mux.OpenStream()
+	if err != nil {
+		return
+	}
+	for {
+		select {
+		case data := <-queue:
+			_, err = stream.Write(data)
+			if err != nil {
+				return
+			}
+		case <-s.closed:
+			return
+		}
+	}
+}
+
+// read accepts the peer's streams and passes on their frames until the session
+// ends. It returns the first error that says that the peer is at fault, else nil.
+func (s *session) read(handle func(*peerpb.Frame) error) error {
+	defer s.close()
+	failed := make(chan error, streamsPerSide)
+	var readers sync.WaitGroup
+	for range streamsPerSide {
+		stream, err := s.mux.AcceptStream()
+		if err != nil {
+			break
+		}
+		readers.Go(func() { failed <- s.readStream(stream, handle) })
+	}
+	readers.Wait()
+	close(failed)
+	for err := range failed {
+		if eris.Is(err, ErrBadFrame) {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *session) readStream(stream *yamux.Stream, handle func(*peerpb.Frame) error) error {
+	defer s.close()
+	for {
+		frame, err := ReadFrame(stream)
+		if err != nil {
+			return err
+		}
+		err = handle(frame)
+		if err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/pkg/peer/status.go
@@ -0,0 +1,55 @@
+package peer
+
+import (
+	"slices"
+	"time"
+)
+
+// Status is one known gateway for /status.
+type Status struct {
+	ID          string `json:"id"`
+	Region      string `json:"region"`
+	Address     string `json:"address,omitempty"`
+	Incarnation uint64 `json:"incarnation,omitempty"`
+	State       string `json:"state,omitempty"`
+	// Revision is the highest that the gateway told.
+	Revision  uint64 `json:"revision"`
+	Alive     bool   `json:"alive"`
+	Connected bool   `json:"connected"`
+	// Neighbour and Speaker say whether this gateway exchanges gossip with it, in
+	// the region or across the link.
+	Neighbour bool `json:"neighbour"`
+	Speaker   bool `json:"speaker"`
+	// SilentMillis is the time since its last heartbeat, -1 if there was none.
+	SilentMillis int64 `json:"silentMillis"`
+}
+
+// Status lists all known gateways but the own one, in ID order.
+func (e *Exchange) Status() []Status {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	neighbours := e.view.Neighbours(now)
+	speakers := e.view.FarSpeakers(now)
+	var list []Status
+	for _, g := range e.view.Known() {
+		status := Status{
+			ID:           g.ID,
+			Region:       g.Region,
+			Address:      g.Peer,
+			Incarnation:  g.Incarnation,
+			State:        string(g.State),
+			Revision:     g.Revision,
+			Alive:        e.view.Alive(now, g.ID),
+			Connected:    e.sessions[g.ID] != nil,
+			Neighbour:    slices.Contains(neighbours, g.ID),
+			Speaker:      slices.Contains(speakers, g.ID),
+			SilentMillis: -1,
+		}
+		if heardAt := e.view.HeardAt(g.ID); heardAt != 0 {
+			status.SilentMillis = (now - heardAt) / int64(time.Millisecond)
+		}
+		list = append(list, status)
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/tlsfiles/tlsfiles.go
@@ -0,0 +1,188 @@
+// Package tlsfiles loads certificates, keys and signing certificates from files
+// and loads them again when the files change, without a restart.
+package tlsfiles
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// checkInterval bounds how often the files' modification times are read.
+const checkInterval = time.Second
+
+// Files names PEM files. CA may be empty for servers that do not ask callers
+// for certificates.
+type Files struct {
+	Cert, Key, CA string
+}
+
+// Loader holds the current contents of the files. It is safe for concurrent use.
+type Loader struct {
+	files Files
+	now   func() time.Time
+
+	mu        sync.Mutex
+	checkedAt time.Time
+	stamps    [3]stamp
+	current   material
+	failures  uint64
+}
+
+// stamp is what is compared to notice a change of a file.
+type stamp struct {
+	modified time.Time
+	size     int64
+}
+
+type material struct {
+	certificate *tls.Certificate
+	authorities *x509.CertPool
+}
+
+// New loads the files. It fails if they cannot be used.
+func New(files Files) (*Loader, error) {
+	return NewWithClock(files, time.Now)
+}
+
+// NewWithClock is New with another clock, for tests.
+func NewWithClock(files Files, now func() time.Time) (*Loader, error) {
+	l := &Loader{files: files, now: now, checkedAt: now()}
+	// The stamps are read first, so that a change during the load is noticed later.
+	l.stamps = l.readStamps()
+	loaded, err := l.load()
+	if err != nil {
+		return nil, err
+	}
+	l.current = loaded
+	return l, nil
+}
+
+// Failures returns how many reloads failed. A failed reload keeps the earlier
+// contents, because files may be replaced one after the other.
+func (l *Loader) Failures() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.failures
+}
+
+// ServerConfig returns the configuration of a listener for callers.
+func (l *Loader) ServerConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		NextProtos: []string{"h2", "http/1.1"},
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return l.material().certificate, nil
+		},
+	}
+}
+
+// PeerServerConfig returns the configuration of a listener for other gateways.
+// Both sides must show a certificate that the CA file signed.
+func (l *Loader) PeerServerConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			m := l.material()
+			return &tls.Config{
+				MinVersion:   tls.VersionTLS13,
+				Certificates: []tls.Certificate{*m.certificate},
+				ClientAuth:   tls.RequireAndVerifyClientCert,
+				ClientCAs:    m.authorities,
+				// A resumed session would skip the check against a changed CA file.
+				SessionTicketsDisabled: true,
+			}, nil
+		},
+	}
+}
+
+// PeerClientConfig returns the configuration for one connection to another
+// gateway, with the files as they are now.
+func (l *Loader) PeerClientConfig() *tls.Config {
+	m := l.material()
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{*m.certificate},
+		// Gateways are dialled by IP address, and addresses pass to other VMs when
+		// VMs are replaced. The CA signs certificates of gateways only, so the chain
+		// is verified and the name is not.
+		InsecureSkipVerify: true,
+		VerifyConnection: func(state tls.ConnectionState) error {
+			return verifyChain(state, m.authorities)
+		},
+	}
+}
+
+func verifyChain(state tls.ConnectionState, authorities *x509.CertPool) error {
+	if len(state.PeerCertificates) == 0 {
+		return eris.New("peer sent no certificate")
+	}
+	intermediates := x509.NewCertPool()
+	for _, certificate := range state.PeerCertificates[1:] {
+		intermediates.AddCert(certificate)
+	}
+	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{
+		Roots:         authorities,
+		Intermediates: intermediates,
+		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
+	})
+	return eris.Wrap(err, "verify certificate of peer")
+}
+
+// material returns the contents, loaded again if a file changed.
+func (l *Loader) material() material {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	if now.Sub(l.checkedAt) < checkInterval {
+		return l.current
+	}
+	l.checkedAt = now
+	stamps := l.readStamps()
+	if stamps == l.stamps {
+		return l.current
+	}
+	loaded, err := l.load()
+	if err != nil {
+		l.failures++
+		return l.current
+	}
+	l.stamps = stamps
+	l.current = loaded
+	return l.current
+}
+
+func (l *Loader) readStamps() [3]stamp {
+	var stamps [3]stamp
+	for i, path := range []string{l.files.Cert, l.files.Key, l.files.CA} {
+		info, err := os.Stat(path)
+		if err == nil {
+			stamps[i] = stamp{modified: info.ModTime(), size: info.Size()}
+		}
+	}
+	return stamps
+}
+
+func (l *Loader) load() (material, error) {
+	certificate, err := tls.LoadX509KeyPair(l.files.Cert, l.files.Key)
+	if err != nil {
+		return material{}, eris.Wrap(err, "load certificate and key")
+	}
+	m := material{certificate: &certificate}
+	if l.files.CA == "" {
+		return m, nil
+	}
+	text, err := os.ReadFile(l.files.CA)
+	if err != nil {
+		return material{}, eris.Wrap(err, "load signing certificates")
+	}
+	m.authorities = x509.NewCertPool()
+	if !m.authorities.AppendCertsFromPEM(text) {
+		return material{}, eris.Errorf("%s holds no certificate", l.files.CA)
+	}
+	return m, nil
+}
