--- /dev/null
+++ b/pkg/prober/prober.go
@@ -0,0 +1,137 @@
+// Package prober decides which servers to probe when. It does no I/O and reads
+// no clock: times are nanoseconds on the gateway's monotonic clock.
+package prober
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// StaleAfter is the age of a server's last load report from which a probe is
+	// worth its cost. Reports fade with a half-life of 50 ms, so an older one says
+	// next to nothing; servers with traffic report far more often.
+	StaleAfter = time.Second
+	// MaxOpen bounds the probes in flight of one service.
+	MaxOpen = 32
+)
+
+// Server is what the decision needs of one server that may receive calls.
+type Server struct {
+	ID string
+	// ReportedAt is the time of the last load report, 0 if there was none.
+	ReportedAt int64
+}
+
+// Prober plans the probes of one service. It is not safe for concurrent use.
+type Prober struct {
+	random  *rand.Rand
+	servers map[string]*schedule
+	open    int
+}
+
+// schedule is the pace of one server.
+type schedule struct {
+	// last is the time from which the interval counts, 0 without a grant.
+	last int64
+	// sentAt is the time of the last probe, 0 if none.
+	sentAt int64
+	// probing says that a probe is in flight.
+	probing bool
+}
+
+// New returns a prober without a history.
+func New(random *rand.Rand) *Prober {
+	return &Prober{random: random, servers: make(map[string]*schedule)}
+}
+
+// Stale reports whether the view of the server is too old.
+func Stale(now int64, server Server) bool {
+	return now-server.ReportedAt >= int64(StaleAfter)
+}
+
+// Wanted reports whether any server needs a probe, so that a grant is only held
+// while it is of use.
+func Wanted(now int64, servers []Server) bool {
+	return slices.ContainsFunc(servers, func(s Server) bool { return Stale(now, s) })
+}
+
+// Next returns the servers to probe now, the stalest first, at most one probe in
+// flight for each. rate is the granted number of probes per second on each
+// server. The caller must call Done for each.
+func (p *Prober) Next(now int64, servers []Server, rate float64) []string {
+	p.forget(servers)
+	if rate <= 0 {
+		// Under the next grant every server waits for its turn again.
+		p.reset()
+		return nil
+	}
+	interval := int64(float64(time.Second) / rate)
+	var due []Server
+	for _, server := range servers {
+		s := p.schedule(now, server.ID, interval)
+		if !s.probing && now-s.last >= interval && Stale(now, server) {
+			due = append(due, server)
+		}
+	}
+	slices.SortFunc(due, func(a, b Server) int {
+		return cmp.Or(cmp.Compare(a.ReportedAt, b.ReportedAt), cmp.Compare(a.ID, b.ID))
+	})
+	due = due[:max(0, min(len(due), MaxOpen-p.open))]
+	ids := make([]string, 0, len(due))
+	for _, server := range due {
+		s := p.servers[server.ID]
+		s.last = now
+		s.sentAt = now
+		s.probing = true
+		p.open++
+		ids = append(ids, server.ID)
+	}
+	return ids
+}
+
+// Done ends a probe of any outcome.
+func (p *Prober) Done(id string) {
+	p.open--
+	if s := p.servers[id]; s != nil {
+		s.probing = false
+	}
+}
+
+// schedule returns the pace of a server. Under a new grant it starts at a random
+// point of the interval, so that gateways with equal grants do not probe at once.
+func (p *Prober) schedule(now int64, id string, interval int64) *schedule {
+	s := p.servers[id]
+	if s == nil {
+		s = &schedule{}
+		p.servers[id] = s
+	}
+	if s.last == 0 {
+		s.last = max(s.sentAt, now-p.random.Int64N(max(1, interval)))
+	}
+	return s
+}
+
+func (p *Prober) reset() {
+	for _, s := range p.servers {
+		s.last = 0
+	}
+}
+
+// forget drops servers that left.
+func (p *Prober) forget(servers []Server) {
+	if len(p.servers) <= len(servers) {
+		return
+	}
+	listed := make(map[string]bool, len(servers))
+	for _, server := range servers {
+		listed[server.ID] = true
+	}
+	for id := range p.servers {
+		if !listed[id] {
+			delete(p.servers, id)
+		}
+	}
+}
