Decide about retries, hedges and deadlines in pkg/retry

Cause: the proxy sent each call once and had no rule for what may follow a failed attempt.

State before: no package.

--- /dev/null
+++ b/pkg/retry/deadline.go
@@ -0,0 +1,67 @@
+package retry
+
+import (
+	"strconv"
+	"time"
+)
+
+// Deadline returns the time by which the answer's header must have arrived, 0
+// for no limit. The caller's value (X-Request-Timeout-Ms) can only shorten the
+// class's timeout; invalid values are ignored, because a proxy on the way may
+// have written them and the class's timeout is always safe.
+func Deadline(arrived int64, classTimeout time.Duration, header string) int64 {
+	timeout := classTimeout
+	asked, ok := parseMillis(header)
+	if ok && (timeout <= 0 || asked < timeout) {
+		timeout = asked
+	}
+	if timeout <= 0 {
+		return 0
+	}
+	return arrived + int64(timeout)
+}
+
+// maxTimeoutMillis keeps the sum of clock and timeout far from overflow.
+const maxTimeoutMillis = int64(30*24*time.Hour) / int64(time.Millisecond)
+
+func parseMillis(header string) (time.Duration, bool) {
+	if header == "" {
+		return 0, false
+	}
+	millis, err := strconv.ParseInt(header, 10, 64)
+	if err != nil || millis <= 0 {
+		return 0, false
+	}
+	return time.Duration(min(millis, maxTimeoutMillis)) * time.Millisecond, true
+}
+
+// RemainingMillis returns the X-Request-Timeout-Ms value to pass on: the time
+// left, rounded down so that it never grows from hop to hop. It reports false
+// when less than 1 ms is left or there is no deadline.
+func RemainingMillis(now, deadline int64) (int64, bool) {
+	if deadline == 0 {
+		return 0, false
+	}
+	millis := (deadline - now) / int64(time.Millisecond)
+	return millis, millis > 0
+}
+
+// Expired reports whether the deadline has passed.
+func Expired(now, deadline int64) bool {
+	return deadline != 0 && now >= deadline
+}
+
+// maxFirstByteWait bounds how long a silent connection delays a caller before
+// another server is tried. Fetches usually take milliseconds, and one delayed by
+// 2 s still has most of the class's 5 s for its second attempt.
+const maxFirstByteWait = 2 * time.Second
+
+// FirstByteWait returns how long the first attempt of a call may wait for the
+// first byte of its answer while a second attempt is possible: half of the time
+// left, at most 2 s. The last attempt may use all the time left.
+func FirstByteWait(now, deadline int64) time.Duration {
+	if deadline == 0 {
+		return maxFirstByteWait
+	}
+	return max(0, min(maxFirstByteWait, time.Duration(deadline-now)/2))
+}
--- /dev/null
+++ b/pkg/retry/delay.go
@@ -0,0 +1,115 @@
+package retry
+
+import (
+	"math/bits"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// subBuckets per power of two give a relative error of at most 1/8.
+	subBuckets = 8
+	subBits    = 3
+	// delayBuckets cover 1 µs to about 70 min.
+	delayBuckets = 32 * subBuckets
+	// delayWindow is how long samples count; the window before the running one
+	// is counted too, so that a quantile never starts from nothing.
+	delayWindow = 10e9
+	// refreshNanos bounds how often the quantile is computed.
+	refreshNanos = 250e6
+	// minSamples is the number of samples below which p95 says too little.
+	minSamples = 100
+	// minHedgeDelay keeps hedges from doubling calls to servers that answer in
+	// microseconds, where scheduling noise decides the quantile.
+	minHedgeDelay = time.Millisecond
+	hedgeQuantile = 0.95
+)
+
+// Delay estimates the 95th percentile of latencies, which is when a hedge is
+// sent. It is safe for concurrent use and takes no lock.
+type Delay struct {
+	windows [2]delayCounts
+	// cached is the last result in nanoseconds, 0 for none.
+	cached     atomic.Int64
+	computedAt atomic.Int64
+}
+
+type delayCounts struct {
+	epoch  atomic.Int64
+	counts [delayBuckets]atomic.Uint32
+}
+
+// Observe records a latency.
+func (d *Delay) Observe(now int64, latency time.Duration) {
+	epoch := now/delayWindow + 1
+	window := &d.windows[epoch%2]
+	old := window.epoch.Load()
+	if old != epoch && window.epoch.CompareAndSwap(old, epoch) {
+		// Samples that other goroutines add during this loop may get lost, which
+		// only makes the estimate a little older.
+		for i := range window.counts {
+			window.counts[i].Store(0)
+		}
+	}
+	window.counts[bucketOf(latency)].Add(1)
+}
+
+// HedgeAfter returns how long to wait before a hedge is sent, and false while
+// too little is known.
+func (d *Delay) HedgeAfter(now int64) (time.Duration, bool) {
+	computed := d.computedAt.Load()
+	if (computed == 0 || now-computed >= refreshNanos) && d.computedAt.CompareAndSwap(computed, now) {
+		d.cached.Store(int64(d.quantile(now)))
+	}
+	cached := time.Duration(d.cached.Load())
+	return max(cached, minHedgeDelay), cached > 0
+}
+
+func (d *Delay) quantile(now int64) time.Duration {
+	epoch := now/delayWindow + 1
+	var counts [delayBuckets]uint64
+	var total uint64
+	for w := range d.windows {
+		window := &d.windows[w]
+		if window.epoch.Load() < epoch-1 {
+			continue
+		}
+		for i := range counts {
+			n := uint64(window.counts[i].Load())
+			counts[i] += n
+			total += n
+		}
+	}
+	if total < minSamples {
+		return 0
+	}
+	wanted := uint64(float64(total) * hedgeQuantile)
+	var seen uint64
+	for i, n := range counts {
+		seen += n
+		if seen > wanted {
+			return upperBound(i)
+		}
+	}
+	return upperBound(delayBuckets - 1)
+}
+
+// bucketOf maps microseconds to a logarithmic scale with linear sub-buckets.
+func bucketOf(latency time.Duration) int {
+	micros := uint64(max(0, latency.Microseconds()))
+	if micros < subBuckets {
+		return int(micros)
+	}
+	shift := bits.Len64(micros) - subBits - 1
+	index := (shift+1)*subBuckets + int(micros>>shift) - subBuckets
+	return min(index, delayBuckets-1)
+}
+
+// upperBound returns the end of a bucket.
+func upperBound(index int) time.Duration {
+	if index < subBuckets {
+		return time.Duration(index+1) * time.Microsecond
+	}
+	shift := index/subBuckets - 1
+	return time.Duration((index%subBuckets+subBuckets+1)<<shift) * time.Microsecond
+}
