--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -46,7 +46,7 @@
 	stopping atomic.Bool
 
 	proxy     *proxy.Proxy
-	transport *http.Transport
+	transport *proxy.Transports
 	metrics   *metrics.Set
 	counters  *counters
 
@@ -71,21 +71,26 @@
 		events:      make(chan control.Event, eventQueue),
 		readNow:     make(chan struct{}, 1),
 		metrics:     metrics.NewSet(),
-		transport:   proxy.NewTransport(),
+		transport:   proxy.NewTransports(s.Services, s.Peers.MaxGateways),
 		stop:        make(chan struct{}),
 	}
+	trusted, err := proxy.ParsePrefixes(s.Traffic.TrustedProxies)
+	if err != nil {
+		return nil, err
+	}
 	g.counters = newCounters(g.metrics)
 	g.state = control.NewState(controlConfig(s))
 	addFixedServers(g.state, s)
 	g.status.Store(&control.Status{})
 	g.proxy = proxy.New(proxy.Config{
-		Routes:    routeTable(s),
-		Snapshot:  g.snapshot.Load,
-		Transport: g.transport,
-		Now:       g.now,
-		Metrics:   proxy.NewMetrics(g.metrics),
+		Routes:         routeTable(s),
+		Snapshot:       g.snapshot.Load,
+		Servers:        g.transport,
+		Now:            g.now,
+		Metrics:        proxy.NewMetrics(g.metrics),
+		TrustedProxies: trusted,
 	})
-	err := g.listen()
+	err = g.listen()
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/pkg/proxy/attempt.go
@@ -0,0 +1,287 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"sync"
+	"time"
+
+	"balsamhill/pkg/crashguard"
+	"balsamhill/pkg/retry"
+	"balsamhill/pkg/routing"
+)
+
+// Causes for which attempts are cancelled.
+var (
+	errDeadline = errors.New("time for the attempt ended")
+	errIdle     = errors.New("no progress of a body")
+	errDenied   = errors.New("the attempt must not be sent")
+	errLost     = errors.New("another attempt answered first")
+	errDone     = errors.New("the call ended")
+)
+
+// attempt is one try to get the answer from one server. send runs in one
+// goroutine; the fields are read by others only after it returned.
+type attempt struct {
+	call    *call
+	server  *routing.Server
+	number  int
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	started int64
+
+	// conn carries the request; base is its count of writes before.
+	conn *trackedConn
+	base int64
+	// got says that a connection was assigned.
+	got bool
+	// resent says that an earlier connection of this attempt was written to.
+	resent bool
+	// denied says that the claim or the resend rule forbade the attempt.
+	denied bool
+	// guarded is why the crash guard refused the attempt.
+	guarded string
+
+	response *http.Response
+	err      error
+	end      retry.End
+}
+
+func (c *call) newAttempt(server *routing.Server) *attempt {
+	c.sent++
+	a := &attempt{call: c, server: server, number: c.sent, started: c.proxy.config.Now()}
+	a.ctx, a.cancel = context.WithCancelCause(c.base)
+	return a
+}
+
+// limit bounds the time to the answer's header. The returned function ends the
+// limit; 0 means no limit.
+func (a *attempt) limit(wait time.Duration) (stop func()) {
+	if wait <= 0 {
+		return func() {}
+	}
+	timer := time.AfterFunc(wait, func() { a.cancel(errDeadline) })
+	return func() { timer.Stop() }
+}
+
+// send sends the request and waits for the answer's header or a failure.
+func (a *attempt) send() {
+	c := a.call
+	var fingerprint crashguard.Fingerprint
+	guard := c.proxy.config.CrashGuard
+	if guard != nil {
+		fingerprint = c.crashFingerprint()
+		a.guarded = c.admitCrash(fingerprint)
+		if a.guarded != "" {
+			a.denied = true
+			a.end = retry.NeverWritten
+			a.cancel(errDenied)
+			return
+		}
+	}
+	a.server.Stats.Start()
+	a.roundTrip()
+	a.end = a.classify()
+	now := c.proxy.config.Now()
+	if a.response != nil {
+		observe(a.server, a.response, now, now-a.started)
+	} else {
+		if a.serverFailed() {
+			a.server.Stats.Failure()
+		}
+		a.server.Stats.End()
+	}
+	if guard != nil {
+		guard.Done(now, fingerprint, a.guardEnd(), a.server.ID)
+	}
+}
+
+func (a *attempt) roundTrip() {
+	c := a.call
+	trace := &httptrace.ClientTrace{GotConn: a.gotConn, Got1xxResponse: a.got1xx}
+	request := c.outgoingRequest(a.server, a.number).WithContext(httptrace.WithClientTrace(a.ctx, trace))
+	c.body.watch(func() { a.cancel(errIdle) })
+	fresh := c.safety != retry.Idempotent
+	a.response, a.err = c.proxy.config.Servers.RoundTrip(c.route.Service, fresh, request)
+	if a.err != nil {
+		a.response = nil
+	}
+}
+
+// gotConn runs immediately before the request is written.
+func (a *attempt) gotConn(info httptrace.GotConnInfo) {
+	if a.got && a.written() {
+		a.resent = true
+	}
+	a.got = true
+	conn, _ := info.Conn.(*trackedConn)
+	a.conn = conn
+	if conn != nil {
+		a.base = conn.writes.Load()
+		if !conn.shared {
+			conn.setPatient(a.call.upgrade != "" || a.call.body.present && a.call.body.buffered == nil)
+		}
+	}
+	c := a.call
+	if a.resent && c.safety != retry.Idempotent {
+		c.proxy.config.Metrics.resends.Inc()
+		a.deny()
+		return
+	}
+	if c.ticket != nil && !c.proxy.config.Claims.MayDispatch(*c.ticket) {
+		a.deny()
+	}
+}
+
+// deny keeps the transport from writing the request. Cancelling is enough for
+// HTTP/2, which looks at the context before it writes; HTTP/1.1 does not, but
+// its connection belongs to this request alone and can be closed.
+func (a *attempt) deny() {
+	a.denied = true
+	a.cancel(errDenied)
+	if a.conn != nil && !a.conn.shared {
+		_ = a.conn.Close()
+	}
+}
+
+// written reports whether a byte of the request may have been written on the
+// present or an earlier connection.
+func (a *attempt) written() bool {
+	switch {
+	case a.resent:
+		return true
+	case !a.got:
+		return false
+	case a.conn == nil:
+		return true
+	case a.conn.shared:
+		return !a.denied
+	case a.conn.writes.Load() != a.base:
+		return true
+	}
+	// The transport's goroutine may be about to write. After Close no byte can
+	// leave, and Close waits for a write that has begun.
+	_ = a.conn.Close()
+	return a.conn.writes.Load() != a.base
+}
+
+// got1xx passes an informational answer on, which net/http does by itself for
+// 100 Continue when the body is read.
+func (a *attempt) got1xx(code int, header textproto.MIMEHeader) error {
+	if code != http.StatusContinue {
+		a.call.informer.send(code, http.Header(header))
+	}
+	return nil
+}
+
+func (a *attempt) classify() retry.End {
+	o := retry.Observation{}
+	if a.response != nil {
+		o.Written = true
+		o.Status = a.response.StatusCode
+		o.NotRun = a.response.Header.Get(outcomeHeader) == string(NotRun)
+		return retry.Classify(o)
+	}
+	o.NotRun = refusedStream(a.err) && !a.resent
+	o.Written = a.written()
+	o.TimedOut = a.timedOut()
+	o.Cancelled = a.ctx.Err() != nil && !a.resent
+	return retry.Classify(o)
+}
+
+func (a *attempt) timedOut() bool {
+	cause := context.Cause(a.ctx)
+	return errors.Is(cause, errDeadline) || errors.Is(cause, errIdle)
+}
+
+// serverFailed reports whether a failed attempt speaks against the server. An
+// attempt that the caller or the gateway ended does not.
+func (a *attempt) serverFailed() bool {
+	if a.resent {
+		return true
+	}
+	if a.denied || a.end == retry.Cancelled || a.call.body.failed() {
+		return false
+	}
+	return a.timedOut() || a.ctx.Err() == nil
+}
+
+func (a *attempt) guardEnd() crashguard.End {
+	switch {
+	case a.response != nil:
+		return crashguard.EndedAnswered
+	case a.end == retry.Broken && !a.call.body.failed():
+		return crashguard.EndedBroken
+	default:
+		return crashguard.EndedOther
+	}
+}
+
+// discard gives up an attempt; its answer reaches nobody.
+func (a *attempt) discard() {
+	a.cancel(errLost)
+	if a.response == nil {
+		return
+	}
+	a.call.proxy.config.Metrics.latePast.Inc()
+	_ = a.response.Body.Close()
+	a.server.Stats.End()
+}
+
+// done ends an attempt whose answer was delivered.
+func (a *attempt) done() {
+	_ = a.response.Body.Close()
+	a.server.Stats.End()
+	a.cancel(errDone)
+}
+
+// http2StreamError has the shape of the error type that net/http does not
+// export; it converts to any type with the same fields.
+type http2StreamError struct {
+	StreamID uint32
+	Code     uint32
+	Cause    error
+}
+
+func (e http2StreamError) Error() string { return "HTTP/2 stream error" }
+
+// refusedStreamCode guarantees that the server did not process the request
+// (RFC 9113, 8.7).
+const refusedStreamCode = 7
+
+func refusedStream(err error) bool {
+	var stream http2StreamError
+	return errors.As(err, &stream) && stream.Code == refusedStreamCode
+}
+
+// informer passes informational answers to the caller until the final answer
+// begins.
+type informer struct {
+	mu     sync.Mutex
+	w      http.ResponseWriter
+	closed bool
+}
+
+func (i *informer) send(code int, header http.Header) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.closed || i.w == nil {
+		return
+	}
+	to := i.w.Header()
+	id := to[requestIDHeader]
+	clear(to)
+	copyAnswerHeader(to, header)
+	i.w.WriteHeader(code)
+	clear(to)
+	to[requestIDHeader] = id
+}
+
+func (i *informer) close() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.closed = true
+}
--- /dev/null
+++ b/pkg/proxy/body.go
@@ -0,0 +1,330 @@
+package proxy
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"balsamhill/pkg/preset"
+	"balsamhill/pkg/retry"
+)
+
+const (
+	// maxBufferedBody is the largest body that is kept for another attempt.
+	maxBufferedBody = 64 << 10
+	// bufferStep is how much the buffer grows at a time for bodies of unknown size.
+	bufferStep = 4 << 10
+	// unreadBodyWait is how long the rest of a body that nobody wants is read
+	// after the answer. Closing at once would reset the connection, and the caller
+	// could lose the answer.
+	unreadBodyWait = 500 * time.Millisecond
+	// defaultIdle applies when a preset gives no idle time.
+	defaultIdle = 30 * time.Second
+)
+
+var (
+	errBodyTooLarge = errors.New("body is larger than the class allows")
+	errBodyClosed   = errors.New("body read after the end of the call")
+)
+
+// emptyBody is a body without bytes that http.Transport does not recognise as
+// such.
+type emptyBody struct{}
+
+func (*emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+func (*emptyBody) Close() error             { return nil }
+
+// callerBody reads a caller's body with an idle time per read and a limit on
+// its size. The transport's goroutines may still read when the handler has
+// returned; they then get an error and the connection is not touched.
+type callerBody struct {
+	c       *call
+	present bool
+	limit   int64
+	idle    time.Duration
+	// buffered is the whole body if it was read in advance, else nil.
+	buffered []byte
+	// prefix was read from the source and is delivered first.
+	prefix []byte
+
+	mu sync.Mutex
+	// generation counts attempts; only the last one may read.
+	generation int
+	count      int64
+	consumed   bool
+	ended      bool
+	closed     bool
+	err        error
+	// trailer receives the caller's trailers at the end of the body.
+	trailer http.Header
+	// stall cancels the attempt when a server does not take the body.
+	stall *time.Timer
+}
+
+func (c *call) idle() time.Duration {
+	if idle := c.limits.Idle(); idle > 0 {
+		return idle
+	}
+	return defaultIdle
+}
+
+func (b *callerBody) open(c *call) {
+	b.c = c
+	b.limit = c.limits.MaxBodyBytes
+	b.idle = c.idle()
+	b.present = c.r.Body != nil && c.r.Body != http.NoBody && c.r.ContentLength != 0
+	if b.present && c.r.ProtoMajor == 1 {
+		// Answers may start before the body ends; see closeIfBodyUnread.
+		_ = c.control.EnableFullDuplex()
+	}
+}
+
+// replayable reports whether another attempt can send the whole body.
+func (b *callerBody) replayable() bool {
+	if !b.present || b.buffered != nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.consumed
+}
+
+// failure returns why reading from the caller failed, nil if it did not.
+func (b *callerBody) failure() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.err
+}
+
+// failed reports whether the caller's side ended the body early.
+func (b *callerBody) failed() bool {
+	err := b.failure()
+	return err != nil && err != io.EOF
+}
+
+// attach sets the body of an outgoing request.
+func (b *callerBody) attach(out *http.Request) {
+	switch {
+	case !b.present:
+		return
+	case b.buffered != nil:
+		out.ContentLength = int64(len(b.buffered))
+		if len(b.buffered) > 0 {
+			out.Body = io.NopCloser(bytes.NewReader(b.buffered))
+		}
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.generation++
+	if b.consumed {
+		// A late read of an earlier attempt took bytes; without them the body is
+		// not whole.
+		b.err = errBodyClosed
+	}
+	out.ContentLength = b.c.r.ContentLength
+	out.Body = streamedBody{b, b.generation}
+	if announced := announcedTrailers(b.c.r.Trailer); announced != nil {
+		b.trailer = announced
+		out.Trailer = announced
+		out.ContentLength = -1
+	}
+}
+
+// announcedTrailers returns the trailers that may be passed on, without values.
+func announcedTrailers(from http.Header) http.Header {
+	var to http.Header
+	for name := range from {
+		if hopHeaders[name] || isInternal(name) {
+			continue
+		}
+		if to == nil {
+			to = http.Header{}
+		}
+		to[name] = nil
+	}
+	return to
+}
+
+// streamedBody is the body of an outgoing request. Its Close does not reach the
+// caller's body, so that an attempt that read nothing leaves it usable.
+type streamedBody struct {
+	body       *callerBody
+	generation int
+}
+
+func (s streamedBody) Read(p []byte) (int, error) { return s.body.read(p, s.generation) }
+func (s streamedBody) Close() error               { return nil }
+
+// read serves the attempt of a generation; generation 0 reads in advance.
+func (b *callerBody) read(p []byte, generation int) (int, error) {
+	b.mu.Lock()
+	if b.closed || generation != b.generation {
+		b.mu.Unlock()
+		return 0, errBodyClosed
+	}
+	b.consumed = true
+	if len(b.prefix) > 0 {
+		n := copy(p, b.prefix)
+		b.prefix = b.prefix[n:]
+		b.mu.Unlock()
+		return n, nil
+	}
+	if b.err != nil {
+		b.mu.Unlock()
+		return 0, b.err
+	}
+	if b.stall != nil {
+		b.stall.Stop()
+	}
+	_ = b.c.control.SetReadDeadline(time.Now().Add(b.idle))
+	b.mu.Unlock()
+
+	n, err := b.c.r.Body.Read(p)
+
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.took(n, err)
+}
+
+// took accounts for one read from the caller.
+func (b *callerBody) took(n int, err error) (int, error) {
+	if b.closed {
+		return 0, errBodyClosed
+	}
+	b.count += int64(n)
+	if b.limit > 0 && b.count > b.limit {
+		n, err = 0, errBodyTooLarge
+	}
+	if err != nil {
+		b.err = err
+	}
+	if err == io.EOF {
+		b.ended = true
+		for name := range b.trailer {
+			b.trailer[name] = b.c.r.Trailer[name]
+		}
+	}
+	if b.ended || b.c.r.ProtoMajor >= 2 {
+		// On HTTP/1.1 a deadline that stays would end the wait for the caller's
+		// disconnect; on HTTP/2 it ends the body even while nobody reads.
+		_ = b.c.control.SetReadDeadline(time.Time{})
+	}
+	if err == nil && b.stall != nil {
+		b.stall.Reset(b.idle)
+	}
+	return n, err
+}
+
+// watch cancels an attempt when its server takes nothing from a streamed body
+// for the idle time.
+func (b *callerBody) watch(cancel func()) {
+	if !b.present || b.buffered != nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.stall != nil {
+		b.stall.Stop()
+	}
+	b.stall = time.AfterFunc(b.idle, cancel)
+	b.stall.Stop()
+}
+
+// finish ends the use of the caller's body by this call.
+func (b *callerBody) finish() {
+	if !b.present {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+	if b.stall != nil {
+		b.stall.Stop()
+	}
+	if !b.ended {
+		_ = b.c.control.SetReadDeadline(time.Now().Add(unreadBodyWait))
+	}
+}
+
+// boundUnreadBody bounds how long net/http reads the rest of a body that was
+// refused before it was opened.
+func boundUnreadBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyWait))
+	}
+}
+
+// readAll reads up to a limit and reports whether the body ended.
+func (b *callerBody) readAll(limit int) (data []byte, whole bool, err error) {
+	size := bufferStep
+	if length := b.c.r.ContentLength; length > 0 {
+		size = int(min(length, int64(limit)))
+	}
+	data = make([]byte, 0, size+1)
+	for len(data) <= limit {
+		if len(data) == cap(data) {
+			data = append(data, 0)[:len(data)]
+		}
+		n, err := b.read(data[len(data):min(cap(data), limit+1)], 0)
+		data = data[:len(data)+n]
+		if err == io.EOF {
+			return data, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+	return data, false, nil
+}
+
+// bufferBody reads bodies of up to 64 KiB in advance where another attempt or
+// the fingerprint of a key needs them. It reports whether the call may go on.
+func (c *call) bufferBody() bool {
+	b := &c.body
+	if !b.present || c.safety == retry.NonIdempotent || len(c.r.Trailer) > 0 {
+		return true
+	}
+	if c.r.ContentLength > maxBufferedBody || c.route.Class == preset.ClassUpload && c.r.ContentLength < 0 {
+		return true
+	}
+	data, whole, err := b.readAll(maxBufferedBody)
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		c.refuseTooLarge()
+		return false
+	case err != nil:
+		c.proxy.config.Metrics.badBody.Inc()
+		c.refuse(http.StatusBadRequest, "the body could not be read")
+		return false
+	case whole:
+		b.buffered = data
+	default:
+		b.mu.Lock()
+		b.prefix = data
+		b.consumed = false
+		b.mu.Unlock()
+	}
+	return true
+}
+
+// closeIfBodyUnread makes an HTTP/1.1 connection end after the answer if the
+// body has not been read to its end: what follows on the connection could
+// otherwise be taken for a request. Connections with chunked requests are
+// closed too, since net/http does not tell whether the request also had a
+// Content-Length, by which a proxy in front could have read it differently
+// (RFC 9112, 6.1).
+func (c *call) closeIfBodyUnread() {
+	if c.r.ProtoMajor != 1 || !c.body.present && c.r.ContentLength == 0 {
+		return
+	}
+	c.body.mu.Lock()
+	ended := c.body.ended
+	c.body.mu.Unlock()
+	if !ended || len(c.r.TransferEncoding) > 0 {
+		c.w.Header().Set("Connection", "close")
+	}
+}
--- /dev/null
+++ b/pkg/proxy/call.go
@@ -0,0 +1,285 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"balsamhill/pkg/admission"
+	"balsamhill/pkg/claim"
+	"balsamhill/pkg/preset"
+	"balsamhill/pkg/retry"
+	"balsamhill/pkg/routing"
+)
+
+// service is what traffic remembers about one service.
+type service struct {
+	limiter  admission.Limiter
+	retries  retry.Budget
+	hedges   retry.Budget
+	latency  retry.Delay
+	Counters *serviceMetrics
+}
+
+// minRetries lets a service with little traffic retry at all: one retry in 10 s.
+const minRetries = 1
+
+func (p *Proxy) service(name string) *service {
+	found, ok := p.services.Load(name)
+	if !ok {
+		found, _ = p.services.LoadOrStore(name, &service{
+			retries:  retry.Budget{Floor: minRetries},
+			Counters: p.config.Metrics.service(name),
+		})
+	}
+	return found.(*service)
+}
+
+// call is one caller's request on its way. It belongs to the handler's goroutine.
+type call struct {
+	proxy     *Proxy
+	w         http.ResponseWriter
+	r         *http.Request
+	control   *http.ResponseController
+	route     routing.Route
+	service   *service
+	limits    preset.Limits
+	view      *routing.ServiceView
+	arrived   int64
+	deadline  int64
+	trusted   bool
+	requestID string
+	upgrade   string
+
+	safety          retry.Safety
+	incomingAttempt int
+	key             string
+	claimCall       claim.Call
+	ticket          *claim.Ticket
+	finished        bool
+
+	// base is the context of all attempts.
+	base     context.Context
+	body     callerBody
+	informer informer
+	log      retry.Log
+	tried    []*routing.Server
+	triedBuf [2]*routing.Server
+	sent     int
+}
+
+var randPool = sync.Pool{New: func() any {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}}
+
+// end releases what the call holds, also when the handler panics.
+func (c *call) end() {
+	c.informer.close()
+	c.body.finish()
+	if c.body.c == nil {
+		boundUnreadBody(c.w, c.r)
+	}
+	if c.ticket != nil && !c.finished {
+		// Only a panic between claim and result leads here; the call may have run.
+		c.finish(claim.Result{Kind: claim.ResultUnknown})
+	}
+}
+
+// serve runs the call from admission to the answer.
+func (c *call) serve(limits preset.Limits, view *routing.ServiceView) {
+	c.limits = limits
+	c.view = view
+	c.deadline = retry.Deadline(c.arrived, limits.Timeout(), c.r.Header.Get(timeoutHeader))
+	c.base = c.r.Context()
+	c.tried = c.triedBuf[:0]
+	c.informer.w = c.w
+	c.service.retries.Call(c.arrived)
+	c.service.hedges.Call(c.arrived)
+	if limits.MaxBodyBytes > 0 && c.r.ContentLength > limits.MaxBodyBytes {
+		c.refuseTooLarge()
+		return
+	}
+	c.body.open(c)
+	if !c.bufferBody() {
+		return
+	}
+	release, ok := c.admit()
+	if !ok {
+		return
+	}
+	defer release()
+	server := c.choose()
+	if server == nil {
+		c.proxy.config.Metrics.noServer.Inc()
+		c.refuse(http.StatusServiceUnavailable, "no server of "+c.route.Service+" is available")
+		return
+	}
+	if c.safety == retry.Keyed && !c.claim() {
+		return
+	}
+	var won *attempt
+	if c.mayRace() {
+		won = c.race(server)
+	} else {
+		won = c.sequence(server)
+	}
+	c.conclude(won)
+}
+
+// choose returns a server that was not tried yet, nil if there is none.
+func (c *call) choose() *routing.Server {
+	if c.view == nil || c.view.Usable() == 0 {
+		return nil
+	}
+	random := randPool.Get().(*rand.Rand)
+	defer randPool.Put(random)
+	server := c.view.Choose(routing.Pick{Rand: random, Now: c.proxy.config.Now(), Tried: c.tried})
+	if server != nil {
+		c.tried = append(c.tried, server)
+	}
+	return server
+}
+
+// admit waits for a place among the calls in flight of the service.
+func (c *call) admit() (release func(), ok bool) {
+	now := c.proxy.config.Now()
+	limiter := &c.service.limiter
+	verdict, ticket := limiter.Acquire(now, c.deadline, c.bounds())
+	if verdict == admission.Waiting {
+		verdict = c.waitForPlace(ticket)
+	}
+	if verdict == admission.Admitted {
+		started := c.proxy.config.Now()
+		return func() {
+			ended := c.proxy.config.Now()
+			limiter.Release(ended, ended-started)
+		}, true
+	}
+	c.proxy.config.Metrics.shed[verdict].Inc()
+	c.refuse(http.StatusServiceUnavailable, "too many calls of "+c.route.Service+" are in flight")
+	return nil, false
+}
+
+func (c *call) waitForPlace(ticket *admission.Ticket) admission.Verdict {
+	timer := time.NewTimer(time.Duration(c.view.Tuning.QueueMillis) * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case verdict := <-ticket.Decided:
+		return verdict
+	case <-timer.C:
+	case <-c.r.Context().Done():
+	}
+	if c.service.limiter.Abandon(ticket) {
+		return admission.ShedExpired
+	}
+	return <-ticket.Decided
+}
+
+// bounds returns servers × slots × factor as the limit; without servers the
+// call is refused a step later.
+func (c *call) bounds() admission.Bounds {
+	if c.view == nil || c.view.Usable() == 0 {
+		return admission.Bounds{Limit: 1 << 30}
+	}
+	limit := float64(c.view.Usable()*c.view.Slots) * c.view.Tuning.QueueFactor
+	return admission.Bounds{
+		Limit:   max(1, int64(limit)),
+		MaxWait: c.view.Tuning.QueueMillis * int64(time.Millisecond),
+	}
+}
+
+// mayTryAgain reports whether another server may be tried after an attempt.
+// It takes from the retry budget if so.
+func (c *call) mayTryAgain(last *attempt) bool {
+	if c.sent > 1 || last.denied || !retry.MayAskAgain(c.incomingAttempt) {
+		return false
+	}
+	if !retry.MayTryAgain(c.safety, last.end) || !c.body.replayable() {
+		return false
+	}
+	now := c.proxy.config.Now()
+	if retry.Expired(now, c.deadline) || c.base.Err() != nil {
+		return false
+	}
+	if !c.service.retries.Take(now, c.limits.RetryPercent) {
+		c.service.Counters.retriesDenied.Inc()
+		return false
+	}
+	return true
+}
+
+// sequence sends attempts one after the other.
+func (c *call) sequence(server *routing.Server) *attempt {
+	for {
+		a := c.newAttempt(server)
+		stop := a.limit(c.attemptTime())
+		a.send()
+		stop()
+		c.record(a)
+		if a.end == retry.Answered || !c.mayTryAgain(a) {
+			return a
+		}
+		next := c.choose()
+		if next == nil {
+			return a
+		}
+		c.service.Counters.retries.Inc()
+		a.discard()
+		server = next
+	}
+}
+
+// attemptTime returns how long the next attempt may wait for its answer, 0 for
+// no limit.
+func (c *call) attemptTime() time.Duration {
+	if c.deadline == 0 {
+		return 0
+	}
+	return max(1, time.Duration(c.deadline-c.proxy.config.Now()))
+}
+
+// record takes note of how an attempt ended.
+func (c *call) record(a *attempt) {
+	c.log.Add(a.end)
+	c.service.Counters.attempts[a.end].Inc()
+}
+
+// conclude hands the last attempt's result to the caller.
+func (c *call) conclude(a *attempt) {
+	if a.response != nil {
+		c.deliver(a)
+		return
+	}
+	a.cancel(errDone)
+	status, detail := http.StatusBadGateway, "the server did not answer"
+	switch {
+	case a.guarded != "":
+		status, detail = http.StatusServiceUnavailable, a.guarded
+	case a.denied && !a.resent:
+		status, detail = http.StatusServiceUnavailable, "the claim of the idempotency key is too old"
+	case errors.Is(c.body.failure(), errBodyTooLarge):
+		c.refuseTooLarge()
+		return
+	case errors.Is(c.body.failure(), os.ErrDeadlineExceeded):
+		status, detail = http.StatusRequestTimeout, "the body did not arrive in time"
+	case c.body.failed():
+		status, detail = http.StatusBadRequest, "the body could not be read"
+	case a.timedOut():
+		status, detail = http.StatusGatewayTimeout, "the server did not answer in time"
+	case a.end == retry.NeverWritten:
+		status, detail = http.StatusServiceUnavailable, "no connection to a server of "+c.route.Service
+	}
+	c.proxy.config.Metrics.failed[a.end].Inc()
+	c.refuse(status, detail)
+}
+
+func (c *call) refuseTooLarge() {
+	c.proxy.config.Metrics.tooLarge.Inc()
+	c.refuse(http.StatusRequestEntityTooLarge,
+		"the body is larger than "+strconv.FormatInt(c.limits.MaxBodyBytes, 10)+" bytes")
+}
--- /dev/null
+++ b/pkg/proxy/deliver.go
@@ -0,0 +1,210 @@
+package proxy
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"balsamhill/pkg/claim"
+	"balsamhill/pkg/retry"
+)
+
+// copyBufferBytes is the size of the buffer between the two bodies.
+const copyBufferBytes = 32 << 10
+
+var bufferPool = sync.Pool{New: func() any {
+	buffer := make([]byte, copyBufferBytes)
+	return &buffer
+}}
+
+// deliver hands a server's answer to the caller.
+func (c *call) deliver(a *attempt) {
+	defer a.done()
+	c.informer.close()
+	switch {
+	case a.response.StatusCode == http.StatusSwitchingProtocols:
+		c.switchProtocols(a)
+		return
+	case !framed(a.response):
+		// Without a length or chunks a broken answer ends like a whole one.
+		c.proxy.config.Metrics.unframed.Inc()
+		c.refuse(http.StatusBadGateway, "the server's answer has neither a length nor chunks")
+		return
+	}
+	header := c.w.Header()
+	copyAnswerHeader(header, a.response.Header)
+	c.setOutcome(a)
+	announceTrailers(header, a.response.Trailer)
+	c.closeIfBodyUnread()
+	c.setWriteDeadline()
+	c.w.WriteHeader(a.response.StatusCode)
+	c.clearWriteDeadline()
+	record := &recording{wanted: c.ticket != nil}
+	err := c.stream(a, record)
+	c.finishAnswered(a, record, err)
+	if err != nil {
+		c.countBroken(err)
+		// Breaks the caller's connection, so that a truncated answer does not end
+		// like a whole one.
+		panic(http.ErrAbortHandler)
+	}
+	c.proxy.config.Metrics.answered.Inc()
+	deliverTrailers(header, a.response.Trailer)
+}
+
+// framed reports whether the end of an answer's body can be told from a broken
+// connection.
+func framed(response *http.Response) bool {
+	return response.ProtoMajor >= 2 || response.ContentLength >= 0 || len(response.TransferEncoding) > 0 ||
+		response.Body == http.NoBody || response.Request != nil && response.Request.Method == http.MethodHead
+}
+
+// setOutcome tells the caller of a failed call whether it ran.
+func (c *call) setOutcome(a *attempt) {
+	switch a.end {
+	case retry.RefusedNotRun:
+		c.w.Header().Set(outcomeHeader, string(c.outcome()))
+	case retry.Shed, retry.ServerError:
+		c.w.Header().Set(outcomeHeader, string(Unknown))
+	}
+}
+
+// announceTrailers declares the trailers that the server declared.
+func announceTrailers(header, trailers http.Header) {
+	for name := range trailers {
+		if !hopHeaders[name] && !isPrivateAnswer(name) {
+			header.Add("Trailer", name)
+		}
+	}
+}
+
+// deliverTrailers sets the trailers, which have their values after the body.
+func deliverTrailers(header, trailers http.Header) {
+	for name, values := range trailers {
+		if hopHeaders[name] || isPrivateAnswer(name) {
+			continue
+		}
+		// The prefix also works for trailers that were not declared.
+		header[http.TrailerPrefix+name] = values
+	}
+}
+
+// recording keeps an answer's body for the claim row.
+type recording struct {
+	wanted bool
+	body   []byte
+	full   bool
+}
+
+func (r *recording) add(data []byte) {
+	if !r.wanted || r.full {
+		return
+	}
+	if len(r.body)+len(data) > claim.MaxAnswerBytes {
+		r.full = true
+		r.body = nil
+		return
+	}
+	r.body = append(r.body, data...)
+}
+
+// errCaller marks failures on the caller's side.
+type errCaller struct{ error }
+
+func (e errCaller) Unwrap() error { return e.error }
+
+// stream copies the answer's body. It flushes after each read unless the first
+// read brought the whole body, since net/http then sends header and body at once.
+func (c *call) stream(a *attempt, record *recording) error {
+	if a.response.Body == http.NoBody {
+		return nil
+	}
+	pooled := bufferPool.Get().(*[]byte)
+	defer bufferPool.Put(pooled)
+	buffer := *pooled
+	idle := c.idle()
+	stall := time.AfterFunc(idle, func() { a.cancel(errIdle) })
+	defer stall.Stop()
+	var copied int64
+	var failed error
+	for {
+		n, err := a.response.Body.Read(buffer)
+		copied += int64(n)
+		if n > 0 {
+			record.add(buffer[:n])
+			stall.Stop()
+			if failed == nil {
+				failed = c.write(buffer[:n], err != nil || copied == a.response.ContentLength)
+			}
+			if failed != nil && (!record.wanted || record.full) {
+				return failed
+			}
+			stall.Reset(idle)
+		}
+		if errors.Is(err, io.EOF) {
+			return failed
+		}
+		if err != nil {
+			return errors.Join(failed, err)
+		}
+	}
+}
+
+// write sends a part of the body to the caller; the last part is not flushed,
+// because net/http does so when the handler returns.
+func (c *call) write(data []byte, last bool) error {
+	c.setWriteDeadline()
+	_, err := c.w.Write(data)
+	if err == nil && !last {
+		err = c.control.Flush()
+	}
+	c.clearWriteDeadline()
+	if err != nil {
+		return errCaller{err}
+	}
+	return nil
+}
+
+// setWriteDeadline bounds the next write to the caller.
+func (c *call) setWriteDeadline() {
+	_ = c.control.SetWriteDeadline(time.Now().Add(c.idle()))
+}
+
+// clearWriteDeadline is needed on HTTP/2 only, where a deadline ends the stream
+// also while nothing is written. On HTTP/1.1 it stays for net/http's last flush.
+func (c *call) clearWriteDeadline() {
+	if c.r.ProtoMajor >= 2 {
+		_ = c.control.SetWriteDeadline(time.Time{})
+	}
+}
+
+// finishAnswered records the result of a claimed call.
+func (c *call) finishAnswered(a *attempt, record *recording, err error) {
+	if c.ticket == nil || c.finished {
+		return
+	}
+	if a.end != retry.Answered {
+		c.finish(claim.Result{Kind: claim.ResultUnknown})
+		return
+	}
+	result := claim.Result{Kind: claim.ResultDone}
+	var caller errCaller
+	whole := err == nil || errors.As(err, &caller) && !errors.Is(err, io.ErrUnexpectedEOF) && a.ctx.Err() == nil
+	if whole && !record.full {
+		header := http.Header{}
+		copyAnswerHeader(header, a.response.Header)
+		result.Answer = &claim.Answer{Status: a.response.StatusCode, Header: header, Body: record.body}
+	}
+	c.finish(result)
+}
+
+func (c *call) countBroken(err error) {
+	var caller errCaller
+	if errors.As(err, &caller) || c.r.Context().Err() != nil {
+		c.proxy.config.Metrics.callerLeft.Inc()
+		return
+	}
+	c.proxy.config.Metrics.truncated.Inc()
+}
--- /dev/null
+++ b/pkg/proxy/forwarded.go
@@ -0,0 +1,115 @@
+package proxy
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// ParsePrefixes reads the address ranges of settings.Traffic.TrustedProxies.
+func ParsePrefixes(ranges []string) ([]netip.Prefix, error) {
+	prefixes := make([]netip.Prefix, 0, len(ranges))
+	for _, text := range ranges {
+		prefix, err := netip.ParsePrefix(text)
+		if err != nil {
+			return nil, eris.Wrapf(err, "trusted proxy range %q", text)
+		}
+		prefixes = append(prefixes, prefix.Masked())
+	}
+	return prefixes, nil
+}
+
+// trusts reports whether the peer's forwarding headers are kept.
+func (p *Proxy) trusts(remote string) bool {
+	if len(p.config.TrustedProxies) == 0 {
+		return false
+	}
+	address, ok := peerAddress(remote)
+	if !ok {
+		return false
+	}
+	for _, prefix := range p.config.TrustedProxies {
+		if prefix.Contains(address) {
+			return true
+		}
+	}
+	return false
+}
+
+func peerAddress(remote string) (netip.Addr, bool) {
+	addressPort, err := netip.ParseAddrPort(remote)
+	if err != nil {
+		return netip.Addr{}, false
+	}
+	return addressPort.Addr().Unmap().WithZone(""), true
+}
+
+// forwarding adds the peer to X-Forwarded-For, and to Forwarded if a trusted
+// proxy uses it. Headers of untrusted peers are not in the map any more.
+func (c *call) forwarding(to http.Header) {
+	scheme := "http"
+	if c.r.TLS != nil {
+		scheme = "https"
+	}
+	address, ok := peerAddress(c.r.RemoteAddr)
+	if ok {
+		peer := address.String()
+		to["X-Forwarded-For"] = appendList(to["X-Forwarded-For"], peer)
+		if earlier := to["Forwarded"]; len(earlier) > 0 {
+			to["Forwarded"] = appendList(earlier, "for="+forwardedNode(address)+";proto="+scheme)
+		}
+	}
+	if len(to["X-Forwarded-Proto"]) == 0 {
+		to["X-Forwarded-Proto"] = []string{scheme}
+	}
+	if len(to["X-Forwarded-Host"]) == 0 {
+		to["X-Forwarded-Host"] = []string{c.r.Host}
+	}
+}
+
+// forwardedNode writes an address as RFC 7239 wants it.
+func forwardedNode(address netip.Addr) string {
+	if address.Is4() {
+		return address.String()
+	}
+	return `"[` + address.String() + `]"`
+}
+
+func appendList(earlier []string, element string) []string {
+	if len(earlier) == 0 {
+		return []string{element}
+	}
+	return []string{strings.Join(earlier, ", ") + ", " + element}
+}
+
+const maxRequestIDBytes = 128
+
+// requestID keeps the id of the caller, so that logs of several systems can be
+// joined, unless it is too long or could break a log line.
+func requestID(r *http.Request) string {
+	values := r.Header[requestIDHeader]
+	if len(values) == 1 && validRequestID(values[0]) {
+		return values[0]
+	}
+	var raw [16]byte
+	binary.BigEndian.PutUint64(raw[:8], rand.Uint64())
+	binary.BigEndian.PutUint64(raw[8:], rand.Uint64())
+	return hex.EncodeToString(raw[:])
+}
+
+func validRequestID(id string) bool {
+	if id == "" || len(id) > maxRequestIDBytes {
+		return false
+	}
+	for i := range len(id) {
+		if id[i] <= ' ' || id[i] > '~' || id[i] == '"' || id[i] == '\\' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/proxy/harness_test.go
@@ -0,0 +1,247 @@
+package proxy_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"gotest.tools/v3/assert"
+
+	"balsamhill/pkg/claim"
+	"balsamhill/pkg/crashguard"
+	"balsamhill/pkg/preset"
+	"balsamhill/pkg/proxy"
+	"balsamhill/pkg/routing"
+	"balsamhill/pkg/settings"
+)
+
+const serviceName = "desk"
+
+// bench is a proxy on a real loopback listener with servers behind it.
+type bench struct {
+	url     string
+	address string
+	set     *metrics.Set
+	proxy   *proxy.Proxy
+	servers []*routing.Server
+	front   *httptest.Server
+}
+
+// setup changes what newBench builds.
+type setup struct {
+	http2  bool
+	adjust func(*proxy.Config)
+	limits func(map[preset.Class]preset.Limits)
+	class  preset.Class
+	tuning preset.Tuning
+	slots  int
+}
+
+func newBench(t testing.TB, s setup, addresses ...string) *bench {
+	t.Helper()
+	b := &bench{set: metrics.NewSet()}
+	for i, address := range addresses {
+		b.servers = append(b.servers, &routing.Server{
+			ID: string(rune('a' + i)), Service: serviceName, Address: address, Region: "khomas",
+			Weight: 1, Stats: &routing.Stats{},
+		})
+	}
+	p := preset.Default("ordinary", preset.KindOrdinary)
+	if s.limits != nil {
+		s.limits(p.Classes)
+	}
+	if s.class == "" {
+		s.class = preset.ClassBooking
+	}
+	if s.tuning.Policy == "" {
+		s.tuning = preset.Tuning{Policy: preset.PolicyRoundRobin, QueueFactor: 16, QueueMillis: 100}
+	}
+	snapshot := &routing.Snapshot{
+		Version: preset.Version{Revision: 1, Preset: p},
+		Services: map[string]*routing.ServiceView{
+			serviceName: routing.NewServiceView(serviceName, max(4, s.slots), "khomas", s.tuning, b.servers),
+		},
+	}
+	transports := proxy.NewTransports([]settings.Service{{Name: serviceName, MaxConnections: 800, HTTP2: s.http2}}, 1)
+	started := time.Now()
+	config := proxy.Config{
+		Routes: routing.NewRouteTable([]routing.Route{
+			{PathPrefix: "/fetch", Service: serviceName, Class: preset.ClassFetch},
+			{PathPrefix: "/upload", Service: serviceName, Class: preset.ClassUpload},
+			{PathPrefix: "/", Service: serviceName, Class: s.class},
+		}),
+		Snapshot: func() *routing.Snapshot { return snapshot },
+		Servers:  transports,
+		Now:      func() int64 { return int64(time.Since(started) + time.Second) },
+		Metrics:  proxy.NewMetrics(b.set),
+	}
+	if s.adjust != nil {
+		s.adjust(&config)
+	}
+	b.proxy = proxy.New(config)
+	b.front = httptest.NewUnstartedServer(b.proxy)
+	b.front.Config.Protocols = bothProtocols()
+	b.front.Start()
+	b.url = b.front.URL
+	b.address = b.front.Listener.Addr().String()
+	t.Cleanup(func() {
+		b.front.Close()
+		transports.CloseIdleConnections()
+	})
+	return b
+}
+
+func bothProtocols() *http.Protocols {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return protocols
+}
+
+// startServer starts a server that speaks HTTP/1.1 and cleartext HTTP/2.
+func startServer(t testing.TB, handler http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewUnstartedServer(handler)
+	server.Config.Protocols = bothProtocols()
+	server.Start()
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server.Listener.Addr().String()
+}
+
+// startRaw starts a server that handles connections itself.
+func startRaw(t testing.TB, handle func(net.Conn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				handle(conn)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// unusedAddress refuses connections.
+func unusedAddress(t testing.TB) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// result is an answer that was read to its end.
+type result struct {
+	status  int
+	header  http.Header
+	trailer http.Header
+	body    string
+	err     error
+}
+
+func do(t testing.TB, client *http.Client, request *http.Request) result {
+	t.Helper()
+	response, err := client.Do(request)
+	if err != nil {
+		return result{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return result{response.StatusCode, response.Header, response.Trailer, string(body), err}
+}
+
+func newRequest(t testing.TB, method, url string, body io.Reader, headers ...string) *http.Request {
+	t.Helper()
+	request, err := http.NewRequestWithContext(context.Background(), method, url, body)
+	assert.NilError(t, err)
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	return request
+}
+
+func newClient(t testing.TB, http2 bool) *http.Client {
+	t.Helper()
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(!http2)
+	protocols.SetUnencryptedHTTP2(http2)
+	transport := &http.Transport{Protocols: protocols, MaxIdleConnsPerHost: 64, DisableCompression: true}
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport}
+}
+
+// fakeClaims answers as told and records what it was asked.
+type fakeClaims struct {
+	mu          sync.Mutex
+	decision    claim.Decision
+	mayDispatch bool
+	verified    bool
+	calls       []claim.Call
+	results     []claim.Result
+	verifies    int
+}
+
+func (f *fakeClaims) Claim(_ context.Context, call claim.Call) claim.Decision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls = append(f.calls, call)
+	return f.decision
+}
+
+func (f *fakeClaims) MayDispatch(claim.Ticket) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.mayDispatch
+}
+
+func (f *fakeClaims) Finish(_ claim.Ticket, result claim.Result) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.results = append(f.results, result)
+	return result.Kind == claim.ResultReleased
+}
+
+func (f *fakeClaims) VerifyNotRun(context.Context, claim.Call) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.verifies++
+	return f.verified
+}
+
+// fakeGuard admits as told and records how attempts ended.
+type fakeGuard struct {
+	mu        sync.Mutex
+	admission crashguard.Admission
+	prints    []crashguard.Fingerprint
+	ends      []crashguard.End
+}
+
+func (f *fakeGuard) Admit(_ int64, print crashguard.Fingerprint) crashguard.Admission {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.prints = append(f.prints, print)
+	return f.admission
+}
+
+func (f *fakeGuard) Done(_ int64, _ crashguard.Fingerprint, end crashguard.End, _ string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ends = append(f.ends, end)
+}
--- a/pkg/proxy/headers.go
+++ b/pkg/proxy/headers.go
@@ -1,91 +1,173 @@
 package proxy
 
 import (
-	"context"
-	"net"
 	"net/http"
 	"net/textproto"
+	"net/url"
 	"strconv"
 	"strings"
-	"time"
 
+	"balsamhill/pkg/retry"
 	"balsamhill/pkg/routing"
 )
 
 const (
-	loadHeader     = "Endpoint-Load-Metrics"
-	drainingHeader = "Balsamhill-Draining"
-	internalPrefix = "Balsamhill-"
-	connectTimeout = 250 * time.Millisecond
+	internalPrefix  = "Balsamhill-"
+	outcomeHeader   = "Balsamhill-Outcome"
+	replayHeader    = "Balsamhill-Replay"
+	attemptHeader   = "Balsamhill-Attempt"
+	keyHeader       = "Idempotency-Key"
+	timeoutHeader   = "X-Request-Timeout-Ms"
+	requestIDHeader = "X-Request-Id"
 )
 
+// wireNames are the keys under which a header is put into the map of a request
+// to a server. http.Transport resends a request by itself if the map holds
+// "Idempotency-Key" or "X-Idempotency-Key" in this spelling. Header names are
+// case-insensitive on the wire, so servers see no difference.
+var wireNames = map[string]string{
+	"Idempotency-Key":   "idempotency-key",
+	"X-Idempotency-Key": "x-idempotency-key",
+}
+
 // hopHeaders belong to one connection and are not passed on (RFC 9110, 7.6.1).
-var hopHeaders = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+var hopHeaders = map[string]bool{
+	"Connection": true, "Proxy-Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Http2-Settings": true,
 }
 
-// outgoing builds the request to a server.
-func outgoing(ctx context.Context, r *http.Request, server *routing.Server) *http.Request {
-	out := r.Clone(ctx)
-	out.RequestURI = ""
-	out.URL.Scheme = "http"
-	out.URL.Host = server.Address
-	removeHopHeaders(out.Header)
-	for name := range out.Header {
-		if strings.HasPrefix(name, internalPrefix) {
-			out.Header.Del(name)
-		}
+// isInternal reports whether a header is set by gateways only. Servers that
+// map header names to variables read an underscore like a hyphen.
+func isInternal(name string) bool {
+	if strings.IndexByte(name, '_') >= 0 {
+		name = textproto.CanonicalMIMEHeaderKey(strings.ReplaceAll(name, "_", "-"))
+	}
+	return strings.HasPrefix(name, internalPrefix) || strings.HasPrefix(name, "X-Forwarded-") || name == "Forwarded"
+}
+
+// outgoingRequest builds the request of one attempt. Slices of header values are
+// shared with the caller's request and are not changed.
+func (c *call) outgoingRequest(server *routing.Server, number int) *http.Request {
+	r := c.r
+	out := &http.Request{
+		Method: r.Method,
+		URL: &url.URL{
+			Scheme: "http", Host: server.Address,
+			Path: r.URL.Path, RawPath: r.URL.RawPath,
+			RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery,
+		},
+		Host:       r.Host,
+		Proto:      "HTTP/1.1",
+		ProtoMajor: 1,
+		ProtoMinor: 1,
+		Header:     c.outgoingHeader(number),
+	}
+	if r.Host == "" {
+		out.Host = server.Address
 	}
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err == nil {
-		out.Header.Set("X-Forwarded-For", host)
+	c.body.attach(out)
+	if out.Body == nil && c.safety != retry.Idempotent && safeMethod(r.Method) {
+		// http.Transport resends requests with these methods by itself unless they
+		// have a body of unknown content.
+		out.Body = &emptyBody{}
 	}
 	return out
 }
 
-func removeHopHeaders(header http.Header) {
-	for _, line := range header["Connection"] {
-		for name := range strings.SplitSeq(line, ",") {
-			header.Del(textproto.TrimString(name))
+func (c *call) outgoingHeader(number int) http.Header {
+	from := c.r.Header
+	to := make(http.Header, len(from)+6)
+	named := connectionNames(from)
+	for name, values := range from {
+		if hopHeaders[name] || (named != nil && named[name]) || (!c.trusted && isInternal(name)) {
+			continue
 		}
+		if wire, ok := wireNames[name]; ok {
+			name = wire
+		}
+		to[name] = values
+	}
+	if acceptsTrailers(from) {
+		to["Te"] = []string{"trailers"}
+	}
+	if c.upgrade != "" {
+		to["Connection"] = []string{"Upgrade"}
+		to["Upgrade"] = []string{c.upgrade}
 	}
-	for _, name := range hopHeaders {
-		header.Del(name)
+	if c.body.buffered != nil {
+		// The gateway has read the body already.
+		delete(to, "Expect")
 	}
+	if _, ok := to["User-Agent"]; !ok {
+		// Keeps http.Transport from adding its own.
+		to["User-Agent"] = nil
+	}
+	to[requestIDHeader] = []string{c.requestID}
+	to[attemptHeader] = []string{strconv.Itoa(retry.OutgoingAttempt(c.incomingAttempt, number))}
+	delete(to, timeoutHeader)
+	if left, ok := retry.RemainingMillis(c.proxy.config.Now(), c.deadline); ok {
+		to[timeoutHeader] = []string{strconv.FormatInt(left, 10)}
+	}
+	c.forwarding(to)
+	return to
 }
 
-func copyHeader(to, from http.Header) {
-	for name, values := range from {
-		to[name] = append([]string(nil), values...)
+// connectionNames returns the names that the Connection header declares to be
+// hop-by-hop, nil if there is nothing unusual.
+func connectionNames(header http.Header) map[string]bool {
+	lines := header["Connection"]
+	if len(lines) == 0 {
+		return nil
 	}
-	removeHopHeaders(to)
+	var names map[string]bool
+	for _, line := range lines {
+		for name := range strings.SplitSeq(line, ",") {
+			canonical := textproto.CanonicalMIMEHeaderKey(textproto.TrimString(name))
+			if hopHeaders[canonical] || canonical == "Close" {
+				continue
+			}
+			if names == nil {
+				names = map[string]bool{}
+			}
+			names[canonical] = true
+		}
+	}
+	return names
 }
 
-// parseLoad reads the requests in flight from a load report in the ORCA text
-// format, "TEXT named_metrics.in_flight=3, application_utilization=0.7".
-func parseLoad(value string) (int64, bool) {
-	rest, ok := strings.CutPrefix(value, "TEXT ")
-	if !ok {
-		return 0, false
+func acceptsTrailers(header http.Header) bool {
+	for _, line := range header["Te"] {
+		for token := range strings.SplitSeq(line, ",") {
+			if strings.EqualFold(textproto.TrimString(token), "trailers") {
+				return true
+			}
+		}
 	}
-	for field := range strings.SplitSeq(rest, ",") {
-		name, number, found := strings.Cut(strings.TrimSpace(field), "=")
-		if !found || name != "named_metrics.in_flight" {
+	return false
+}
+
+// copyAnswerHeader passes a server's headers on. What servers tell gateways
+// stays between them.
+func copyAnswerHeader(to, from http.Header) {
+	named := connectionNames(from)
+	for name, values := range from {
+		if hopHeaders[name] || (named != nil && named[name]) || isPrivateAnswer(name) {
 			continue
 		}
-		inFlight, err := strconv.ParseFloat(number, 64)
-		if err != nil || inFlight < 0 || inFlight > 1e6 {
-			return 0, false
-		}
-		return int64(inFlight), true
+		to[name] = values
 	}
-	return 0, false
 }
 
-func dialer() *net.Dialer {
-	return &net.Dialer{
-		Timeout:         connectTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
+func isPrivateAnswer(name string) bool {
+	return name == loadHeader || name == requestIDHeader || strings.HasPrefix(name, internalPrefix)
+}
+
+// attemptNumber reads Balsamhill-Attempt; invalid values count as 0.
+func attemptNumber(value string) int {
+	number, err := strconv.Atoi(value)
+	if err != nil || number < 0 {
+		return 0
 	}
+	return number
 }
--- a/pkg/proxy/metrics.go
+++ b/pkg/proxy/metrics.go
@@ -1,21 +1,123 @@
 package proxy
 
-import "github.com/VictoriaMetrics/metrics"
+import (
+	"fmt"
 
-// Metrics are the counters of the traffic path.
+	"github.com/VictoriaMetrics/metrics"
+
+	"balsamhill/pkg/admission"
+	"balsamhill/pkg/claim"
+	"balsamhill/pkg/retry"
+)
+
+// Metrics are the counters of the traffic path; docs/METRICS.md explains them.
 type Metrics struct {
-	Answered *metrics.Counter
-	Failed   *metrics.Counter
-	NoRoute  *metrics.Counter
-	NoServer *metrics.Counter
+	set *metrics.Set
+
+	answered   *metrics.Counter
+	truncated  *metrics.Counter
+	callerLeft *metrics.Counter
+	upgraded   *metrics.Counter
+	badRequest *metrics.Counter
+	noRoute    *metrics.Counter
+	noServer   *metrics.Counter
+	notReady   *metrics.Counter
+	tooLarge   *metrics.Counter
+	badBody    *metrics.Counter
+	unframed   *metrics.Counter
+	guardBusy  *metrics.Counter
+	guardBlock *metrics.Counter
+	shed       map[admission.Verdict]*metrics.Counter
+	failed     map[retry.End]*metrics.Counter
+	outcomes   map[Outcome]*metrics.Counter
+	claims     map[claim.Kind]*metrics.Counter
+	latePast   *metrics.Counter
+	resends    *metrics.Counter
+}
+
+// serviceMetrics are the counters of one service.
+type serviceMetrics struct {
+	attempts      map[retry.End]*metrics.Counter
+	retries       *metrics.Counter
+	retriesDenied *metrics.Counter
+	hedges        *metrics.Counter
+	hedgesWon     *metrics.Counter
+	hedgesDenied  *metrics.Counter
+}
+
+var endNames = map[retry.End]string{
+	retry.Answered:      "answered",
+	retry.NeverWritten:  "never_written",
+	retry.RefusedNotRun: "refused_not_run",
+	retry.Shed:          "shed",
+	retry.ServerError:   "server_error",
+	retry.Broken:        "broken",
+	retry.TimedOut:      "timed_out",
+	retry.Cancelled:     "cancelled",
 }
 
 // NewMetrics registers the counters in a set.
 func NewMetrics(set *metrics.Set) *Metrics {
-	return &Metrics{
-		Answered: set.NewCounter(`balsamhill_calls_total{outcome="answered"}`),
-		Failed:   set.NewCounter(`balsamhill_calls_total{outcome="failed"}`),
-		NoRoute:  set.NewCounter(`balsamhill_calls_total{outcome="no_route"}`),
-		NoServer: set.NewCounter(`balsamhill_calls_total{outcome="no_server"}`),
+	calls := func(result string) *metrics.Counter {
+		return set.GetOrCreateCounter(fmt.Sprintf(`balsamhill_calls_total{outcome=%q}`, result))
+	}
+	m := &Metrics{
+		set:        set,
+		answered:   calls("answered"),
+		truncated:  calls("truncated"),
+		callerLeft: calls("caller_left"),
+		upgraded:   calls("upgraded"),
+		badRequest: calls("bad_request"),
+		noRoute:    calls("no_route"),
+		noServer:   calls("no_server"),
+		notReady:   calls("not_ready"),
+		tooLarge:   calls("body_too_large"),
+		badBody:    calls("body_failed"),
+		unframed:   calls("unframed_answer"),
+		guardBusy:  calls("crash_guard_busy"),
+		guardBlock: calls("crash_guard_blocked"),
+		shed: map[admission.Verdict]*metrics.Counter{
+			admission.ShedFull:     calls("shed_full"),
+			admission.ShedDeadline: calls("shed_deadline"),
+			admission.ShedExpired:  calls("shed_expired"),
+		},
+		failed: map[retry.End]*metrics.Counter{},
+		outcomes: map[Outcome]*metrics.Counter{
+			NotRun:  set.GetOrCreateCounter(`balsamhill_refusals_total{outcome="not-run"}`),
+			Unknown: set.GetOrCreateCounter(`balsamhill_refusals_total{outcome="unknown"}`),
+		},
+		claims:   map[claim.Kind]*metrics.Counter{},
+		latePast: set.GetOrCreateCounter(`balsamhill_late_answers_total`),
+		resends:  set.GetOrCreateCounter(`balsamhill_transport_resends_refused_total`),
+	}
+	for end, name := range endNames {
+		m.failed[end] = calls("failed_" + name)
+	}
+	kinds := map[claim.Kind]string{
+		claim.Refuse: "refuse", claim.Dispatch: "dispatch", claim.Replay: "replay",
+		claim.Ran: "ran", claim.Mismatch: "mismatch",
+	}
+	for kind, name := range kinds {
+		m.claims[kind] = set.GetOrCreateCounter(fmt.Sprintf(`balsamhill_claim_decisions_total{kind=%q}`, name))
+	}
+	return m
+}
+
+func (m *Metrics) service(name string) *serviceMetrics {
+	counter := func(metric string) *metrics.Counter {
+		return m.set.GetOrCreateCounter(fmt.Sprintf(`%s{service=%q}`, metric, name))
+	}
+	s := &serviceMetrics{
+		attempts:      map[retry.End]*metrics.Counter{},
+		retries:       counter("balsamhill_retries_total"),
+		retriesDenied: counter("balsamhill_retries_denied_total"),
+		hedges:        counter("balsamhill_hedges_total"),
+		hedgesWon:     counter("balsamhill_hedges_won_total"),
+		hedgesDenied:  counter("balsamhill_hedges_denied_total"),
+	}
+	for end, endName := range endNames {
+		s.attempts[end] = m.set.GetOrCreateCounter(
+			fmt.Sprintf(`balsamhill_attempts_total{service=%q,end=%q}`, name, endName))
 	}
+	return s
 }
--- /dev/null
+++ b/pkg/proxy/once_test.go
@@ -0,0 +1,224 @@
+package proxy_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"balsamhill/pkg/claim"
+	"balsamhill/pkg/crashguard"
+	"balsamhill/pkg/proxy"
+)
+
+// closingServer answers the first request on each connection and closes the
+// connection when it has read a later one, without an answer.
+func closingServer(t testing.TB, runs *atomic.Int64) string {
+	return startRaw(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for first := true; ; first = false {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			runs.Add(1)
+			if !first {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+}
+
+// http.Transport resends a request by itself when a reused connection breaks.
+// A call that runs at most once must not be resent like that.
+func TestTransportDoesNotResendNonIdempotentCalls(t *testing.T) {
+	cases := []struct {
+		desc, method, path, body string
+		headers                  []string
+		wantRuns                 int64
+	}{
+		{"post with key", "POST", "/x", "", []string{"Idempotency-Key", "k"}, 1},
+		{"post with key and body", "POST", "/x", "hello", []string{"Idempotency-Key", "k"}, 1},
+		{"post with the other key header", "POST", "/x", "", []string{"X-Idempotency-Key", "k"}, 1},
+		{"post without key", "POST", "/x", "hello", nil, 1},
+		{"put with key in a fetch route", "PUT", "/fetch", "hello", []string{"Idempotency-Key", "k"}, 1},
+		{"get in a booking route", "GET", "/x", "", nil, 1},
+		{"get with key in a booking route", "GET", "/x", "", []string{"Idempotency-Key", "k"}, 1},
+		{"delete in an upload route", "DELETE", "/upload", "", nil, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			var runs atomic.Int64
+			claims := &fakeClaims{decision: claim.Decision{Kind: claim.Dispatch}, mayDispatch: true}
+			guard := &fakeGuard{}
+			b := newBench(t, setup{adjust: func(config *proxy.Config) {
+				config.Claims = claims
+				config.CrashGuard = guard
+			}}, closingServer(t, &runs))
+			client := newClient(t, false)
+			warm := do(t, client, newRequest(t, "POST", b.url+"/x", nil))
+			assert.Equal(t, warm.status, 200)
+			runs.Store(0)
+			got := do(t, client, newRequest(t, c.method, b.url+c.path, strings.NewReader(c.body), c.headers...))
+			assert.Equal(t, runs.Load(), c.wantRuns)
+			assert.Equal(t, got.status, 502)
+			assert.Equal(t, got.header.Get("Balsamhill-Outcome"), "unknown")
+			assert.Equal(t, guard.ends[len(guard.ends)-1], crashguard.EndedBroken)
+			for _, result := range claims.results {
+				assert.Equal(t, result.Kind, claim.ResultUnknown)
+			}
+		})
+	}
+}
+
+// A fetch is resent, to another server if need be.
+func TestBrokenFetchIsRetried(t *testing.T) {
+	broken := startRaw(t, func(conn net.Conn) {
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+	})
+	whole := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, r.Header.Get("Balsamhill-Attempt"))
+	})
+	b := newBench(t, setup{}, broken, whole)
+	got := do(t, newClient(t, false), newRequest(t, "GET", b.url+"/fetch", nil))
+	assert.Equal(t, got.body, "2")
+}
+
+// What the caller is told when its call was refused or failed.
+func TestOutcomes(t *testing.T) {
+	refusing := func(header string, status int) func(t *testing.T) string {
+		return func(t *testing.T) string {
+			return startServer(t, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				if header != "" {
+					w.Header().Set("Balsamhill-Outcome", header)
+				}
+				w.WriteHeader(status)
+			})
+		}
+	}
+	nobody := func(t *testing.T) string { return unusedAddress(t) }
+	cases := []struct {
+		desc        string
+		server      func(t *testing.T) string
+		key         string
+		verified    bool
+		decision    claim.Decision
+		mayDispatch bool
+		wantStatus  int
+		wantOutcome string
+		wantReplay  string
+		wantResult  []claim.ResultKind
+	}{
+		{"no connection, no key", nobody, "", false, claim.Decision{}, true, 503, "not-run", "", nil},
+		{"no connection, key", nobody, "k", false, claim.Decision{Kind: claim.Dispatch}, true, 503, "not-run", "",
+			[]claim.ResultKind{claim.ResultReleased}},
+		{"server vouches", refusing("not-run", 503), "k", false, claim.Decision{Kind: claim.Dispatch}, true, 503, "not-run",
+			"", []claim.ResultKind{claim.ResultReleased}},
+		{"server sheds without guarantee", refusing("", 503), "k", false, claim.Decision{Kind: claim.Dispatch}, true, 503,
+			"unknown", "", []claim.ResultKind{claim.ResultUnknown}},
+		{"server error", refusing("", 500), "k", false, claim.Decision{Kind: claim.Dispatch}, true, 500, "unknown", "",
+			[]claim.ResultKind{claim.ResultUnknown}},
+		{"server error without key", refusing("", 500), "", false, claim.Decision{}, true, 500, "unknown", "", nil},
+		{"claim too old to dispatch", refusing("", 200), "k", false, claim.Decision{Kind: claim.Dispatch}, false, 503,
+			"not-run", "", []claim.ResultKind{claim.ResultReleased}},
+		{"answered", refusing("", 201), "k", false, claim.Decision{Kind: claim.Dispatch}, true, 201, "", "",
+			[]claim.ResultKind{claim.ResultDone}},
+		{"claim refused, verified", refusing("", 200), "k", false, claim.Decision{Kind: claim.Refuse, NotRun: true}, true,
+			503, "not-run", "", nil},
+		{"claim refused", refusing("", 200), "k", false, claim.Decision{Kind: claim.Refuse}, true, 503, "unknown", "", nil},
+		{"ran", refusing("", 200), "k", false, claim.Decision{Kind: claim.Ran}, true, 409, "unknown", "ran", nil},
+		{"mismatch", refusing("", 200), "k", false, claim.Decision{Kind: claim.Mismatch}, true, 422, "unknown", "", nil},
+		{"replay", refusing("", 200), "k", false, claim.Decision{Kind: claim.Replay,
+			Answer: &claim.Answer{Status: 202, Body: []byte("old")}}, true, 202, "", "answer", nil},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			claims := &fakeClaims{decision: c.decision, mayDispatch: c.mayDispatch, verified: c.verified}
+			b := newBench(t, setup{adjust: func(config *proxy.Config) { config.Claims = claims }}, c.server(t))
+			request := newRequest(t, "POST", b.url+"/x", strings.NewReader("body"))
+			if c.key != "" {
+				request.Header.Set("Idempotency-Key", c.key)
+			}
+			got := do(t, newClient(t, false), request)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, c.wantStatus)
+			assert.Equal(t, got.header.Get("Balsamhill-Outcome"), c.wantOutcome)
+			assert.Equal(t, got.header.Get("Balsamhill-Replay"), c.wantReplay)
+			var kinds []claim.ResultKind
+			for _, result := range claims.results {
+				kinds = append(kinds, result.Kind)
+			}
+			assert.DeepEqual(t, kinds, c.wantResult)
+		})
+	}
+}
+
+// A call with a key that is refused before its claim may run elsewhere; only
+// the verification can tell.
+func TestRefusalBeforeTheClaimIsVerified(t *testing.T) {
+	for _, verified := range []bool{false, true} {
+		claims := &fakeClaims{verified: verified}
+		b := newBench(t, setup{adjust: func(config *proxy.Config) { config.Claims = claims }})
+		got := do(t, newClient(t, false), newRequest(t, "POST", b.url+"/x", nil, "Idempotency-Key", "k"))
+		assert.Equal(t, got.status, 503)
+		want := map[bool]string{false: "unknown", true: "not-run"}[verified]
+		assert.Equal(t, got.header.Get("Balsamhill-Outcome"), want)
+		assert.Equal(t, claims.verifies, 1)
+	}
+}
+
+// Without claims nothing would keep a call with a key from running twice.
+func TestCallWithKeyNeedsClaims(t *testing.T) {
+	var runs atomic.Int64
+	server := startServer(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+	b := newBench(t, setup{}, server)
+	got := do(t, newClient(t, false), newRequest(t, "POST", b.url+"/x", nil, "Idempotency-Key", "k"))
+	assert.Equal(t, got.status, 503)
+	assert.Equal(t, runs.Load(), int64(0))
+	b = newBench(t, setup{adjust: func(config *proxy.Config) { config.ForwardUnclaimed = true }}, server)
+	got = do(t, newClient(t, false), newRequest(t, "POST", b.url+"/x", nil, "Idempotency-Key", "k"))
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, runs.Load(), int64(1))
+}
+
+// A connect failure proves that nothing was sent, so the same claim may be used
+// at another server with the whole body.
+func TestKeyedCallMovesOnAfterConnectFailure(t *testing.T) {
+	whole := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(body)
+	})
+	for _, size := range []int{5, 200_000} {
+		claims := &fakeClaims{decision: claim.Decision{Kind: claim.Dispatch}, mayDispatch: true}
+		b := newBench(t, setup{adjust: func(config *proxy.Config) { config.Claims = claims }}, unusedAddress(t), whole)
+		body := strings.Repeat("x", size)
+		got := do(t, newClient(t, false), newRequest(t, "POST", b.url+"/x", strings.NewReader(body), "Idempotency-Key", "k"))
+		assert.Equal(t, got.status, 200)
+		assert.Assert(t, got.body == body)
+		assert.Equal(t, len(claims.results), 1)
+		assert.Equal(t, claims.results[0].Answer != nil, size < claim.MaxAnswerBytes)
+	}
+}
+
+// A blocked request must reach no server.
+func TestCrashGuardHoldsRequestsBack(t *testing.T) {
+	var runs atomic.Int64
+	server := startServer(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+	for _, admission := range []crashguard.Admission{crashguard.Busy, crashguard.Blocked} {
+		guard := &fakeGuard{admission: admission}
+		b := newBench(t, setup{adjust: func(config *proxy.Config) { config.CrashGuard = guard }}, server)
+		got := do(t, newClient(t, false), newRequest(t, "POST", b.url+"/x", strings.NewReader("boom")))
+		assert.Equal(t, got.status, 503)
+		assert.Equal(t, got.header.Get("Balsamhill-Outcome"), "not-run")
+		assert.Equal(t, runs.Load(), int64(0))
+		assert.Equal(t, len(guard.ends), 0)
+	}
+}
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -5,14 +5,14 @@
 
 import (
 	"context"
-	"errors"
-	"io"
-	"math/rand/v2"
 	"net/http"
+	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"balsamhill/pkg/preset"
+	"balsamhill/pkg/retry"
 	"balsamhill/pkg/routing"
 )
 
@@ -21,19 +21,34 @@
 	Routes *routing.RouteTable
 	// Snapshot returns the published snapshot, nil before the first.
 	Snapshot func() *routing.Snapshot
-	// Transport sends requests to servers.
-	Transport http.RoundTripper
+	// Servers carries requests to servers.
+	Servers Servers
 	// Now returns nanoseconds on the gateway's monotonic clock, the same that
 	// the control loop uses.
 	Now func() int64
 	// Metrics counts outcomes.
 	Metrics *Metrics
+	// Claims is asked about calls with an idempotency key. Without it such calls
+	// are refused, because nothing would keep them from running twice, unless
+	// ForwardUnclaimed is set.
+	Claims Claims
+	// ForwardUnclaimed sends calls with a key without a claim if Claims is nil.
+	// This gateway then sends each call at most once, but a call that the caller
+	// sends again runs again. It is meant for tests and trials.
+	ForwardUnclaimed bool
+	// CrashGuard may be nil; no request is then held back.
+	CrashGuard CrashGuard
+	// TrustedProxies are the addresses whose forwarding headers are kept.
+	TrustedProxies []netip.Prefix
 }
 
 // Proxy is an http.Handler for callers' requests.
 type Proxy struct {
 	config   Config
 	inFlight atomic.Int64
+	// services maps names to *service. Entries are created on first use; the
+	// names come from the settings, so the map is bounded.
+	services sync.Map
 }
 
 var _ http.Handler = (*Proxy)(nil)
@@ -43,143 +58,107 @@
 	return &Proxy{config: config}
 }
 
-// InFlight returns the number of callers' requests in flight.
+// InFlight returns the number of callers' requests in flight, including
+// upgraded connections, which http.Server.Shutdown does not wait for.
 func (p *Proxy) InFlight() int64 {
 	return p.inFlight.Load()
 }
 
-// call is one caller's request on its way.
-type call struct {
-	route   routing.Route
-	limits  preset.Limits
-	view    *routing.ServiceView
-	arrived int64
-	tried   []*routing.Server
-	rand    *rand.Rand
+// drainPoll is how often Wait looks at the requests in flight.
+const drainPoll = 20 * time.Millisecond
+
+// Wait returns when no request is in flight or the context ends. A graceful
+// shutdown calls it after http.Server.Shutdown.
+func (p *Proxy) Wait(ctx context.Context) error {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for p.InFlight() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
 }
 
 // ServeHTTP implements http.Handler.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
+	arrived := p.config.Now()
+	trusted := p.trusts(r.RemoteAddr)
+	id := requestID(r)
+	w.Header().Set(requestIDHeader, id)
+	if !checkRequest(p, w, r) {
+		return
+	}
 	route, ok := p.config.Routes.Match(r.Method, r.Host, r.URL.Path)
 	if !ok {
-		p.config.Metrics.NoRoute.Inc()
-		refuse(w, http.StatusNotFound, NotRun, "no route matches host "+r.Host+" and path "+r.URL.Path)
+		p.config.Metrics.noRoute.Inc()
+		boundUnreadBody(w, r)
+		refuse(w, http.StatusNotFound, outcomeWithoutService(r), "no route matches host "+r.Host+" and path "+r.URL.Path)
 		return
 	}
+	c := &call{
+		proxy:     p,
+		w:         w,
+		r:         r,
+		route:     route,
+		service:   p.service(route.Service),
+		arrived:   arrived,
+		trusted:   trusted,
+		requestID: id,
+		control:   http.NewResponseController(w),
+	}
+	c.classify()
+	defer c.end()
 	snapshot := p.config.Snapshot()
 	if snapshot == nil {
-		refuse(w, http.StatusServiceUnavailable, NotRun, "the gateway does not know the preset in force yet")
+		p.config.Metrics.notReady.Inc()
+		c.refuse(http.StatusServiceUnavailable, "the gateway does not know the preset in force yet")
 		return
 	}
 	limits := snapshot.Version.Preset.Limits(route.Class)
-	now := p.config.Now()
-	c := &call{
-		route:   route,
-		limits:  limits,
-		view:    snapshot.Services[route.Service],
-		arrived: now,
-		rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-	}
-	ctx := r.Context()
-	if limits.TimeoutMillis > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, limits.Timeout())
-		defer cancel()
-	}
-	p.forward(ctx, w, r, c)
-}
-
-// forward tries servers until one answers or the call may not be tried again.
-func (p *Proxy) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call) {
-	server := c.view.Choose(routing.Pick{Rand: c.rand, Now: p.config.Now(), Tried: c.tried})
-	if server == nil {
-		p.config.Metrics.NoServer.Inc()
-		refuse(w, http.StatusServiceUnavailable, NotRun, "no server of "+c.route.Service+" is available")
-		return
-	}
-	started := p.config.Now()
-	server.Stats.Start()
-	defer server.Stats.End()
-	response, err := p.config.Transport.RoundTrip(outgoing(ctx, r, server))
-	if err != nil {
-		server.Stats.Failure()
-		p.config.Metrics.Failed.Inc()
-		status := http.StatusBadGateway
-		if errors.Is(err, context.DeadlineExceeded) {
-			status = http.StatusGatewayTimeout
-		}
-		refuse(w, status, Unknown, "the server did not answer")
-		return
-	}
-	defer response.Body.Close()
-	now := p.config.Now()
-	observe(server, response, now, now-started)
-	copyHeader(w.Header(), response.Header)
-	w.WriteHeader(response.StatusCode)
-	p.config.Metrics.Answered.Inc()
-	err = stream(w, response.Body)
-	if err != nil {
-		// Breaks the caller's connection, so that a truncated answer does not end
-		// like a whole one.
-		panic(http.ErrAbortHandler)
-	}
+	c.serve(limits, snapshot.Services[route.Service])
 }
 
-// observe takes what an answer says about the server.
-func observe(server *routing.Server, response *http.Response, now, latency int64) {
+// classify finds out what a second run of the call would do. Calls of the
+// classes booking and upload are never taken to be idempotent, whatever their
+// method; see section 6 of the design.
+func (c *call) classify() {
+	c.upgrade = upgradeOf(c.r)
+	c.key = claimedKey(c.r)
 	switch {
-	case response.StatusCode == http.StatusServiceUnavailable:
-		server.Stats.Shed()
-	case response.StatusCode >= http.StatusInternalServerError:
-		server.Stats.Failure()
+	case c.key != "":
+		c.safety = retry.Keyed
+	case c.upgrade == "" && c.route.Class == preset.ClassFetch && idempotentMethod(c.r.Method):
+		c.safety = retry.Idempotent
 	default:
-		server.Stats.Success(now, latency)
+		c.safety = retry.NonIdempotent
 	}
-	if inFlight, ok := parseLoad(response.Header.Get(loadHeader)); ok {
-		server.Stats.Report(now, inFlight)
-	}
-	if response.Header.Get(drainingHeader) != "" {
-		server.Stats.DrainNoticedAt.Store(now)
+	if c.trusted {
+		c.incomingAttempt = attemptNumber(c.r.Header.Get(attemptHeader))
 	}
 }
 
-// copyBufferBytes is the size of the buffer between the two bodies.
-const copyBufferBytes = 32 << 10
+func idempotentMethod(method string) bool {
+	return safeMethod(method) || method == http.MethodPut || method == http.MethodDelete
+}
 
-// stream copies a body and flushes after each read, so that streams stay streams.
-func stream(w http.ResponseWriter, body io.Reader) error {
-	controller := http.NewResponseController(w)
-	buffer := make([]byte, copyBufferBytes)
-	for {
-		n, err := body.Read(buffer)
-		if n > 0 {
-			_, writeErr := w.Write(buffer[:n])
-			if writeErr != nil {
-				return writeErr
-			}
-			flushErr := controller.Flush()
-			if flushErr != nil {
-				return flushErr
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
+func safeMethod(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	default:
+		return false
 	}
 }
 
-// NewTransport returns the transport to servers.
-func NewTransport() *http.Transport {
-	return &http.Transport{
-		DialContext:           dialer().DialContext,
-		DisableCompression:    true,
-		MaxIdleConnsPerHost:   8,
-		IdleConnTimeout:       10 * time.Second,
-		ExpectContinueTimeout: time.Second,
+// claimedKey returns the idempotency key of a call that needs a claim.
+func claimedKey(r *http.Request) string {
+	if safeMethod(r.Method) {
+		return ""
 	}
+	return r.Header.Get(keyHeader)
 }
--- /dev/null
+++ b/pkg/proxy/servers.go
@@ -0,0 +1,204 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"balsamhill/pkg/settings"
+)
+
+const (
+	connectTimeout = 250 * time.Millisecond
+	// userTimeout is how long sent bytes may stay unacknowledged.
+	userTimeout = 4 * time.Second
+	// idleTimeout is shorter than what servers usually allow, so that the gateway
+	// closes idle connections first.
+	idleTimeout = 10 * time.Second
+	// freshIdleTimeout bounds the age of the last answer on connections for calls
+	// that run at most once: a connection that went silent would turn such a call
+	// into one with an unknown outcome.
+	freshIdleTimeout = 500 * time.Millisecond
+	// expectTimeout is how long the server's 100 Continue is awaited.
+	expectTimeout = time.Second
+	// pingAfter and pingTimeout find silent HTTP/2 connections within 4 s.
+	pingAfter   = 2 * time.Second
+	pingTimeout = 2 * time.Second
+	// minConnections is the least number of connections to one server.
+	minConnections = 2
+	// maxAnswerHeaderBytes bounds the header of an answer.
+	maxAnswerHeaderBytes = 256 << 10
+)
+
+// Servers carries requests to the servers of services. Implementations report
+// through httptrace.ClientTrace.GotConn before they write a request; a request
+// for which that was not reported counts as never written.
+type Servers interface {
+	// RoundTrip sends one request. Fresh requests use a connection that carried
+	// an answer within the last 500 ms, or a new one.
+	RoundTrip(service string, fresh bool, request *http.Request) (*http.Response, error)
+}
+
+// Transports is the Servers of a gateway: two http.Transports for each service.
+type Transports struct {
+	services map[string]*serviceTransports
+}
+
+type serviceTransports struct {
+	http2           bool
+	ordinary, fresh *http.Transport
+}
+
+var _ Servers = (*Transports)(nil)
+
+// NewTransports prepares the transports of all services. Each gateway uses at
+// most MaxConnections / maxGateways connections to a server, and at least 2;
+// the two transports of a service share them equally, because neither can give
+// up a connection for the other.
+func NewTransports(services []settings.Service, maxGateways int) *Transports {
+	t := &Transports{services: map[string]*serviceTransports{}}
+	for _, s := range services {
+		limit := max(minConnections, s.MaxConnections/max(1, maxGateways))
+		t.services[s.Name] = &serviceTransports{
+			http2:    s.HTTP2,
+			ordinary: newTransport(s.HTTP2, limit-limit/2, idleTimeout),
+			fresh:    newTransport(s.HTTP2, limit/2, freshIdleTimeout),
+		}
+	}
+	return t
+}
+
+// RoundTrip implements Servers.
+func (t *Transports) RoundTrip(service string, fresh bool, request *http.Request) (*http.Response, error) {
+	transports := t.services[service]
+	if transports.http2 {
+		// HTTP/2 has no Upgrade. A server may ignore the header, so leaving it out
+		// gives the caller a valid answer.
+		request.Header.Del("Connection")
+		request.Header.Del("Upgrade")
+	}
+	if fresh {
+		return transports.fresh.RoundTrip(request)
+	}
+	return transports.ordinary.RoundTrip(request)
+}
+
+// CloseIdleConnections closes connections without a request.
+func (t *Transports) CloseIdleConnections() {
+	for _, transports := range t.services {
+		transports.ordinary.CloseIdleConnections()
+		transports.fresh.CloseIdleConnections()
+	}
+}
+
+func newTransport(http2 bool, connections int, idle time.Duration) *http.Transport {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(!http2)
+	protocols.SetUnencryptedHTTP2(http2)
+	return &http.Transport{
+		DialContext:            dialer(http2),
+		Protocols:              protocols,
+		HTTP2:                  &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		DisableCompression:     true,
+		MaxConnsPerHost:        connections,
+		MaxIdleConnsPerHost:    connections,
+		IdleConnTimeout:        idle,
+		ExpectContinueTimeout:  expectTimeout,
+		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
+		ReadBufferSize:         8 << 10,
+		WriteBufferSize:        8 << 10,
+	}
+}
+
+func dialer(shared bool) func(context.Context, string, string) (net.Conn, error) {
+	d := &net.Dialer{
+		Timeout:         connectTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return setUserTimeout(raw, userTimeout)
+		},
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return newTrackedConn(conn, shared), nil
+	}
+}
+
+func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// trackedConn counts writes of which the kernel took at least one byte, so that
+// an attempt can tell whether any byte of its request was written.
+type trackedConn struct {
+	net.Conn
+	// shared connections (HTTP/2) carry several requests at a time.
+	shared bool
+	closed atomic.Bool
+	writes atomic.Int64
+	// patient says that the user timeout is off.
+	patient atomic.Bool
+}
+
+func newTrackedConn(conn net.Conn, shared bool) *trackedConn {
+	return &trackedConn{Conn: conn, shared: shared}
+}
+
+// Write implements net.Conn. The count is raised before the write, so that a
+// look at it during the write errs on the safe side.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	c.writes.Add(1)
+	n, err := c.Conn.Write(p)
+	if n == 0 && err != nil {
+		c.writes.Add(-1)
+	}
+	return n, err
+}
+
+// Close implements net.Conn. No byte is written after it returns.
+func (c *trackedConn) Close() error {
+	c.closed.Store(true)
+	return c.Conn.Close()
+}
+
+// setPatient switches the TCP user timeout off for streamed bodies: Linux also
+// applies it to a receiver that acknowledges but does not read for 4 s, which a
+// busy server may do to an upload. The idle time of the class then applies.
+func (c *trackedConn) setPatient(patient bool) {
+	if c.patient.Load() == patient {
+		return
+	}
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	timeout := userTimeout
+	if patient {
+		timeout = 0
+	}
+	if setUserTimeout(raw, timeout) == nil {
+		c.patient.Store(patient)
+	}
+}
