--- a/pkg/proxy/check.go
+++ b/pkg/proxy/check.go
@@ -42,7 +42,7 @@
 		return http.StatusBadRequest, "empty " + keyHeader
 	case !unambiguousPath(r.URL.Path):
 		return http.StatusBadRequest, "the path has dot segments, empty segments or forbidden characters"
-	case r.URL.RawPath != "" && encodesSeparator(r.URL.RawPath):
+	case encodes(r.URL.RawPath, false) || encodes(r.URL.Path, true):
 		return http.StatusBadRequest, "the path has an encoded separator"
 	default:
 		return 0, ""
@@ -76,11 +76,25 @@
 	return true
 }
 
-// encodesSeparator reports whether a raw path holds an encoded slash, which the
-// decoded form shows as a separator. A doubly encoded one is refused too,
-// because some servers decode twice.
-func encodesSeparator(raw string) bool {
-	lower := strings.ToLower(raw)
-	return strings.Contains(lower, "%2f") || strings.Contains(lower, "%252f") ||
-		strings.Contains(lower, "%5c") || strings.Contains(lower, "%255c") || strings.Contains(lower, "%252e")
+// encodes reports whether a path holds an encoded separator or, if dots is set,
+// an encoded dot. In the raw path an encoded slash would show as a separator
+// after decoding; what is left in the decoded path was encoded twice, and some
+// servers decode twice.
+func encodes(path string, dots bool) bool {
+	for {
+		_, rest, found := strings.Cut(path, "%")
+		if !found {
+			return false
+		}
+		if len(rest) >= 2 && isSeparatorCode(rest[0], rest[1]|0x20, dots) {
+			return true
+		}
+		path = rest
+	}
+}
+
+// isSeparatorCode reports whether two hexadecimal digits encode a slash, a
+// backslash or a dot.
+func isSeparatorCode(high, low byte, dots bool) bool {
+	return high == '2' && (low == 'f' || dots && low == 'e') || high == '5' && low == 'c'
 }
--- a/pkg/proxy/deliver.go
+++ b/pkg/proxy/deliver.go
@@ -37,6 +37,10 @@
 	copyAnswerHeader(header, a.response.Header)
 	c.setOutcome(a)
 	announceTrailers(header, a.response.Trailer)
+	if len(a.response.Trailer) > 0 && c.r.ProtoMajor == 1 && c.r.Method != http.MethodHead {
+		// HTTP/1.1 has trailers after chunks only; HTTP/2 also after a length.
+		header.Del("Content-Length")
+	}
 	c.closeIfBodyUnread()
 	c.setWriteDeadline()
 	c.w.WriteHeader(a.response.StatusCode)
