Decide about claims and guard servers against a crashing request

Before: only the types existed. After: the unit, property and fuzz tests of pkg/claim and pkg/crashguard pass.

--- /dev/null
+++ b/pkg/claim/claim_test.go
@@ -0,0 +1,265 @@
+package claim
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"balsamhill/pkg/platform"
+)
+
+func call(key string) Call {
+	return Call{Service: "booking-desk", Key: key, Fingerprint: 7}
+}
+
+func owned(id string) Owner {
+	return Owner{Gateway: "g1", Incarnation: 1, ClaimID: id}
+}
+
+func stored(p Pending, version uint64, change func(*Row)) platform.Row {
+	row := Row{
+		State:       StateClaimed,
+		KeyHash:     KeyHash(p.Call.Service, p.Call.Key),
+		Owner:       owned("other"),
+		Fingerprint: p.Call.Fingerprint,
+	}
+	change(&row)
+	return platform.Row{Key: p.RowKey, Value: row.Encode(), Version: version}
+}
+
+// TestConclude guards against a reader that takes a row that is not free, or that
+// dispatches under a claim that was resolved.
+func TestConclude(t *testing.T) {
+	p := NewPending(call("k"), owned("mine"), 3)
+	answer := &Answer{Status: 201, Header: map[string][]string{"X": {"\xff"}}, Body: []byte("ok")}
+	cases := []struct {
+		desc   string
+		row    platform.Row
+		step   Step
+		kind   Kind
+		expect uint64
+	}{
+		{desc: "absent", row: platform.Row{}, step: StepRetry},
+		{desc: "tombstone", row: platform.Row{Version: 9, Deleted: true}, step: StepRetry},
+		{desc: "own", row: stored(p, 9, func(r *Row) { r.Owner = p.Owner }), step: StepOwned},
+		{desc: "own but withdrawn", row: stored(p, 9, func(r *Row) { r.Owner, r.State = p.Owner, StateReleased }), step: StepAnswer, kind: Refuse},
+		{desc: "claimed", row: stored(p, 9, func(*Row) {}), step: StepWait},
+		{desc: "same claim id of another incarnation", row: stored(p, 9, func(r *Row) { r.Owner = p.Owner; r.Owner.Incarnation = 2 }), step: StepWait},
+		{desc: "released", row: stored(p, 9, func(r *Row) { r.State = StateReleased }), step: StepRetry, expect: 9},
+		{desc: "unknown", row: stored(p, 9, func(r *Row) { r.State = StateUnknown }), step: StepAnswer, kind: Refuse},
+		{desc: "done", row: stored(p, 9, func(r *Row) { r.State, r.Answer = StateDone, answer }), step: StepAnswer, kind: Replay},
+		{desc: "done without answer", row: stored(p, 9, func(r *Row) { r.State = StateDone }), step: StepAnswer, kind: Ran},
+		{desc: "other request", row: stored(p, 9, func(r *Row) { r.State, r.Fingerprint = StateDone, 8 }), step: StepAnswer, kind: Mismatch},
+		{desc: "colliding key", row: stored(p, 9, func(r *Row) { r.KeyHash = "x" }), step: StepAnswer, kind: Mismatch},
+		{desc: "damaged", row: platform.Row{Version: 9, Value: []byte("{")}, step: StepAnswer, kind: Refuse},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			next := Conclude(p, c.row)
+			assert.Equal(t, next.Step, c.step)
+			assert.Equal(t, next.Expect, c.expect)
+			assert.Equal(t, next.Decision.Kind, c.kind)
+			assert.Assert(t, !next.Decision.NotRun)
+			if next.Step == StepOwned {
+				assert.Equal(t, next.Version, uint64(9))
+			}
+			if c.kind == Replay {
+				assert.DeepEqual(t, next.Decision.Answer, answer)
+			}
+		})
+	}
+}
+
+// TestKeysOfServicesDiffer guards against one service seeing the answers of another.
+func TestKeysOfServicesDiffer(t *testing.T) {
+	assert.Assert(t, RowKey("a", "k") != RowKey("b", "k"))
+	assert.Assert(t, IDOf("a", "k") != IDOf("b", "k"))
+	assert.Assert(t, KeyHash("ab", "c") != KeyHash("a", "bc"))
+	id, ok := IDOfRow(RowKey("a", "k"))
+	assert.Assert(t, ok && id == IDOf("a", "k"))
+}
+
+// TestConflictSparesTheRest guards against a batch that fails as a whole because
+// one of its keys is taken.
+func TestConflictSparesTheRest(t *testing.T) {
+	batch := []Pending{
+		NewPending(call("a"), owned("1"), 0), NewPending(call("b"), owned("2"), 5), NewPending(call("c"), owned("3"), 0),
+	}
+	next := AfterCommit(batch, platform.CommitResult{
+		Status:    platform.CommitConflict,
+		Conflicts: []platform.Row{stored(batch[0], 4, func(*Row) {})},
+	})
+	assert.Equal(t, next[0].Step, StepWait)
+	assert.Equal(t, next[1], Next{Step: StepRetry, Expect: 5})
+	assert.Equal(t, next[2], Next{Step: StepRetry})
+}
+
+// TestResolutionConflicts guards against a late result that overwrites the row of
+// another claim, and against a result that is given up while the row is its own.
+func TestResolutionConflicts(t *testing.T) {
+	p := NewPending(call("k"), owned("mine"), 0)
+	r := Withdraw(p)
+	cases := []struct {
+		desc string
+		row  platform.Row
+		want ResolutionNext
+	}{
+		{"gone", platform.Row{Key: p.RowKey}, ResolutionNext{Step: ResolutionSuperseded}},
+		{"claimed by another", stored(p, 9, func(*Row) {}), ResolutionNext{Step: ResolutionSuperseded}},
+		{"own", stored(p, 9, func(r *Row) { r.Owner = p.Owner }), ResolutionNext{Step: ResolutionRepeat, Expect: 9}},
+		{"written before", stored(p, 9, func(r *Row) { r.Owner, r.State = p.Owner, StateReleased }), ResolutionNext{Step: ResolutionWritten}},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			result := platform.CommitResult{Status: platform.CommitConflict, Conflicts: []platform.Row{c.row}}
+			assert.Equal(t, AfterResolution([]Resolution{r}, result)[0], c.want)
+		})
+	}
+}
+
+// TestRetention guards against removing rows too early: a claimed row of a living
+// owner, or a row whose owner was only unobserved.
+func TestRetention(t *testing.T) {
+	at := time.Date(2026, 1, 3, 0, 0, 0, 0, time.UTC)
+	assert.Assert(t, !MayRemove(Row{State: StateClaimed}, at, false))
+	assert.Assert(t, MayRemove(Row{State: StateClaimed}, at, true))
+	assert.Assert(t, !MayRemove(Row{State: StateDone, ResolvedAt: at.Add(-Retention + 1)}, at, true))
+	assert.Assert(t, MayRemove(Row{State: StateDone, ResolvedAt: at.Add(-Retention)}, at, false))
+	assert.Assert(t, !MayRemove(Row{State: StateDone}, at, true))
+	assert.Assert(t, !MayRemove(Row{State: StateDone, ResolvedAt: at.Add(-Retention)}, time.Time{}, true))
+
+	owner := Incarnation{Gateway: "g", Number: 1}
+	absent := func(Incarnation) bool { return false }
+	watch := NewOwnerWatch()
+	watch.Watch(owner)
+	now := int64(1)
+	watch.Observe(now, absent)
+	watch.Observe(now+int64(100*time.Hour), absent)
+	assert.Assert(t, !watch.Gone(owner), "a gap counts as absence")
+	now += int64(100 * time.Hour)
+	for range 48 * 60 {
+		assert.Assert(t, !watch.Gone(owner))
+		now += int64(time.Minute)
+		watch.Observe(now, absent)
+	}
+	assert.Assert(t, watch.Gone(owner))
+	watch.Observe(now, func(Incarnation) bool { return true })
+	assert.Assert(t, !watch.Gone(owner))
+}
+
+// TestDigestHasAllClaimed compares the digest with a set over feeds, pages and
+// rebuilds: it must never miss a key that the feed showed as claimed.
+func TestDigestHasAllClaimed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := NewDigest(64)
+		rows := make(map[string]platform.Row)
+		version := uint64(0)
+		read := func(limit int) bool {
+			from, next := d.Position(), version
+			var page []platform.Row
+			more := false
+			for v := from + 1; v <= version; v++ {
+				for _, row := range rows {
+					if row.Version != v {
+						continue
+					}
+					if len(page) == limit {
+						more = true
+						continue
+					}
+					page = append(page, row)
+					next = v
+				}
+			}
+			if !more {
+				next = version
+			}
+			d.Fed(DigestIDs(page), next, more)
+			return more
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"write": func(t *rapid.T) {
+				p := NewPending(call(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "key")), owned("x"), 0)
+				state := rapid.SampledFrom([]State{StateClaimed, StateReleased, StateDone, StateUnknown}).Draw(t, "state")
+				version++
+				rows[p.RowKey] = stored(p, version, func(r *Row) { r.State = state })
+			},
+			"read":    func(t *rapid.T) { read(rapid.IntRange(1, 3).Draw(t, "limit")) },
+			"rebuild": func(*rapid.T) { d.Rebuild() },
+			"readAll": func(t *rapid.T) {
+				for read(2) {
+				}
+				assert.Assert(t, d.Complete())
+				for key, row := range rows {
+					decoded, err := DecodeRow(row.Value)
+					assert.NilError(t, err)
+					id, _ := IDOfRow(key)
+					assert.Assert(t, decoded.State == StateReleased || d.Has(id))
+				}
+			},
+		})
+	})
+}
+
+// TestDigestForgetsAfterRebuild guards against a digest that fills up for good.
+func TestDigestForgetsAfterRebuild(t *testing.T) {
+	d := NewDigest(64)
+	assert.Assert(t, !d.Complete())
+	d.Fed([]ID{IDOf("s", "k")}, 1, true)
+	assert.Assert(t, !d.Complete())
+	d.Fed(nil, 2, false)
+	assert.Assert(t, d.Complete() && d.Has(IDOf("s", "k")))
+	d.Rebuild()
+	assert.Equal(t, d.Position(), uint64(0))
+	d.Fed(nil, 3, true)
+	assert.Assert(t, d.Has(IDOf("s", "k")))
+	d.Fed(nil, 4, false)
+	assert.Assert(t, !d.Has(IDOf("s", "k")))
+}
+
+// TestMaySayNotRun guards against saying not-run without all of the evidence.
+func TestMaySayNotRun(t *testing.T) {
+	assert.Assert(t, MaySayNotRun(Evidence{DigestComplete: true, PeersAnswered: true}))
+	for _, e := range []Evidence{
+		{PeersAnswered: true},
+		{DigestComplete: true},
+		{DigestComplete: true, PeersAnswered: true, InDigest: true},
+		{DigestComplete: true, PeersAnswered: true, OtherAttempts: true},
+	} {
+		assert.Assert(t, !MaySayNotRun(e), "%+v", e)
+	}
+}
+
+// FuzzDecodeRow guards against rows that crash the reader or change when they are
+// written back.
+func FuzzDecodeRow(f *testing.F) {
+	p := NewPending(call("k"), owned("1"), 0)
+	f.Add(stored(p, 1, func(*Row) {}).Value)
+	f.Add(stored(p, 1, func(r *Row) {
+		r.State = StateDone
+		r.Answer = &Answer{Status: 200, Header: map[string][]string{"A": {"b", "\xff"}}, Body: []byte("x")}
+	}).Value)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		row, err := DecodeRow(data)
+		if err != nil {
+			return
+		}
+		again, err := DecodeRow(row.Encode())
+		assert.NilError(t, err)
+		assert.Assert(t, bytes.Equal(row.Encode(), again.Encode()))
+	})
+}
+
+// BenchmarkDigest reports the bytes that a full filter takes for 1,000 keys.
+func BenchmarkDigest(b *testing.B) {
+	d := NewDigest(DigestKeys)
+	id := IDOf("s", "k")
+	for i := range b.N {
+		id[0], id[1], id[2] = byte(i), byte(i>>8), byte(i>>16)
+		d.Add(id)
+	}
+	b.ReportMetric(float64(d.current.Cap())/8/(DigestKeys/1000), "bytes/1000keys")
+}
--- /dev/null
+++ b/pkg/claim/resolve.go
@@ -0,0 +1,134 @@
+package claim
+
+import (
+	"time"
+
+	"balsamhill/pkg/platform"
+)
+
+// Resolution is the write that ends a claim. It is also used to withdraw a claim
+// whose write had an unknown outcome and which was not dispatched: the row is
+// written in state released under the check of the lost write, so that one of
+// the two fails, no matter when the lost write takes effect.
+type Resolution struct {
+	RowKey      string
+	KeyHash     string
+	Owner       Owner
+	Fingerprint uint64
+	State       State
+	// Answer is set if State is StateDone and the answer is recorded.
+	Answer *Answer
+	// Expect is the row version that the write replaces.
+	Expect uint64
+}
+
+// NewResolution returns the resolution of a ticket.
+func NewResolution(ticket Ticket, owner Owner, result Result) Resolution {
+	r := Resolution{
+		RowKey:      RowKey(ticket.Service, ticket.Key),
+		KeyHash:     KeyHash(ticket.Service, ticket.Key),
+		Owner:       owner,
+		Fingerprint: ticket.Fingerprint,
+		State:       StateUnknown,
+		Expect:      ticket.RowVersion,
+	}
+	switch result.Kind {
+	case ResultDone:
+		r.State = StateDone
+		if result.Answer != nil && len(result.Answer.Body) <= MaxAnswerBytes {
+			r.Answer = result.Answer
+		}
+	case ResultReleased:
+		r.State = StateReleased
+	}
+	return r
+}
+
+// Withdraw returns the resolution of a claim that must not be dispatched.
+func Withdraw(p Pending) Resolution {
+	return Resolution{
+		RowKey:      p.RowKey,
+		KeyHash:     KeyHash(p.Call.Service, p.Call.Key),
+		Owner:       p.Owner,
+		Fingerprint: p.Call.Fingerprint,
+		State:       StateReleased,
+		Expect:      p.Expect,
+	}
+}
+
+// ResolutionTxn returns the transaction that writes a batch of resolutions. The
+// batch holds no row key twice.
+func ResolutionTxn(batch []Resolution, storeTime time.Time) platform.Txn {
+	var txn platform.Txn
+	for _, r := range batch {
+		row := Row{
+			State:       r.State,
+			KeyHash:     r.KeyHash,
+			Owner:       r.Owner,
+			Fingerprint: r.Fingerprint,
+			Answer:      r.Answer,
+			ResolvedAt:  storeTime,
+		}
+		txn.Checks = append(txn.Checks, platform.Check{Key: r.RowKey, Version: r.Expect})
+		txn.Writes = append(txn.Writes, platform.Write{Key: r.RowKey, Value: row.Encode()})
+	}
+	return txn
+}
+
+// ResolutionStep is what follows for one resolution.
+type ResolutionStep int
+
+const (
+	// ResolutionRetry asks to write it again after a pause.
+	ResolutionRetry ResolutionStep = iota
+	// ResolutionRepeat asks to write it again at once, with the new Expect.
+	ResolutionRepeat
+	// ResolutionWritten means that the row holds the resolution.
+	ResolutionWritten
+	// ResolutionSuperseded means that the row is no longer this claim's, so that
+	// there is nothing left to write.
+	ResolutionSuperseded
+)
+
+// ResolutionNext is the step that follows for one resolution.
+type ResolutionNext struct {
+	Step   ResolutionStep
+	Expect uint64
+}
+
+// AfterResolution returns what follows for each resolution of a batch.
+func AfterResolution(batch []Resolution, result platform.CommitResult) []ResolutionNext {
+	next := make([]ResolutionNext, len(batch))
+	rows := byKey(result.Conflicts)
+	for i, r := range batch {
+		switch result.Status {
+		case platform.CommitApplied:
+			next[i] = ResolutionNext{Step: ResolutionWritten}
+		case platform.CommitConflict:
+			row, conflicted := rows[r.RowKey]
+			if !conflicted {
+				next[i] = ResolutionNext{Step: ResolutionRepeat, Expect: r.Expect}
+				continue
+			}
+			next[i] = concludeResolution(r, row)
+		default:
+			next[i] = ResolutionNext{Step: ResolutionRetry, Expect: r.Expect}
+		}
+	}
+	return next
+}
+
+func concludeResolution(r Resolution, stored platform.Row) ResolutionNext {
+	if stored.Version == 0 || stored.Deleted {
+		return ResolutionNext{Step: ResolutionSuperseded}
+	}
+	row, err := DecodeRow(stored.Value)
+	if err != nil || row.Owner != r.Owner {
+		return ResolutionNext{Step: ResolutionSuperseded}
+	}
+	if row.State == StateClaimed {
+		return ResolutionNext{Step: ResolutionRepeat, Expect: stored.Version}
+	}
+	// An earlier write of this resolution took effect although its answer was lost.
+	return ResolutionNext{Step: ResolutionWritten}
+}
--- /dev/null
+++ b/pkg/claimstore/store.go
@@ -0,0 +1,339 @@
+// Package claimstore claims idempotency keys in the platform's table service and
+// records how the claimed calls ended. It performs the I/O for the decisions of
+// package claim.
+package claimstore
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"balsamhill/pkg/claim"
+	"balsamhill/pkg/platform"
+	"balsamhill/pkg/proxy"
+)
+
+const (
+	// verifyLimit bounds the verification of not-run.
+	verifyLimit = 100 * time.Millisecond
+	// maxVerifications bounds the verifications under way; beyond it the outcome
+	// is unknown.
+	maxVerifications = 256
+	// defaultClaimTimeout is used if Config.ClaimTimeout is 0.
+	defaultClaimTimeout = 250 * time.Millisecond
+)
+
+// PeerQuery asks the other gateways for attempts of a key.
+type PeerQuery interface {
+	// QueryKey returns true only if every other gateway that this one knows to be
+	// alive, or to have been alive at the last feed read, answered that it has no
+	// attempt of the key.
+	QueryKey(ctx context.Context, service, key string) bool
+}
+
+// Config is what a Store needs.
+type Config struct {
+	Table platform.Table
+	// Peers answers key queries. Without it, not-run is never said of a call that
+	// this gateway refused before it held the claim.
+	Peers PeerQuery
+	// Gateway and Incarnation identify this run of this gateway.
+	Gateway     string
+	Incarnation uint64
+	// Now returns nanoseconds on the gateway's monotonic clock; 0 means never.
+	Now func() int64
+	// ClaimTimeout bounds each attempt to claim a key.
+	ClaimTimeout time.Duration
+	// Seed is the seed of jitter.
+	Seed uint64
+	// Metrics receives the counters.
+	Metrics *metrics.Set
+	// FeedRead is called after each read of the change feed that reached its end,
+	// with the time at which the read began. Gateways that were alive since then
+	// must answer key queries. It may be nil.
+	FeedRead func(startedAt int64)
+	// OwnerGone reports whether an incarnation of a gateway has been missing from
+	// the gateway rows and the VM list for claim.Retention. Without it, claimed
+	// rows are never removed.
+	OwnerGone func(owner claim.Incarnation) bool
+	// DigestKeys is the number of keys that the filters are sized for, 0 for
+	// claim.DigestKeys.
+	DigestKeys uint
+}
+
+// Store implements proxy.Claims. It is safe for concurrent use.
+type Store struct {
+	config   Config
+	counters *counters
+	claimSeq atomic.Uint64
+	verifies atomic.Int64
+
+	clock storeClock
+
+	mu      sync.Mutex // guards ledger, digest, history
+	ledger  *claim.Ledger
+	digest  *claim.Digest
+	history *claim.History
+
+	randMu sync.Mutex
+	rand   *rand.Rand
+
+	claims  claimQueue
+	results resultQueue
+	running sync.WaitGroup
+}
+
+var _ proxy.Claims = (*Store)(nil)
+
+// New returns a store. It does nothing until Run is called.
+func New(config Config) *Store {
+	if config.ClaimTimeout == 0 {
+		config.ClaimTimeout = defaultClaimTimeout
+	}
+	if config.DigestKeys == 0 {
+		config.DigestKeys = claim.DigestKeys
+	}
+	s := &Store{
+		config:  config,
+		ledger:  claim.NewLedger(),
+		digest:  claim.NewDigest(config.DigestKeys),
+		history: claim.NewHistory(config.Now(), config.DigestKeys),
+		rand:    rand.New(rand.NewPCG(config.Seed, config.Incarnation)),
+	}
+	s.claims.init()
+	s.results.init()
+	s.counters = newCounters(config.Metrics, s)
+	return s
+}
+
+// Run performs the I/O until ctx ends. Before that, Drain should have returned,
+// since results that are not written leave their keys unresolved.
+func (s *Store) Run(ctx context.Context) {
+	for _, loop := range []func(context.Context){s.runClaims, s.runResults, s.runFeed, s.runRemoval} {
+		s.running.Go(func() { loop(ctx) })
+	}
+	s.running.Wait()
+}
+
+// Claim implements proxy.Claims.
+func (s *Store) Claim(ctx context.Context, call claim.Call) claim.Decision {
+	id := claim.IDOf(call.Service, call.Key)
+	s.withLock(func() { s.ledger.Enter(id) })
+	decision := s.claim(ctx, call, id)
+	if decision.Kind == claim.Dispatch {
+		s.counters.dispatched.Inc()
+		return decision
+	}
+	s.withLock(func() { s.ledger.Leave(id) })
+	if decision.Kind == claim.Refuse && decision.NotRun {
+		// The attempt has left the ledger and cannot be dispatched any more, so two
+		// refused sends of one key do not stand in each other's way.
+		decision.NotRun = s.VerifyNotRun(ctx, call)
+	}
+	s.counters.decided(decision)
+	return decision
+}
+
+// claim returns the decision. For a refusal, NotRun asks for verification.
+func (s *Store) claim(ctx context.Context, call claim.Call, id claim.ID) claim.Decision {
+	expect := uint64(0)
+	for {
+		item := s.tryClaim(ctx, call, expect)
+		switch item.next.Step {
+		case claim.StepOwned:
+			s.withLock(func() { s.ledger.Own(id, item.pending.Owner.ClaimID) })
+			return claim.Decision{Kind: claim.Dispatch, Ticket: ticketOf(item)}
+		case claim.StepAnswer:
+			return item.next.Decision
+		case claim.StepWait:
+			next := s.awaitResolution(ctx, item.pending)
+			if next.Step != claim.StepRetry {
+				return next.Decision
+			}
+			expect = next.Expect
+		default:
+			return claim.Decision{Kind: claim.Refuse, NotRun: true, Reason: item.next.Decision.Reason}
+		}
+	}
+}
+
+func ticketOf(item *claimItem) claim.Ticket {
+	return claim.Ticket{
+		Service:     item.pending.Call.Service,
+		Key:         item.pending.Call.Key,
+		ClaimID:     item.pending.Owner.ClaimID,
+		ClaimedAt:   item.claimedAt,
+		RowVersion:  item.next.Version,
+		Fingerprint: item.pending.Call.Fingerprint,
+	}
+}
+
+// MayDispatch implements proxy.Claims.
+func (s *Store) MayDispatch(ticket claim.Ticket) bool {
+	owns := false
+	s.withLock(func() { owns = s.ledger.Owns(ticket.ClaimID) })
+	if owns && claim.MayDispatch(s.config.Now(), ticket.ClaimedAt) {
+		return true
+	}
+	s.counters.dispatchDenied.Inc()
+	return false
+}
+
+// Finish implements proxy.Claims. For ResultReleased it asks the peers before it
+// returns, which takes up to 100 ms: the row proves that the call did not run, but
+// a send that waits on another gateway could still claim the released key.
+func (s *Store) Finish(ticket claim.Ticket, result claim.Result) bool {
+	id := claim.IDOf(ticket.Service, ticket.Key)
+	held, others := false, false
+	s.withLock(func() {
+		if result.Kind != claim.ResultReleased && s.ledger.Owns(ticket.ClaimID) {
+			s.history.Add(s.config.Now(), id)
+		}
+		held = s.ledger.Finish(ticket.ClaimID)
+		others = s.ledger.Has(id)
+	})
+	if !held {
+		return false
+	}
+	notRun := false
+	if result.Kind == claim.ResultReleased && !others {
+		// The row is released after the query, so that no send that arrived before
+		// the query can claim it unnoticed.
+		notRun = s.verifyReleased(ticket, id)
+	}
+	s.counters.finished(result.Kind)
+	s.results.add(claim.NewResolution(ticket, s.owner(ticket.ClaimID), result), s.counters)
+	return notRun
+}
+
+func (s *Store) verifyReleased(ticket claim.Ticket, id claim.ID) bool {
+	if !s.queryPeers(context.Background(), ticket.Service, ticket.Key) {
+		return false
+	}
+	others := false
+	s.withLock(func() { others = s.ledger.Has(id) })
+	return !others
+}
+
+// VerifyNotRun implements proxy.Claims. The call must not be in the ledger.
+func (s *Store) VerifyNotRun(ctx context.Context, call claim.Call) bool {
+	id := claim.IDOf(call.Service, call.Key)
+	// The digest is read before the peers are asked: what was claimed before the
+	// digest's last feed read is in the digest, and what was claimed later is
+	// known to a gateway that was alive at that read.
+	evidence := s.evidence(id)
+	evidence.PeersAnswered = true
+	if !claim.MaySayNotRun(evidence) {
+		s.counters.verifiedUnknown.Inc()
+		return false
+	}
+	answered := s.queryPeers(ctx, call.Service, call.Key)
+	evidence = s.evidence(id)
+	evidence.PeersAnswered = answered
+	if !claim.MaySayNotRun(evidence) {
+		s.counters.verifiedUnknown.Inc()
+		return false
+	}
+	s.counters.verifiedNotRun.Inc()
+	return true
+}
+
+func (s *Store) evidence(id claim.ID) claim.Evidence {
+	var e claim.Evidence
+	s.withLock(func() {
+		e.OtherAttempts = s.ledger.Has(id) || s.history.Has(id)
+		e.DigestComplete = s.digest.Complete()
+		e.InDigest = s.digest.Has(id)
+	})
+	return e
+}
+
+func (s *Store) queryPeers(ctx context.Context, service, key string) bool {
+	if s.config.Peers == nil {
+		return false
+	}
+	if s.verifies.Add(1) > maxVerifications {
+		s.verifies.Add(-1)
+		s.counters.verifyQueueFull.Inc()
+		return false
+	}
+	defer s.verifies.Add(-1)
+	ctx, cancel := context.WithTimeout(ctx, verifyLimit)
+	defer cancel()
+	return s.config.Peers.QueryKey(ctx, service, key)
+}
+
+// HasAttempt answers the key query of a peer: it reports whether this gateway
+// holds an attempt of the key or may have dispatched one within the retention.
+func (s *Store) HasAttempt(service, key string) bool {
+	id := claim.IDOf(service, key)
+	has := false
+	s.withLock(func() { has = s.ledger.Has(id) || s.history.Has(id) })
+	return has
+}
+
+func (s *Store) withLock(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+func (s *Store) owner(claimID string) claim.Owner {
+	return claim.Owner{Gateway: s.config.Gateway, Incarnation: s.config.Incarnation, ClaimID: claimID}
+}
+
+func (s *Store) newClaimID() string {
+	return fmt.Sprintf("%s/%d/%d", s.config.Gateway, s.config.Incarnation, s.claimSeq.Add(1))
+}
+
+// jitter returns a duration between half of d and d.
+func (s *Store) jitter(d time.Duration) time.Duration {
+	s.randMu.Lock()
+	defer s.randMu.Unlock()
+	return d/2 + time.Duration(s.rand.Int64N(int64(d/2)+1))
+}
+
+// storeClock estimates the store's clock. The estimate is never ahead of it as
+// long as both clocks advance at the same rate.
+type storeClock struct {
+	mu       sync.Mutex
+	time     time.Time
+	observed int64
+}
+
+// observe takes the store's clock from an answer that arrived at now.
+func (c *storeClock) observe(now int64, t time.Time) {
+	if t.IsZero() {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.time, c.observed = t, now
+}
+
+// at returns the estimate, zero if the store has not answered yet.
+func (c *storeClock) at(now int64) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.time.IsZero() {
+		return time.Time{}
+	}
+	return c.time.Add(time.Duration(now - c.observed))
+}
+
+// sleep waits and reports false if the context ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
