--- a/pkg/control/status.go
+++ b/pkg/control/status.go
@@ -18,3 +18,18 @@
 	}
 	return status
 }
+
+// Summary returns this gateway's own view of all servers, for its peers.
+func (s *State) Summary() []PeerLoad {
+	rows := s.sortedServers()
+	loads := make([]PeerLoad, 0, len(rows))
+	for _, row := range rows {
+		loads = append(loads, PeerLoad{
+			ServerID: row.id,
+			InFlight: row.stats.InFlight(),
+			Latency:  row.stats.Latency(),
+			Ejected:  row.ejection.Ejected(),
+		})
+	}
+	return loads
+}
