Complete health and control: drains, panic threshold, shedding, spill-over

Cause: a list that was empty for a moment emptied every service, a list that went back revived a leaving server, 503 answers changed nothing, and there was no subset, no spill-over and no use of peers' summaries.

Change: drain evidence is kept per incarnation, told to peers with its age and sent whole at the start of a session (State.Drains); a server only noticed as leaving is the last resort. A vanished server stays until it fails or for 60 s, and while the list shows no live server of the service. Ejections stop at half of the servers that could be used; if drains or maintenance shrink that number afterwards, all ejected ones are used. Shedding lowers the weight. Subsets of 64 by rendezvous hashing. Spill-over is an integral controller on the share of slots taken. ServerChanged reports each change of availability.

Found by TestLeavingServerGetsNoNewWork and fixed before the commit: a restarted gateway with an older list used a server whose newer incarnation was known to leave; evidence from the list was not told to peers.

--- a/pkg/control/apply.go
+++ b/pkg/control/apply.go
@@ -15,6 +15,10 @@
 		s.applyPreset(now, e)
 	case DrainNoticed:
 		s.applyDrain(now, e)
+	case PeerSummary:
+		s.applySummary(e)
+	case PeerLost:
+		s.applyPeerLost(e)
 	}
 }
 
@@ -23,8 +27,7 @@
 	row := newServerRow(vm)
 	row.service = service
 	row.fixed = true
-	s.servers[vm.ID] = row
-	s.dirty = true
+	s.putServer(row)
 }
 
 func newServerRow(vm platform.VM) *serverRow {
@@ -39,6 +42,9 @@
 	}
 }
 
+// applyVMList takes a list in. A server that is missing from it is not removed
+// here, because the list lags and may be empty for a moment; see
+// runUnlistedSystem.
 func (s *State) applyVMList(now int64, vms []platform.VM) {
 	listed := make(map[string]bool, len(vms))
 	for _, vm := range vms {
@@ -49,12 +55,13 @@
 		s.applyServer(now, vm)
 	}
 	for id, row := range s.servers {
-		if !listed[id] && !row.fixed {
-			delete(s.servers, id)
+		if !listed[id] && !row.fixed && row.unlistedAt == 0 {
+			row.unlistedAt = now
+			row.failuresAtUnlisted = row.stats.Failures.Load()
 			s.dirty = true
 		}
 	}
-	s.seenList = true
+	s.seenList = s.seenList || len(listed) > 0
 }
 
 func (s *State) applyServer(now int64, vm platform.VM) {
@@ -63,19 +70,41 @@
 		// The list lags; a newer incarnation is known already.
 		return
 	}
-	if !ok || vm.Incarnation > row.incarnation || vm.Address != row.address {
-		row = newServerRow(vm)
-		if s.seenList {
-			row.joinedAt = now
-		}
-		s.servers[vm.ID] = row
-		s.dirty = true
+	switch {
+	case !ok || vm.Incarnation > row.incarnation:
+		row = s.replaceServer(now, row, vm)
+	case vm.Address != row.address:
+		// The same incarnation at another address keeps its drain evidence.
+		drain := row.drain
+		row = s.replaceServer(now, row, vm)
+		row.drain = drain
 	}
-	leaving := vm.State == platform.VMLeaving
-	if leaving != row.drain.Listed() {
-		row.drain.SetListed(leaving)
+	if row.unlistedAt != 0 {
+		row.unlistedAt = 0
 		s.dirty = true
 	}
+	if vm.State == platform.VMLeaving {
+		s.confirmDrain(now, row)
+	}
+}
+
+// replaceServer puts a new row in the place of an old one, which may be nil.
+func (s *State) replaceServer(now int64, old *serverRow, vm platform.VM) *serverRow {
+	row := newServerRow(vm)
+	if s.seenList {
+		row.joinedAt = now
+	}
+	if old != nil {
+		row.fixed = old.fixed
+		row.published = old.published
+		if row.service == "" {
+			row.service = old.service
+		}
+	}
+	row.stats.SetPeersInFlight(s.peers.inFlight(row.id))
+	s.putServer(row)
+	s.applyEarlyNotice(now, row)
+	return row
 }
 
 func (s *State) applyPreset(now int64, offered PresetOffered) {
@@ -91,24 +120,3 @@
 		Previous: previous,
 	})
 }
-
-func (s *State) applyDrain(now int64, notice DrainNoticed) {
-	row, ok := s.servers[notice.ServerID]
-	if !ok {
-		return
-	}
-	if notice.Incarnation != 0 && notice.Incarnation != row.incarnation {
-		return
-	}
-	s.noticeDrain(now, row, notice.FromPeer == "")
-}
-
-func (s *State) noticeDrain(now int64, row *serverRow, tellPeers bool) {
-	if !row.drain.Notice(now) {
-		return
-	}
-	s.dirty = true
-	if tellPeers {
-		s.actions = append(s.actions, DrainLearned{ServerID: row.id, Incarnation: row.incarnation})
-	}
-}
--- /dev/null
+++ b/pkg/control/control_test.go
@@ -0,0 +1,203 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"balsamhill/pkg/platform"
+	"balsamhill/pkg/preset"
+	"balsamhill/pkg/routing"
+)
+
+const second = int64(time.Second)
+
+// harness drives one State with explicit time and keeps its last snapshot.
+type harness struct {
+	state    *State
+	snapshot *routing.Snapshot
+	changes  []ServerChanged
+	learned  []DrainLearned
+}
+
+func newHarness(id string) *harness {
+	return &harness{state: NewState(Config{
+		VMID: id, Region: "r0", FailureDomain: "r0-d0", RegionPenalty: 60e6,
+		Services: []ServiceConfig{{Name: "s", Slots: 4}},
+	})}
+}
+
+func (h *harness) tick(now int64) {
+	h.learned = nil
+	for _, action := range h.state.RunSystems(now) {
+		switch a := action.(type) {
+		case Publish:
+			h.snapshot = a.Snapshot
+		case ServerChanged:
+			h.changes = append(h.changes, a)
+		case DrainLearned:
+			h.learned = append(h.learned, a)
+		}
+	}
+}
+
+func (h *harness) view() *routing.ServiceView {
+	return h.snapshot.Services["s"]
+}
+
+func (h *harness) server(id string) *routing.Server {
+	for _, server := range h.view().Servers {
+		if server.ID == id {
+			return server
+		}
+	}
+	return nil
+}
+
+func vm(id string, incarnation uint64, state platform.VMState) platform.VM {
+	return platform.VM{
+		ID: id, Role: platform.RoleServer, Service: "s", Region: "r0", FailureDomain: "r0-d0",
+		Address: id, Incarnation: incarnation, State: state,
+	}
+}
+
+func liveVMs(n int) []platform.VM {
+	vms := make([]platform.VM, n)
+	for i := range vms {
+		vms[i] = vm(fmt.Sprintf("s%d", i), 1, platform.VMLive)
+	}
+	return vms
+}
+
+func version(revision uint64, maintenance ...string) preset.Version {
+	p := preset.Default(fmt.Sprintf("p%d", revision), preset.KindOrdinary)
+	p.Maintenance = maintenance
+	p.Services["s"] = preset.Tuning{QueueMillis: int64(revision)}
+	return preset.Version{Revision: revision, Preset: p}
+}
+
+// TestListRules guards against a lagging or empty list emptying a service or
+// bringing back a server that leaves.
+func TestListRules(t *testing.T) {
+	live, leaving := platform.VMLive, platform.VMLeaving
+	both := []platform.VM{vm("a", 1, live), vm("b", 1, live)}
+	onlyB := []platform.VM{vm("b", 1, live)}
+	type step struct {
+		at   int64
+		list []platform.VM
+		// failures of server a between this list and the next step.
+		failures int
+	}
+	tests := []struct {
+		desc  string
+		steps []step
+		until int64
+		want  string
+	}{
+		{"empty for a moment", []step{{1, both, 0}, {2, nil, 0}}, 3, "available"},
+		{"empty for long", []step{{1, both, 0}, {2, nil, 0}}, 1000, "available"},
+		{"vanished, younger than the bound", []step{{1, both, 0}, {2, onlyB, 0}}, 60, "available"},
+		{"vanished, older than the bound", []step{{1, both, 0}, {2, onlyB, 0}}, 64, "gone"},
+		{"vanished and fails", []step{{1, both, 0}, {2, onlyB, 3}}, 3, "gone"},
+		{"fails, but the list is empty", []step{{1, both, 0}, {2, nil, 3}}, 3, "available"},
+		{"leaving, then live again in an older list",
+			[]step{{1, both, 0}, {2, []platform.VM{vm("a", 1, leaving), vm("b", 1, live)}, 0}, {3, both, 0}}, 4, "draining"},
+		{"leaving, vanished, then live again in an older list",
+			[]step{{1, []platform.VM{vm("a", 1, leaving), vm("b", 1, live)}, 0}, {2, onlyB, 0}, {300, both, 0}}, 301, "draining"},
+		{"leaving, then a newer incarnation",
+			[]step{{1, []platform.VM{vm("a", 1, leaving)}, 0}, {2, []platform.VM{vm("a", 2, live)}, 0}}, 3, "available"},
+		{"older incarnation leaving in an older list",
+			[]step{{1, []platform.VM{vm("a", 2, live)}, 0}, {2, []platform.VM{vm("a", 1, leaving)}, 0}}, 3, "available"},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			h := newHarness("g")
+			h.state.Apply(second, PresetOffered{Version: version(1)})
+			for _, step := range test.steps {
+				h.state.Apply(step.at*second, VMListRead{VMs: step.list})
+				h.tick(step.at * second)
+				for range step.failures {
+					h.server("a").Stats.Failure()
+				}
+			}
+			h.tick(test.until * second)
+			got := "gone"
+			if server := h.server("a"); server != nil {
+				got = server.Availability.String()
+			}
+			assert.Equal(t, got, test.want)
+		})
+	}
+}
+
+// TestFixedServerSurvivesList guards against the list turning a server of the
+// settings into one that may vanish.
+func TestFixedServerSurvivesList(t *testing.T) {
+	h := newHarness("g")
+	h.state.AddFixedServer("s", vm("a", 0, platform.VMLive))
+	h.state.Apply(second, PresetOffered{Version: version(1)})
+	h.state.Apply(second, VMListRead{VMs: liveVMs(2)})
+	h.state.Apply(2*second, VMListRead{VMs: []platform.VM{vm("a", 3, platform.VMLive)}})
+	h.state.Apply(3*second, VMListRead{VMs: liveVMs(2)})
+	h.tick(300 * second)
+	assert.Assert(t, h.server("a") != nil)
+}
+
+// TestLastResort guards the order of last resorts: a server that is only noticed
+// as leaving is used when nothing else is left, a listed one never.
+func TestLastResort(t *testing.T) {
+	h := newHarness("g")
+	h.state.Apply(second, PresetOffered{Version: version(1, "s1")})
+	h.state.Apply(second, VMListRead{VMs: liveVMs(2)})
+	h.state.Apply(second, DrainNoticed{ServerID: "s0"})
+	h.tick(second)
+	assert.Equal(t, h.view().Usable(), 0)
+	assert.Equal(t, len(h.view().LastResort), 1)
+	h.state.Apply(2*second, VMListRead{VMs: []platform.VM{vm("s0", 1, platform.VMLeaving), vm("s1", 1, platform.VMLive)}})
+	h.tick(2 * second)
+	assert.Equal(t, len(h.view().LastResort), 0)
+}
+
+// TestServerChanged guards against changes of availability that the log misses
+// or repeats.
+func TestServerChanged(t *testing.T) {
+	h := newHarness("g")
+	h.state.Apply(second, PresetOffered{Version: version(1)})
+	h.state.Apply(second, VMListRead{VMs: liveVMs(4)})
+	h.tick(second)
+	h.tick(2 * second)
+	for range 5 {
+		h.server("s0").Stats.Failure()
+	}
+	h.tick(3 * second)
+	h.tick(9 * second)
+	h.state.Apply(10*second, VMListRead{VMs: liveVMs(4)[1:]})
+	h.tick(11 * second)
+	h.tick(100 * second)
+	var got []string
+	for _, change := range h.changes {
+		if change.ServerID == "s0" {
+			got = append(got, change.From+">"+change.To)
+		}
+	}
+	assert.DeepEqual(t, got, []string{"unknown>available", "available>ejected", "ejected>available", "available>removed"})
+}
+
+// TestPeerSums guards against sums that drift from what the peers reported last.
+func TestPeerSums(t *testing.T) {
+	h := newHarness("g")
+	h.state.Apply(second, PresetOffered{Version: version(1)})
+	h.state.Apply(second, PeerSummary{Peer: "g", Loads: []PeerLoad{{ServerID: "s0", InFlight: 100}}})
+	h.state.Apply(second, PeerSummary{Peer: "p1", Loads: []PeerLoad{{ServerID: "s0", InFlight: 3}, {ServerID: "s1", InFlight: -5}}})
+	h.state.Apply(second, VMListRead{VMs: liveVMs(2)})
+	h.state.Apply(second, PeerSummary{Peer: "p2", Loads: []PeerLoad{{ServerID: "s0", InFlight: 4}}})
+	h.state.Apply(second, PeerSummary{Peer: "p2", Loads: []PeerLoad{{ServerID: "s1", InFlight: 1}}})
+	assert.Equal(t, h.state.servers["s0"].stats.PeersInFlight(), int64(7))
+	assert.Equal(t, h.state.servers["s1"].stats.PeersInFlight(), int64(1))
+	h.state.Apply(second, PeerLost{Peer: "p1"})
+	assert.Equal(t, h.state.servers["s0"].stats.PeersInFlight(), int64(4))
+	h.state.Apply(second, PeerLost{Peer: "p2"})
+	assert.Equal(t, len(h.state.peers.sums), 0)
+}
--- a/pkg/control/events.go
+++ b/pkg/control/events.go
@@ -33,6 +33,8 @@
 	Incarnation uint64
 	// FromPeer is the ID of the reporting peer, empty if seen on the wire.
 	FromPeer string
+	// Age is how long ago the server announced, in nanoseconds.
+	Age int64
 }
 
 // PeerSummary carries what another gateway of the region sees of servers.
@@ -87,9 +89,13 @@
 type DrainLearned struct {
 	ServerID    string
 	Incarnation uint64
+	// Age is how long ago the server announced, in nanoseconds. Peers get it in
+	// DrainNoticed, so that passing a notice on does not lengthen its life.
+	Age int64
 }
 
-// ServerChanged reports a change of a server's availability, for the log.
+// ServerChanged reports a change of a server's availability, for the log. From
+// is "unknown" for a new server and To is "removed" for one that is gone.
 type ServerChanged struct {
 	ServerID string
 	Service  string
--- /dev/null
+++ b/pkg/control/peers.go
@@ -0,0 +1,66 @@
+package control
+
+// maxPeerInFlight bounds what is believed of a peer's report of one server.
+const maxPeerInFlight = 1 << 20
+
+// peerTable holds what the other gateways of the region report.
+type peerTable struct {
+	loads map[string]map[string]int64
+	// sums is the sum over all peers by server, kept up to date so that a report
+	// costs time for its own entries only.
+	sums map[string]int64
+}
+
+func newPeerTable() peerTable {
+	return peerTable{loads: make(map[string]map[string]int64), sums: make(map[string]int64)}
+}
+
+func (t *peerTable) inFlight(serverID string) int64 {
+	return t.sums[serverID]
+}
+
+// set replaces a peer's number for a server.
+func (t *peerTable) set(peer, serverID string, inFlight int64) {
+	loads := t.loads[peer]
+	if loads == nil {
+		loads = make(map[string]int64)
+		t.loads[peer] = loads
+	}
+	t.sums[serverID] += inFlight - loads[serverID]
+	loads[serverID] = inFlight
+	if inFlight == 0 {
+		delete(loads, serverID)
+	}
+	if t.sums[serverID] == 0 {
+		delete(t.sums, serverID)
+	}
+}
+
+// applySummary takes the entries of a summary in. Servers that it does not name
+// keep the peer's last number, because summaries are deltas.
+func (s *State) applySummary(summary PeerSummary) {
+	if summary.Peer == s.config.VMID {
+		return
+	}
+	for _, load := range summary.Loads {
+		inFlight := min(max(0, load.InFlight), maxPeerInFlight)
+		s.peers.set(summary.Peer, load.ServerID, inFlight)
+		s.showPeers(load.ServerID)
+	}
+}
+
+func (s *State) applyPeerLost(lost PeerLost) {
+	for serverID := range s.peers.loads[lost.Peer] {
+		s.peers.set(lost.Peer, serverID, 0)
+		s.showPeers(serverID)
+	}
+	delete(s.peers.loads, lost.Peer)
+}
+
+// showPeers makes the sum of a server visible to traffic.
+func (s *State) showPeers(serverID string) {
+	row, ok := s.servers[serverID]
+	if ok {
+		row.stats.SetPeersInFlight(s.peers.inFlight(serverID))
+	}
+}
--- /dev/null
+++ b/pkg/control/property_test.go
@@ -0,0 +1,307 @@
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"balsamhill/pkg/platform"
+	"balsamhill/pkg/preset"
+	"balsamhill/pkg/routing"
+)
+
+const tick = int64(Tick)
+
+// message is an event on its way to a gateway.
+type message struct {
+	to    int
+	at    int64
+	event Event
+}
+
+// TestLeavingServerGetsNoNewWork guards promise 5 of the design: a leaving
+// server gets no new work after 5 s. Its health endpoint lies, the list lags for
+// up to 45 s, goes back and is empty at times, one gateway sees the announcement
+// once, and gateways restart.
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		gateways := make([]*harness, rapid.IntRange(1, 5).Draw(t, "gateways"))
+		startGateway := func(i int, now int64, list []platform.VM) {
+			h := newHarness(fmt.Sprintf("g%d", i))
+			h.state.Apply(now, VMListRead{VMs: list})
+			h.state.Apply(now, PresetOffered{Version: version(1)})
+			for j, other := range gateways {
+				if other == nil || j == i {
+					continue
+				}
+				for _, drain := range other.state.Drains(now) {
+					h.state.Apply(now, asNotice(drain, "peer"))
+				}
+			}
+			gateways[i] = h
+			h.tick(now)
+		}
+		before, after := liveVMs(3), liveVMs(3)
+		if rapid.Bool().Draw(t, "new incarnation that lists lag behind") {
+			before[0].Incarnation, after[0].Incarnation = 1, 2
+		}
+		leaving := slices.Clone(after)
+		leaving[0].State = platform.VMLeaving
+		for i := range gateways {
+			startGateway(i, second, after)
+		}
+		leavesAt := second + rapid.Int64Range(0, 3*second).Draw(t, "leaves after")
+		seenAt := leavesAt + rapid.Int64Range(0, 4*second).Draw(t, "seen after")
+		listedAt := leavesAt + rapid.Int64Range(0, 45*second).Draw(t, "list lag")
+		witness := rapid.IntRange(0, len(gateways)-1).Draw(t, "witness")
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		var onTheWay []message
+		seen := false
+		for now := 2 * second; now < listedAt+30*second; now += tick {
+			if !seen && now >= seenAt {
+				seen = true
+				gateways[witness].server("s0").Stats.DrainNoticedAt.Store(now)
+			}
+			for i, h := range gateways {
+				switch random.IntN(12) {
+				case 0:
+					h.state.Apply(now, VMListRead{VMs: listAt(random, now >= listedAt, before, after, leaving)})
+				case 1:
+					// Without a peer a restarted gateway cannot know what the list lags behind.
+					if len(gateways) > 1 && now > seenAt+second && random.IntN(20) == 0 {
+						startGateway(i, now, listAt(random, now >= listedAt, before, after, leaving))
+					}
+				}
+			}
+			onTheWay = deliver(gateways, onTheWay, now)
+			for i, h := range gateways {
+				h = gateways[i]
+				h.tick(now)
+				onTheWay = append(onTheWay, tellOthers(gateways, i, h.learned, now, random)...)
+				if now < leavesAt+5*second {
+					continue
+				}
+				view := h.view()
+				picked := view.Choose(routing.Pick{Rand: random, Now: now})
+				if len(view.Servers) == 0 {
+					// Restarted with an empty list.
+					continue
+				}
+				assert.Assert(t, picked != nil && picked.ID != "s0", "gateway %d at %d", i, now)
+			}
+		}
+	})
+}
+
+// listAt is what one read of the list may show.
+func listAt(random *rand.Rand, listed bool, before, after, leaving []platform.VM) []platform.VM {
+	choices := [][]platform.VM{before, after, after[1:], nil}
+	if listed {
+		choices = append(choices, leaving, leaving)
+	}
+	return choices[random.IntN(len(choices))]
+}
+
+func asNotice(drain DrainLearned, peer string) DrainNoticed {
+	return DrainNoticed{ServerID: drain.ServerID, Incarnation: drain.Incarnation, FromPeer: peer, Age: drain.Age}
+}
+
+// tellOthers sends notices with delays of up to 500 ms, some of them twice.
+func tellOthers(gateways []*harness, from int, learned []DrainLearned, now int64, random *rand.Rand) []message {
+	var messages []message
+	for _, drain := range learned {
+		for to := range gateways {
+			for range 1 + random.IntN(2) {
+				messages = append(messages, message{
+					to: to, at: now + random.Int64N(second/2), event: asNotice(drain, fmt.Sprintf("g%d", from)),
+				})
+			}
+		}
+	}
+	return messages
+}
+
+func deliver(gateways []*harness, messages []message, now int64) []message {
+	var later []message
+	for _, m := range messages {
+		if m.at > now {
+			later = append(later, m)
+			continue
+		}
+		gateways[m.to].state.Apply(now, m.event)
+	}
+	return later
+}
+
+// TestNoticesEnd guards against gateways keeping a notice alive by telling it to
+// each other: without a repeat on the wire all forget it after 60 s.
+func TestNoticesEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		gateways := make([]*harness, rapid.IntRange(2, 5).Draw(t, "gateways"))
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		for i := range gateways {
+			gateways[i] = newHarness(fmt.Sprintf("g%d", i))
+			gateways[i].state.Apply(second, VMListRead{VMs: liveVMs(3)})
+			gateways[i].state.Apply(second, PresetOffered{Version: version(1)})
+		}
+		gateways[0].state.Apply(second, DrainNoticed{ServerID: "s0"})
+		var onTheWay []message
+		for now := second; now < 64*second; now += tick {
+			onTheWay = deliver(gateways, onTheWay, now)
+			for i, h := range gateways {
+				h.tick(now)
+				onTheWay = append(onTheWay, tellOthers(gateways, i, h.learned, now, random)...)
+			}
+		}
+		for _, h := range gateways {
+			assert.Equal(t, h.server("s0").Availability, routing.Available)
+		}
+	})
+}
+
+// TestEjectionBound guards the panic threshold: whatever fails, drains or is in
+// maintenance, at most half of the servers that could be used are ejected, and
+// a service with such a server is never empty.
+func TestEjectionBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := newHarness("g")
+		vms := liveVMs(rapid.IntRange(1, 9).Draw(t, "servers"))
+		h.state.Apply(second, PresetOffered{Version: version(1)})
+		revision := uint64(1)
+		for now := second; now < 20*second; now += rapid.Int64Range(tick, 2*second).Draw(t, "gap") {
+			i := rapid.IntRange(0, len(vms)-1).Draw(t, "server")
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				revision++
+				h.state.Apply(now, PresetOffered{Version: version(revision, vms[i].ID)})
+			case 1:
+				vms[i].State = platform.VMLeaving
+			case 2:
+				h.state.Apply(now, DrainNoticed{ServerID: vms[i].ID})
+			case 3:
+				vms[i].Incarnation++
+				vms[i].State = platform.VMLive
+			}
+			h.state.Apply(now, VMListRead{VMs: vms})
+			h.tick(now)
+			failing := rapid.IntRange(0, len(vms)).Draw(t, "failing")
+			for _, server := range h.view().Servers[:failing] {
+				server.Stats.Failures.Add(20)
+				server.Stats.ConsecutiveFailures.Add(20)
+			}
+			h.tick(now)
+			ejected, usable := 0, h.view().Usable()
+			for _, server := range h.view().Servers {
+				if server.Availability == routing.Ejected {
+					ejected++
+				}
+			}
+			assert.Assert(t, ejected <= usable, "%d ejected, %d usable", ejected, usable)
+		}
+	})
+}
+
+// TestAdoption guards promise 7: whatever versions states exchange in whatever
+// order, revisions only rise, and a snapshot holds one revision throughout.
+func TestAdoption(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		states := make([]*harness, rapid.IntRange(2, 4).Draw(t, "gateways"))
+		highest := make([]uint64, len(states))
+		for i := range states {
+			states[i] = newHarness(fmt.Sprintf("g%d", i))
+			states[i].state.Apply(second, VMListRead{VMs: liveVMs(2)})
+		}
+		sent := []preset.Version{version(1)}
+		top := uint64(1)
+		for now := second; now < 8*second; now += tick {
+			if rapid.IntRange(0, 9).Draw(t, "change") == 0 {
+				top += rapid.Uint64Range(1, 3).Draw(t, "step")
+				sent = append(sent, version(top))
+			}
+			to := rapid.IntRange(0, len(states)-1).Draw(t, "to")
+			offered := rapid.SampledFrom(sent).Draw(t, "version")
+			h := states[to]
+			h.state.Apply(now, PresetOffered{Version: offered, Source: "peer"})
+			held := h.snapshot
+			h.tick(now)
+			got := h.snapshot.Version.Revision
+			assert.Assert(t, got >= highest[to] && got >= offered.Revision)
+			assert.Equal(t, h.view().Tuning.QueueMillis, int64(got))
+			if held != nil {
+				assert.Equal(t, held.Services["s"].Tuning.QueueMillis, int64(held.Version.Revision))
+			}
+			highest[to] = got
+		}
+		for _, h := range states {
+			h.state.Apply(9*second, PresetOffered{Version: sent[len(sent)-1]})
+			h.tick(9 * second)
+			assert.Equal(t, h.snapshot.Version.Revision, top)
+		}
+	})
+}
+
+// TestSubset guards the size of subsets, their stability and their spread.
+func TestSubset(t *testing.T) {
+	vms := liveVMs(200)
+	holders := make(map[string]int)
+	for i := range 12 {
+		h := newHarness(fmt.Sprintf("g%d", i))
+		h.state.Apply(second, PresetOffered{Version: version(1)})
+		h.state.Apply(second, VMListRead{VMs: vms})
+		h.tick(second)
+		chosen := make(map[string]bool)
+		for _, server := range h.view().Local {
+			chosen[server.ID] = true
+			holders[server.ID]++
+		}
+		assert.Equal(t, len(chosen), subsetSize)
+		h.state.Apply(2*second, DrainNoticed{ServerID: h.view().Local[0].ID})
+		h.tick(2 * second)
+		added := 0
+		for _, server := range h.view().Local {
+			if !chosen[server.ID] {
+				added++
+			}
+		}
+		assert.Equal(t, added, 1)
+		assert.Equal(t, len(h.view().Local), subsetSize)
+	}
+	assert.Assert(t, len(holders) > 190, "only %d servers are used at all", len(holders))
+}
+
+// TestSpillSettles guards against a share that oscillates or harms the far
+// region: under a constant load it settles, to 0 below the threshold.
+func TestSpillSettles(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ownOffered := rapid.Float64Range(0.3, 1.4).Draw(t, "own offered load")
+		farOffered := rapid.Float64Range(0.2, 0.85).Draw(t, "far offered load")
+		const threshold = 0.9
+		var spill spillState
+		queue, low, high := 0.0, 1.0, 0.0
+		for i := range int64(600) {
+			arriving := ownOffered * (1 - spill.share)
+			// Work beyond the slots queues up to 8 times the slots.
+			queue = min(8, max(0, queue+(arriving-1)*0.1*20))
+			own := min(1, arriving)
+			if queue > 0 {
+				own = 1
+			}
+			far := farOffered + ownOffered*spill.share
+			spill.update(second+i*tick, own, far, spill.share > 0, threshold)
+			if i > 400 {
+				low, high = min(low, spill.share), max(high, spill.share)
+			}
+		}
+		assert.Assert(t, high-low < 0.05, "share between %v and %v", low, high)
+		assert.Assert(t, ownOffered > threshold-0.01 || high == 0, "share %v", high)
+		assert.Assert(t, farOffered+ownOffered*high < threshold+0.05)
+		canTake := threshold - farOffered
+		if need := ownOffered - threshold; need > 0.02 && need < canTake-0.05 {
+			assert.Assert(t, ownOffered*(1-high) < threshold+0.05, "own load stays at %v", ownOffered*(1-high))
+		}
+	})
+}
--- /dev/null
+++ b/pkg/control/subset.go
@@ -0,0 +1,59 @@
+package control
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+)
+
+// subsetSize is the number of servers of a service from which a gateway uses
+// only some, so that connections to servers don't grow with both numbers.
+const subsetSize = 64
+
+// runSubsetSystem chooses the servers that this gateway uses, by rendezvous
+// hashing (Thaler and Ravishankar, IEEE/ACM ToN 1998): a change of one server
+// moves at most one place of the subset. Servers that get no work anyway don't
+// take places.
+func (s *State) runSubsetSystem(now int64) {
+	byService := make(map[string][]*serverRow)
+	for _, row := range s.sortedServers() {
+		row.outsideSubset = false
+		if !row.inMaintenance && !row.drain.Leaving(now) {
+			byService[row.service] = append(byService[row.service], row)
+		}
+	}
+	for _, rows := range byService {
+		s.chooseSubset(rows)
+	}
+}
+
+func (s *State) chooseSubset(rows []*serverRow) {
+	if len(rows) <= subsetSize {
+		return
+	}
+	ranks := make(map[*serverRow]uint64, len(rows))
+	for _, row := range rows {
+		ranks[row] = rendezvousRank(s.config.VMID, row.id)
+	}
+	slices.SortFunc(rows, func(a, b *serverRow) int {
+		return cmp.Or(cmp.Compare(ranks[b], ranks[a]), cmp.Compare(a.id, b.id))
+	})
+	for _, row := range rows[subsetSize:] {
+		row.outsideSubset = true
+	}
+}
+
+// rendezvousRank hashes a pair. FNV alone spreads the last bytes badly, so its
+// result goes through the finalizer of MurmurHash3 (Appleby, public domain).
+func rendezvousRank(gateway, server string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(gateway))
+	_, _ = hash.Write([]byte{0})
+	_, _ = hash.Write([]byte(server))
+	x := hash.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
--- a/pkg/control/systems.go
+++ b/pkg/control/systems.go
@@ -1,162 +1,137 @@
 package control
 
 import (
-	"fmt"
 	"time"
 
 	"balsamhill/pkg/health"
-	"balsamhill/pkg/preset"
-	"balsamhill/pkg/routing"
 )
 
 // RunSystems runs all systems over the tables in a fixed order and returns the
 // actions that follow from this tick and from the events since the last one.
 func (s *State) RunSystems(now int64) []Action {
 	s.runWireDrainSystem(now)
+	s.runUnlistedSystem(now)
+	if s.dirty {
+		s.runMaintenanceSystem()
+		s.runSubsetSystem(now)
+	}
 	s.runEjectionSystem(now)
+	s.runSheddingSystem(now)
 	s.runPublishSystem(now)
 	actions := s.actions
 	s.actions = nil
 	return actions
 }
 
-// runWireDrainSystem takes drain notices that traffic left in the statistics.
-func (s *State) runWireDrainSystem(now int64) {
-	for _, row := range s.sortedServers() {
-		noticedAt := row.stats.DrainNoticedAt.Load()
-		if noticedAt > row.lastNotice {
-			row.lastNotice = noticedAt
-			s.noticeDrain(now, row, true)
-		}
-	}
-}
+const (
+	// unlistedLife is how long a server that the list no longer shows stays in
+	// use if it does not fail. The list lags and may lack entries for a moment.
+	unlistedLife = 60 * time.Second
+	// unlistedFailures is the number of failures in a row from which a server
+	// that the list no longer shows is taken as gone.
+	unlistedFailures = 3
+	// leavingLife is how long a server that was listed as leaving is remembered
+	// after it vanished, so that an older list does not bring it back.
+	leavingLife = 10 * time.Minute
+)
 
-// runEjectionSystem updates the ejection state of all servers, at most half of
-// a service being ejected.
-func (s *State) runEjectionSystem(now int64) {
-	total := make(map[string]int)
-	ejected := make(map[string]int)
-	for _, row := range s.servers {
-		total[row.service]++
-		if row.ejection.Ejected() {
-			ejected[row.service]++
+// runUnlistedSystem removes servers that the list stopped showing. A service
+// never loses its last servers this way: while the list shows no live server of
+// a service, its vanished servers stay, and ejection judges them.
+func (s *State) runUnlistedSystem(now int64) {
+	live := make(map[string]bool)
+	for _, row := range s.sortedServers() {
+		if row.unlistedAt == 0 && !row.drain.Listed() {
+			live[row.service] = true
 		}
 	}
 	for _, row := range s.sortedServers() {
-		wasEjected := row.ejection.Ejected()
-		if !wasEjected && !health.MayEject(ejected[row.service], total[row.service]) {
-			continue
-		}
-		changed := row.ejection.Update(now, health.Counts{
-			Successes:           row.stats.Successes.Load(),
-			Failures:            row.stats.Failures.Load(),
-			Sheds:               row.stats.Sheds.Load(),
-			ConsecutiveFailures: row.stats.ConsecutiveFailures.Load(),
-		})
-		if !changed {
-			continue
-		}
-		s.dirty = true
-		if wasEjected {
-			ejected[row.service]--
-		} else {
-			ejected[row.service]++
+		if row.unlistedAt != 0 && s.isGone(now, row, live[row.service]) {
+			s.reportChange(row, verdict{reason: "the platform's list no longer shows it"}, removedState)
+			s.removeServer(row)
 		}
 	}
 }
 
-// publishInterval bounds how old the weights in a snapshot get during slow starts.
-const publishInterval = time.Second
-
-// runPublishSystem builds a snapshot if anything changed.
-func (s *State) runPublishSystem(now int64) {
-	version := s.adopter.Current()
-	if version.Preset == nil {
-		return
+func (s *State) isGone(now int64, row *serverRow, serviceLive bool) bool {
+	age := now - row.unlistedAt
+	if row.drain.Listed() {
+		return age > int64(leavingLife)
 	}
-	if !s.dirty && !s.weightsChange(now) {
-		return
-	}
-	s.dirty = false
-	s.actions = append(s.actions, Publish{Snapshot: s.snapshot(now, version)})
-}
-
-// weightsChange reports whether a slow start is in progress, once per interval.
-func (s *State) weightsChange(now int64) bool {
-	if now%int64(publishInterval) >= int64(Tick) {
+	// Drain evidence is kept until it expires, in case the server is listed again.
+	if !serviceLive || row.drain.Noticed(now) {
 		return false
 	}
-	for _, row := range s.servers {
-		if row.weight(now) < 1 || row.drain.Noticed(now) {
-			return true
-		}
-	}
-	return false
+	counts := row.counters()
+	failing := counts.Failures > row.failuresAtUnlisted && counts.ConsecutiveFailures >= unlistedFailures
+	return failing || age > int64(unlistedLife)
 }
 
-func (s *State) snapshot(now int64, version preset.Version) *routing.Snapshot {
-	byService := make(map[string][]*routing.Server)
-	maintenance := make(map[string]bool)
+// runMaintenanceSystem marks the servers that the preset in force takes out.
+func (s *State) runMaintenanceSystem() {
+	version := s.adopter.Current()
+	if version.Preset == nil {
+		return
+	}
+	maintenance := make(map[string]bool, len(version.Preset.Maintenance))
 	for _, id := range version.Preset.Maintenance {
 		maintenance[id] = true
 	}
 	for _, row := range s.sortedServers() {
-		server := s.view(now, row, maintenance[row.id])
-		byService[row.service] = append(byService[row.service], server)
+		row.inMaintenance = maintenance[row.id]
 	}
-	services := make(map[string]*routing.ServiceView, len(s.config.Services))
-	for _, service := range s.config.Services {
-		tuning := version.Preset.Tuning(service.Name)
-		services[service.Name] = routing.NewServiceView(
-			service.Name, service.Slots, s.config.Region, tuning, byService[service.Name])
-	}
-	return &routing.Snapshot{Version: version, Services: services}
 }
 
-// view returns a server as traffic sees it.
-func (s *State) view(now int64, row *serverRow, inMaintenance bool) *routing.Server {
-	server := &routing.Server{
-		ID:            row.id,
-		Service:       row.service,
-		Address:       row.address,
-		Region:        row.region,
-		FailureDomain: row.failureDomain,
-		Incarnation:   row.incarnation,
-		Weight:        row.weight(now),
-		Penalty:       s.penalty(row),
-		Stats:         row.stats,
-	}
-	switch {
-	case inMaintenance:
-		server.Availability = routing.InMaintenance
-		server.Reason = "the preset in force lists it under maintenance"
-	case row.drain.Listed():
-		server.Availability = routing.Draining
-		server.Reason = "the platform's list shows it as leaving"
-	case row.drain.Noticed(now):
-		server.Availability = routing.Draining
-		server.Reason = "it announced that it is leaving"
-	case row.ejection.Ejected():
-		server.Availability = routing.Ejected
-		left := time.Duration(row.ejection.Until() - now).Round(time.Second)
-		server.Reason = fmt.Sprintf("too many failures; ejected for %s more", left)
-	case server.Weight < 1:
-		server.Reason = fmt.Sprintf("slow start at weight %.2f", server.Weight)
-	}
-	return server
+// serviceCounts counts the servers of a service that could be used but for
+// ejections, and how many of them are ejected.
+type serviceCounts struct {
+	usable  int
+	ejected int
 }
 
-func (r *serverRow) weight(now int64) float64 {
-	return health.SlowStartWeight(now, max(r.joinedAt, r.ejection.RecoveredAt()))
+// mayCarryLoad reports whether the server could be used but for an ejection.
+func (r *serverRow) mayCarryLoad(now int64) bool {
+	return !r.inMaintenance && !r.outsideSubset && !r.drain.Leaving(now)
 }
 
-func (s *State) penalty(row *serverRow) int64 {
-	switch {
-	case row.region != s.config.Region:
-		return s.config.RegionPenalty
-	case row.failureDomain != s.config.FailureDomain:
-		return s.config.DomainPenalty
-	default:
-		return 0
+// runEjectionSystem updates the ejection state of all servers. At most half of
+// the servers that could be used are ejected: no further server is ejected at
+// that point, and if drains, maintenance or the subset take other servers away
+// afterwards, all ejected servers are used (see judge).
+func (s *State) runEjectionSystem(now int64) {
+	counts := make(map[string]serviceCounts, len(s.config.Services))
+	for _, row := range s.sortedServers() {
+		if !row.mayCarryLoad(now) {
+			continue
+		}
+		count := counts[row.service]
+		count.usable++
+		if row.ejection.Ejected() {
+			count.ejected++
+		}
+		counts[row.service] = count
+	}
+	for _, row := range s.sortedServers() {
+		count := counts[row.service]
+		wasEjected := row.ejection.Ejected()
+		carries := row.mayCarryLoad(now)
+		mayEject := carries && health.MayEject(count.ejected, count.usable)
+		if !row.ejection.Update(now, row.counters(), mayEject) || !carries {
+			continue
+		}
+		if wasEjected {
+			count.ejected--
+		} else {
+			count.ejected++
+		}
+		counts[row.service] = count
+	}
+	s.counts = counts
+}
+
+// runSheddingSystem follows the share of calls that servers shed.
+func (s *State) runSheddingSystem(now int64) {
+	for _, row := range s.sortedServers() {
+		row.shedding.Update(now, row.counters())
 	}
 }
--- a/pkg/control/tables.go
+++ b/pkg/control/tables.go
@@ -43,11 +43,22 @@
 	fixed bool
 	// joinedAt is when the row was first seen, 0 if it was part of the first
 	// list, because those servers are warm.
-	joinedAt   int64
-	lastNotice int64
-	drain      health.Drain
-	ejection   health.Ejection
-	stats      *routing.Stats
+	joinedAt int64
+	// unlistedAt is when the VM list stopped showing the server, 0 if it shows it.
+	unlistedAt int64
+	// failuresAtUnlisted is the failure counter at that time.
+	failuresAtUnlisted uint64
+	lastNotice         int64
+	// noticed is whether a drain notice was in force at the last tick.
+	noticed       bool
+	outsideSubset bool
+	inMaintenance bool
+	drain         health.Drain
+	ejection      health.Ejection
+	shedding      health.Shedding
+	stats         *routing.Stats
+	// published is what the last snapshot says of the server.
+	published verdict
 }
 
 // State is the control state of one gateway.
@@ -56,7 +67,16 @@
 	adopter  preset.Adopter
 	adopted  adoption
 	servers  map[string]*serverRow
+	sorted   []*serverRow
 	seenList bool
+	// earlyNotices holds drain notices of incarnations that the list does not
+	// show yet, by server ID.
+	earlyNotices map[string]earlyNotice
+	peers        peerTable
+	spill        map[string]*spillState
+	// counts holds the number of servers that could be used, by service; the
+	// ejection system sets it.
+	counts map[string]serviceCounts
 	// dirty says that the next tick must publish.
 	dirty   bool
 	actions []Action
@@ -69,15 +89,47 @@
 
 // NewState returns the state of a gateway that knows no server and no preset.
 func NewState(config Config) *State {
-	return &State{config: config, servers: make(map[string]*serverRow), dirty: true}
+	return &State{
+		config:       config,
+		servers:      make(map[string]*serverRow),
+		earlyNotices: make(map[string]earlyNotice),
+		peers:        newPeerTable(),
+		spill:        make(map[string]*spillState),
+		dirty:        true,
+	}
 }
 
 // sortedServers returns the rows in ID order, so that runs are reproducible.
 func (s *State) sortedServers() []*serverRow {
+	if s.sorted != nil {
+		return s.sorted
+	}
 	rows := make([]*serverRow, 0, len(s.servers))
 	for _, row := range s.servers {
 		rows = append(rows, row)
 	}
 	slices.SortFunc(rows, func(a, b *serverRow) int { return cmp.Compare(a.id, b.id) })
+	s.sorted = rows
 	return rows
 }
+
+func (s *State) putServer(row *serverRow) {
+	s.servers[row.id] = row
+	s.sorted = nil
+	s.dirty = true
+}
+
+func (s *State) removeServer(row *serverRow) {
+	delete(s.servers, row.id)
+	s.sorted = nil
+	s.dirty = true
+}
+
+func (r *serverRow) counters() health.Counts {
+	return health.Counts{
+		Successes:           r.stats.Successes.Load(),
+		Failures:            r.stats.Failures.Load(),
+		Sheds:               r.stats.Sheds.Load(),
+		ConsecutiveFailures: r.stats.ConsecutiveFailures.Load(),
+	}
+}
--- a/pkg/gateway/loops.go
+++ b/pkg/gateway/loops.go
@@ -57,6 +57,9 @@
 		case control.DrainLearned:
 			g.counters.drainNotices.Inc()
 			g.log.Info("server is leaving", "server", a.ServerID)
+		case control.ServerChanged:
+			g.log.Info("server availability changed", "server", a.ServerID, "service", a.Service,
+				"from", a.From, "to", a.To, "reason", a.Reason)
 		}
 	}
 }
--- a/pkg/health/drain.go
+++ b/pkg/health/drain.go
@@ -2,29 +2,58 @@
 
 import "time"
 
-// Drain holds the evidence that a server is leaving. The zero value is none.
+// Drain holds the evidence that one incarnation of a server is leaving. The
+// zero value is none.
 type Drain struct {
-	// listed says that the platform's list shows the server as leaving.
+	// listed says that the platform's list showed the server as leaving. It is
+	// never withdrawn for this incarnation, because a list that lags may show an
+	// earlier state again.
 	listed bool
 	// noticedAt is the time of the last notice from the wire or from a peer.
 	noticedAt int64
+	// toldAt is when peers were last told.
+	toldAt int64
 }
 
-// noticeLife is how long a notice that the list does not confirm stays in force
-// after it was last repeated.
-const noticeLife = 60 * time.Second
+const (
+	// NoticeLife is how long a notice that the list does not confirm stays in
+	// force after it was last repeated.
+	NoticeLife = 60 * time.Second
+	// tellInterval bounds how often a repeated notice is passed on. It is well
+	// below NoticeLife, so that the evidence of peers does not expire while this
+	// gateway still sees the server announce.
+	tellInterval = 10 * time.Second
+)
 
-// SetListed records what the platform's list says.
-func (d *Drain) SetListed(leaving bool) {
-	d.listed = leaving
+// ConfirmListed records that the platform's list shows the server as leaving.
+// It reports whether that is new.
+func (d *Drain) ConfirmListed() bool {
+	isNew := !d.listed
+	d.listed = true
+	return isNew
 }
 
-// Notice records a notice from the wire or from a peer. It reports whether it
-// is news that peers should hear of.
-func (d *Drain) Notice(at int64) bool {
-	news := !d.listed && (d.noticedAt == 0 || at-d.noticedAt > int64(noticeLife))
+// Notice records a notice that was seen on the wire at a time, by this gateway
+// or by a peer. Times after now count as now. It reports whether the server was
+// not known to be leaving before.
+func (d *Drain) Notice(now, at int64) bool {
+	at = min(at, now)
+	if now-at > int64(NoticeLife) {
+		return false
+	}
+	first := !d.Leaving(now)
 	d.noticedAt = max(d.noticedAt, at)
-	return news
+	return first
+}
+
+// ShouldTell reports whether peers should hear of a notice now, and remembers
+// that they did.
+func (d *Drain) ShouldTell(now int64) bool {
+	if d.toldAt != 0 && now-d.toldAt < int64(tellInterval) {
+		return false
+	}
+	d.toldAt = now
+	return true
 }
 
 // Leaving reports whether the server must get no new work.
@@ -32,12 +61,17 @@
 	return d.listed || d.Noticed(now)
 }
 
-// Listed reports whether the platform's list shows the server as leaving.
+// Listed reports whether the platform's list showed the server as leaving.
 func (d *Drain) Listed() bool {
 	return d.listed
 }
 
 // Noticed reports whether a notice is in force.
 func (d *Drain) Noticed(now int64) bool {
-	return d.noticedAt != 0 && now-d.noticedAt <= int64(noticeLife)
+	return d.noticedAt != 0 && now-d.noticedAt <= int64(NoticeLife)
+}
+
+// NoticedAt returns the time of the last notice, 0 for none.
+func (d *Drain) NoticedAt() int64 {
+	return d.noticedAt
 }
--- a/pkg/health/ejection.go
+++ b/pkg/health/ejection.go
@@ -1,6 +1,7 @@
 // Package health decides which servers are fit for new work: ejection after
-// failures, slow start, the panic threshold and drain evidence. The package does
-// no I/O and reads no clock; times are nanoseconds on one monotonic clock.
+// failures, slow start, the panic threshold, load shedding and drain evidence.
+// The package does no I/O and reads no clock; times are nanoseconds on one
+// monotonic clock.
 package health
 
 import "time"
@@ -15,7 +16,12 @@
 
 // Ejection is the ejection state of one server. The zero value is healthy.
 type Ejection struct {
-	last Counts
+	// window holds the counters at the start of the window being judged.
+	window Counts
+	// seen holds the counters of the last update.
+	seen Counts
+	// windowAt is when the window started.
+	windowAt int64
 	// until is the end of the current ejection, 0 if not ejected.
 	until int64
 	// times counts ejections in a row; it sets the length of the next one.
@@ -32,17 +38,23 @@
 	minSamplesForRatio = 10
 	// failureRatioToEject ejects a server that fails often although some calls succeed.
 	failureRatioToEject = 0.5
-	firstEjection       = 5 * time.Second
-	longestEjection     = 60 * time.Second
+	// ratioWindow bounds the age of the outcomes that a ratio is made of, so that
+	// failures of long ago don't count on servers with few calls.
+	ratioWindow     = 30 * time.Second
+	firstEjection   = 5 * time.Second
+	longestEjection = 60 * time.Second
+	// doublings is the number of doublings from firstEjection to longestEjection.
+	doublings = 4
 )
 
 // Update judges the outcomes since the last call and returns whether the server
-// was ejected or recovered by it.
-func (e *Ejection) Update(now int64, counts Counts) (changed bool) {
-	successes := counts.Successes - e.last.Successes
-	failures := counts.Failures - e.last.Failures
+// was ejected or recovered by it. If mayEject is false, the server is not
+// ejected and its outcomes are forgotten.
+func (e *Ejection) Update(now int64, counts Counts, mayEject bool) (changed bool) {
+	failedSince := counts.Failures > e.seen.Failures
+	e.seen = counts
 	if e.until != 0 {
-		e.last = counts
+		e.startWindow(now, counts)
 		if now < e.until {
 			return false
 		}
@@ -50,26 +62,45 @@
 		e.recoveredAt = now
 		return true
 	}
+	if !mayEject || now-e.windowAt > int64(ratioWindow) {
+		e.startWindow(now, counts)
+	}
+	if mayEject && failedSince && counts.ConsecutiveFailures >= consecutiveFailuresToEject {
+		e.eject(now, counts)
+		return true
+	}
+	return mayEject && e.judgeRatio(now, counts)
+}
+
+// judgeRatio judges the window once it holds enough outcomes.
+func (e *Ejection) judgeRatio(now int64, counts Counts) (ejected bool) {
+	successes := counts.Successes - e.window.Successes
+	failures := counts.Failures - e.window.Failures
 	total := successes + failures
-	ratioTooHigh := total >= minSamplesForRatio && float64(failures) > failureRatioToEject*float64(total)
-	if ratioTooHigh || (failures > 0 && counts.ConsecutiveFailures >= consecutiveFailuresToEject) {
-		e.eject(now)
-		e.last = counts
+	if total < minSamplesForRatio {
+		return false
+	}
+	if float64(failures) > failureRatioToEject*float64(total) {
+		e.eject(now, counts)
 		return true
 	}
-	if total >= minSamplesForRatio {
-		e.last = counts
-		if failures == 0 {
-			e.times = 0
-		}
+	e.startWindow(now, counts)
+	if now-e.recoveredAt > int64(longestEjection) {
+		e.times = 0
 	}
 	return false
 }
 
-func (e *Ejection) eject(now int64) {
-	length := firstEjection << min(e.times, 10)
-	e.until = now + int64(min(length, longestEjection))
+func (e *Ejection) startWindow(now int64, counts Counts) {
+	e.window = counts
+	e.windowAt = now
+}
+
+func (e *Ejection) eject(now int64, counts Counts) {
+	length := min(firstEjection<<min(e.times, doublings), longestEjection)
+	e.until = now + int64(length)
 	e.times++
+	e.startWindow(now, counts)
 }
 
 // Ejected reports whether the server is ejected.
@@ -87,9 +118,15 @@
 	return e.recoveredAt
 }
 
-// MayEject reports whether another server of a service may be ejected without
-// passing the panic threshold: at most half of the servers are ejected, because
-// the rest could not carry the load of a larger part.
+// MayEject reports whether another server of a service may be ejected. total
+// counts the servers that could be used but for ejections: those that drain or
+// are in maintenance are left out, because they carry no load.
 func MayEject(ejected, total int) bool {
-	return 2*(ejected+1) <= total
+	return !Panic(ejected+1, total)
+}
+
+// Panic reports whether more than half of the servers are ejected. The other
+// servers could not carry the load, so all are used again.
+func Panic(ejected, total int) bool {
+	return 2*ejected > total
 }
--- a/pkg/policybench/gateway.go
+++ b/pkg/policybench/gateway.go
@@ -72,7 +72,7 @@
 		}
 		if learned, ok := action.(control.DrainLearned); ok {
 			g.tellPeers(control.DrainNoticed{
-				ServerID: learned.ServerID, Incarnation: learned.Incarnation, FromPeer: g.id,
+				ServerID: learned.ServerID, Incarnation: learned.Incarnation, FromPeer: g.id, Age: learned.Age,
 			}, true)
 		}
 	}
--- a/pkg/routing/server.go
+++ b/pkg/routing/server.go
@@ -53,6 +53,9 @@
 	FailureDomain string
 	Incarnation   uint64
 	Availability  Availability
+	// LastResort says that the server is only noticed as leaving, so that it is
+	// used if the service has no other usable server.
+	LastResort bool
 	// Reason explains the availability to operators.
 	Reason string
 	// Weight is the share of work that the server gets compared to a warm,
@@ -73,11 +76,13 @@
 	reportedAt atomic.Int64
 	// sentSinceReport counts own dispatches that the last report does not hold.
 	sentSinceReport atomic.Int64
-	latency         atomic.Int64
-	answeredAt      atomic.Int64
-	Successes       atomic.Uint64
-	Failures        atomic.Uint64
-	Sheds           atomic.Uint64
+	// peersInFlight is the sum of other gateways' own requests in flight.
+	peersInFlight atomic.Int64
+	latency       atomic.Int64
+	answeredAt    atomic.Int64
+	Successes     atomic.Uint64
+	Failures      atomic.Uint64
+	Sheds         atomic.Uint64
 	// ConsecutiveFailures counts failures since the last success.
 	ConsecutiveFailures atomic.Int64
 	// DrainNoticedAt is the time of the last drain notice on the wire, 0 for none.
@@ -141,6 +146,21 @@
 	return s.latency.Load()
 }
 
+// SetPeersInFlight records the sum of other gateways' own requests in flight.
+func (s *Stats) SetPeersInFlight(inFlight int64) {
+	s.peersInFlight.Store(inFlight)
+}
+
+// PeersInFlight returns the sum that SetPeersInFlight recorded.
+func (s *Stats) PeersInFlight() int64 {
+	return s.peersInFlight.Load()
+}
+
+// ReportedInFlight returns the requests in flight of the last load report.
+func (s *Stats) ReportedInFlight() float64 {
+	return float64(s.reported.Load())
+}
+
 // AnsweredAt returns the time of the last answer, 0 if none.
 func (s *Stats) AnsweredAt() int64 {
 	return s.answeredAt.Load()
--- a/pkg/routing/snapshot.go
+++ b/pkg/routing/snapshot.go
@@ -23,6 +23,9 @@
 	// other regions.
 	Local  []*Server
 	Remote []*Server
+	// LastResort holds servers that are only noticed as leaving. They are used if
+	// Local and Remote are empty.
+	LastResort []*Server
 	// SpillShare is the share of calls, 0 to 1, that go to Remote although Local
 	// is not empty.
 	SpillShare float64
@@ -66,6 +69,9 @@
 	if server == nil {
 		server = v.chooseFrom(second, pick)
 	}
+	if server == nil && v.Usable() == 0 {
+		server = v.chooseFrom(v.LastResort, pick)
+	}
 	return server
 }
 
@@ -111,6 +117,8 @@
 	}
 	for _, server := range servers {
 		switch {
+		case server.LastResort:
+			view.LastResort = append(view.LastResort, server)
 		case server.Availability != Available:
 		case server.Region == region:
 			view.Local = append(view.Local, server)
