Let the operator tool report conflicts, lost answers and gone gateways

Cause: surplus arguments were ignored instead of being usage errors. "preset show" printed no revision, so an edit of an outdated revision overwrote the newer one. A change with an unknown outcome did not print its write ID and could not be looked up. Waiting for the gateways took the full 8 s if one had been killed within the last minute, shared its time limit with the store, and printed "0 of 0 gateways" when the list could not be read. One bad gateway row made status fail, and a gateway that had taken over an address counted for the one before it.

Change: "preset show" prints the base line that "preset apply" recognises; "preset use" and "preset apply" take -base; "audit -write ID" tells what became of a change; reports carry the write ID, the difference and the changes that came first; an apply without a base warns and shows what it replaced.

Conclusion: no edit is overwritten silently, and each outcome can be looked up.

--- a/pkg/operator/audit.go
+++ b/pkg/operator/audit.go
@@ -4,9 +4,11 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/google/subcommands"
+	"github.com/rotisserie/eris"
 
 	"balsamhill/pkg/platform"
 	"balsamhill/pkg/presetstore"
@@ -14,8 +16,9 @@
 
 // AuditCommand is "audit".
 type AuditCommand struct {
-	Tool *Tool
-	json bool
+	Tool  *Tool
+	json  bool
+	write string
 }
 
 // Name implements subcommands.Command.
@@ -25,32 +28,68 @@
 func (*AuditCommand) Synopsis() string { return "show who changed what, when and why" }
 
 // Usage implements subcommands.Command.
-func (*AuditCommand) Usage() string { return "balsamhill audit [-json]\n" }
+func (*AuditCommand) Usage() string {
+	return `balsamhill audit [-write ID] [-json]
+
+With -write it says what became of one change: exit code 0 if it was accepted, 1
+if it is not in the audit trail.
+`
+}
 
 // SetFlags implements subcommands.Command.
-func (c *AuditCommand) SetFlags(f *flag.FlagSet) { f.BoolVar(&c.json, "json", false, "print JSON") }
+func (c *AuditCommand) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.json, "json", false, "print JSON")
+	f.StringVar(&c.write, "write", "", "show only the change with this write ID")
+}
 
 // Execute implements subcommands.Command.
-func (c *AuditCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	return c.Tool.withStore(ctx, func(ctx context.Context, store *presetstore.Store, _ platform.Platform) subcommands.ExitStatus {
-		entries, err := store.Audit(ctx)
+func (c *AuditCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return c.Tool.read(ctx, f, func(ctx context.Context, store *presetstore.Store, _ platform.Table) subcommands.ExitStatus {
+		entries, err := c.entries(ctx, store)
 		if err != nil {
 			return c.Tool.fail(err)
 		}
 		if c.json {
-			if entries == nil {
-				entries = []presetstore.AuditEntry{}
-			}
-			return c.Tool.printJSON(entries)
+			c.Tool.printJSON(entries)
+		} else {
+			printEntries(c.Tool.Out, "", entries)
 		}
-		for _, entry := range entries {
-			fmt.Fprintf(c.Tool.Out, "%s %-12s %-5s %-20s revision %d, in force %s -> %s  %s\n",
-				entry.Time.Format(time.RFC3339), entry.Operator, entry.Action, entry.Preset,
-				entry.Revision, entry.From, entry.To, entry.Why)
-			for _, change := range entry.Changes {
-				fmt.Fprintln(c.Tool.Out, "    "+change)
-			}
+		if c.write != "" && len(entries) == 0 {
+			return c.Tool.fail(eris.Errorf("no accepted change has the write ID %q; one whose outcome was unknown "+
+				"a moment ago may still arrive, so ask again after a minute", c.write))
 		}
 		return subcommands.ExitSuccess
 	})
 }
+
+// entries returns a list that is not nil, so that it prints as a JSON array.
+func (c *AuditCommand) entries(ctx context.Context, store *presetstore.Store) ([]presetstore.AuditEntry, error) {
+	entries := []presetstore.AuditEntry{}
+	if c.write == "" {
+		all, err := store.Audit(ctx)
+		return append(entries, all...), err
+	}
+	entry, found, err := store.Find(ctx, c.write)
+	if err == nil && found {
+		entries = append(entries, entry)
+	}
+	return entries, err
+}
+
+func printEntries(out io.Writer, indent string, entries []presetstore.AuditEntry) {
+	for _, entry := range entries {
+		fmt.Fprintf(out, "%s%s %-12s %-5s %-20s revision %d, in force %s -> %s, write ID %s  %s\n",
+			indent, entry.Time.Format(time.RFC3339), entry.Operator, entry.Action, entry.Preset,
+			entry.Revision, orNone(entry.From), orNone(entry.To), entry.WriteID, entry.Why)
+		for _, change := range entry.Changes {
+			fmt.Fprintln(out, indent+"    "+change)
+		}
+	}
+}
+
+func orNone(name string) string {
+	if name == "" {
+		return "(none)"
+	}
+	return name
+}
--- /dev/null
+++ b/pkg/operator/gateways.go
@@ -0,0 +1,122 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"balsamhill/pkg/gateway"
+	"balsamhill/pkg/membership"
+	"balsamhill/pkg/platform"
+)
+
+const (
+	gatewayTimeout = time.Second
+	rowLimit       = 1000
+	// maxStatusBytes bounds one answer of /status: 910 servers at about 400 bytes.
+	maxStatusBytes = 4 << 20
+)
+
+// admin talks to admin addresses directly, never through a proxy from the
+// environment.
+var admin = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second}}
+
+// gatewayRow is a gateway's row with its age by the store's clock.
+type gatewayRow struct {
+	membership.Row
+	age time.Duration
+}
+
+// readRows returns the rows of gateways that are younger than membership.RowLife
+// by the store's clock. A row that cannot be decoded is returned with its ID and
+// state only, so that one bad row does not hide the others.
+func readRows(ctx context.Context, table platform.Table) ([]gatewayRow, error) {
+	var rows []gatewayRow
+	after := ""
+	for {
+		result, err := table.Scan(ctx, membership.RowPrefix, after, rowLimit)
+		if err != nil {
+			return nil, err
+		}
+		for _, stored := range result.Rows {
+			after = stored.Key
+			row := gatewayRow{}
+			err = json.Unmarshal(stored.Value, &row.Row)
+			if err != nil {
+				row.Row = membership.Row{ID: strings.TrimPrefix(stored.Key, membership.RowPrefix), State: "unreadable row"}
+			} else {
+				row.age = result.Time.Sub(row.WrittenAt)
+			}
+			if row.age < membership.RowLife {
+				rows = append(rows, row)
+			}
+		}
+		if !result.More || len(result.Rows) == 0 {
+			return rows, nil
+		}
+	}
+}
+
+// askGateways asks every gateway for its status at the same time.
+func askGateways(ctx context.Context, rows []gatewayRow) []gatewayStatus {
+	statuses := make([]gatewayStatus, len(rows))
+	var group sync.WaitGroup
+	for i, row := range rows {
+		group.Go(func() { statuses[i] = askGateway(ctx, row) })
+	}
+	group.Wait()
+	sort.Slice(statuses, func(i, j int) bool { return statuses[i].ID < statuses[j].ID })
+	return statuses
+}
+
+func askGateway(ctx context.Context, row gatewayRow) gatewayStatus {
+	status := gatewayStatus{
+		ID:            row.ID,
+		Region:        row.Region,
+		FailureDomain: row.FailureDomain,
+		State:         string(row.State),
+		Preset:        row.Preset,
+		Revision:      row.Revision,
+		InForceSince:  row.InForceSince,
+		age:           row.age,
+	}
+	var document gateway.StatusDocument
+	err := call(ctx, http.MethodGet, "http://"+row.Admin+"/status", &document)
+	// Another gateway may have taken over the address of one that is gone.
+	if err != nil || document.ID != row.ID {
+		return status
+	}
+	status.Reachable = true
+	status.State = document.State
+	status.Preset = document.Preset
+	status.Revision = document.Revision
+	status.InForceSince = document.InForceSince
+	return status
+}
+
+func call(ctx context.Context, method, url string, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, gatewayTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, url, nil)
+	if err != nil {
+		return err
+	}
+	response, err := admin.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode/100 != 2 {
+		return eris.Errorf("status %d", response.StatusCode)
+	}
+	if answer == nil {
+		return nil
+	}
+	return json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxStatusBytes)).Decode(answer)
+}
--- a/pkg/operator/preset.go
+++ b/pkg/operator/preset.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"bytes"
 	"context"
 	"flag"
 	"fmt"
@@ -30,7 +31,7 @@
 
 Examples:
   balsamhill preset list
-  balsamhill preset show peak > peak.jsonc
+  balsamhill preset show peak > peak.jsonc       (keep its first line when editing)
   balsamhill preset apply -f peak.jsonc -why "shorter queues"
   balsamhill preset use peak -why "exam week"
 
@@ -71,8 +72,8 @@
 func (*listCommand) Usage() string              { return "preset list [-json]\n" }
 func (c *listCommand) SetFlags(f *flag.FlagSet) { f.BoolVar(&c.json, "json", false, "print JSON") }
 
-func (c *listCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	return c.tool.withStore(ctx, func(ctx context.Context, store *presetstore.Store, _ platform.Platform) subcommands.ExitStatus {
+func (c *listCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return c.tool.read(ctx, f, func(ctx context.Context, store *presetstore.Store, _ platform.Table) subcommands.ExitStatus {
 		list, err := store.List(ctx)
 		if err != nil {
 			return c.tool.fail(err)
@@ -120,11 +121,11 @@
 func (c *showCommand) SetFlags(f *flag.FlagSet) { f.BoolVar(&c.json, "json", false, "print JSON") }
 
 func (c *showCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	name, ok := nameArgument(c.tool, f)
+	name, ok := c.tool.nameArgument(f)
 	if !ok {
 		return subcommands.ExitUsageError
 	}
-	return c.tool.withStore(ctx, func(ctx context.Context, store *presetstore.Store, _ platform.Platform) subcommands.ExitStatus {
+	return c.tool.read(ctx, f, func(ctx context.Context, store *presetstore.Store, _ platform.Table) subcommands.ExitStatus {
 		stored, err := store.Get(ctx, name)
 		if err != nil {
 			return c.tool.fail(err)
@@ -132,90 +133,91 @@
 		if c.json {
 			return c.tool.printJSON(stored)
 		}
-		fmt.Fprint(c.tool.Out, stored.Document)
+		document := preset.WithBase(preset.Base{Name: stored.Name, Revision: stored.Revision}, []byte(stored.Document))
+		if !bytes.HasSuffix(document, []byte("\n")) {
+			document = append(document, '\n')
+		}
+		_, err = c.tool.Out.Write(document)
+		if err != nil {
+			return c.tool.fail(err)
+		}
 		return subcommands.ExitSuccess
 	})
 }
 
-// nameArgument takes the preset's name and parses flags that stand behind it.
-func nameArgument(tool *Tool, f *flag.FlagSet) (string, bool) {
-	if f.NArg() == 0 {
-		fmt.Fprintln(tool.Err, "balsamhill: the name of a preset is required")
-		return "", false
-	}
-	name := f.Arg(0)
-	err := f.Parse(f.Args()[1:])
-	if err != nil || f.NArg() > 0 {
-		fmt.Fprintln(tool.Err, "balsamhill: unexpected arguments after the preset's name")
-		return "", false
-	}
-	return name, true
-}
-
 type applyCommand struct {
 	tool *Tool
 	file string
 	why  string
-	base int64
+	base *uint64
 	json bool
 }
 
 func (*applyCommand) Name() string     { return "apply" }
 func (*applyCommand) Synopsis() string { return "store a new or edited preset" }
 func (*applyCommand) Usage() string {
-	return "preset apply -f FILE [-base REVISION] [-why TEXT] [-json]\n"
+	return `preset apply -f FILE [-base REVISION] [-why TEXT] [-json]
+
+Refuses the change if the preset was changed since the revision that was edited.
+That revision is in the first line that "preset show" prints, or in -base.
+`
 }
 
 func (c *applyCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.file, "f", "", "file with the preset, JSON with comments")
 	f.StringVar(&c.why, "why", "", "reason for the audit trail")
-	f.Int64Var(&c.base, "base", -1, "revision that was edited; refuses the change if another is stored")
+	baseFlag(f, &c.base, "revision of the preset that was edited, 0 for a new one")
 	f.BoolVar(&c.json, "json", false, "print JSON")
 }
 
-func (c *applyCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *applyCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if c.file == "" {
-		fmt.Fprintln(c.tool.Err, "balsamhill: -f FILE is required")
-		return subcommands.ExitUsageError
+		return c.tool.usage("-f FILE is required")
+	}
+	if f.NArg() > 0 {
+		return c.tool.usage("unexpected argument %q", f.Arg(0))
 	}
 	document, err := os.ReadFile(c.file)
 	if err != nil {
 		return c.tool.fail(err)
 	}
-	var base *uint64
-	if c.base >= 0 {
-		revision := uint64(c.base)
-		base = &revision
-	}
-	return c.tool.withStore(ctx, func(ctx context.Context, store *presetstore.Store, p platform.Platform) subcommands.ExitStatus {
-		outcome := store.Apply(ctx, newAuthor(c.why), document, base)
-		return c.tool.report(ctx, p, outcome, c.json)
+	author := newAuthor(c.why)
+	return c.tool.change(ctx, author, c.json, func(ctx context.Context, store *presetstore.Store) presetstore.Outcome {
+		return store.Apply(ctx, author, document, c.base)
 	})
 }
 
 type useCommand struct {
 	tool *Tool
 	why  string
+	base *uint64
 	json bool
 }
 
 func (*useCommand) Name() string     { return "use" }
 func (*useCommand) Synopsis() string { return "put a preset in force" }
-func (*useCommand) Usage() string    { return "preset use NAME [-why TEXT] [-json]\n" }
+func (*useCommand) Usage() string {
+	return `preset use NAME [-base REVISION] [-why TEXT] [-json]
+
+Refuses the change if another one came first. With -base that covers the time
+since "preset current" printed the revision.
+`
+}
 
 func (c *useCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.why, "why", "", "reason for the audit trail")
+	baseFlag(f, &c.base, "revision in force that the choice is based on")
 	f.BoolVar(&c.json, "json", false, "print JSON")
 }
 
 func (c *useCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	name, ok := nameArgument(c.tool, f)
+	name, ok := c.tool.nameArgument(f)
 	if !ok {
 		return subcommands.ExitUsageError
 	}
-	return c.tool.withStore(ctx, func(ctx context.Context, store *presetstore.Store, p platform.Platform) subcommands.ExitStatus {
-		outcome := store.Use(ctx, newAuthor(c.why), name, nil)
-		return c.tool.report(ctx, p, outcome, c.json)
+	author := newAuthor(c.why)
+	return c.tool.change(ctx, author, c.json, func(ctx context.Context, store *presetstore.Store) presetstore.Outcome {
+		return store.Use(ctx, author, name, c.base)
 	})
 }
 
@@ -229,8 +231,8 @@
 func (*currentCommand) Usage() string              { return "preset current [-json]\n" }
 func (c *currentCommand) SetFlags(f *flag.FlagSet) { f.BoolVar(&c.json, "json", false, "print JSON") }
 
-func (c *currentCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	return c.tool.withStore(ctx, func(ctx context.Context, store *presetstore.Store, _ platform.Platform) subcommands.ExitStatus {
+func (c *currentCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return c.tool.read(ctx, f, func(ctx context.Context, store *presetstore.Store, _ platform.Table) subcommands.ExitStatus {
 		version, err := store.InForce(ctx)
 		if err != nil {
 			return c.tool.fail(err)
--- a/pkg/operator/report.go
+++ b/pkg/operator/report.go
@@ -1,24 +1,35 @@
 package operator
 
 import (
-	"context"
 	"fmt"
 
 	"github.com/google/subcommands"
 
-	"balsamhill/pkg/platform"
 	"balsamhill/pkg/presetstore"
 )
 
 // changeReport is the JSON output of commands that change something.
 type changeReport struct {
-	Status     string   `json:"status"`
-	Name       string   `json:"name,omitempty"`
-	Revision   uint64   `json:"revision,omitempty"`
-	InForceOn  []string `json:"inForceOn,omitempty"`
-	Missing    []string `json:"missing,omitempty"`
+	Status string `json:"status"`
+	// WriteID finds the change in the audit trail.
+	WriteID string `json:"writeId"`
+	// ChangeRevision is the revision of an accepted change.
+	ChangeRevision uint64 `json:"changeRevision,omitempty"`
+	// Name and Revision say what is in force after the change, or now after a
+	// conflict.
+	Name     string `json:"name,omitempty"`
+	Revision uint64 `json:"revision,omitempty"`
+	// InForceOn, Missing and Gone are IDs of gateways; see confirmation.
+	InForceOn []string `json:"inForceOn,omitempty"`
+	Missing   []string `json:"missing,omitempty"`
+	Gone      []string `json:"gone,omitempty"`
+	// Difference lists stored against wanted after a conflict, and old against
+	// new after an accepted change.
 	Difference []string `json:"difference,omitempty"`
-	Error      string   `json:"error,omitempty"`
+	// Since lists the changes that the operator had not seen after a conflict.
+	Since   []presetstore.AuditEntry `json:"since,omitempty"`
+	Warning string                   `json:"warning,omitempty"`
+	Error   string                   `json:"error,omitempty"`
 }
 
 var statusNames = map[presetstore.Status]string{
@@ -29,26 +40,40 @@
 	presetstore.Unavailable: "unavailable",
 }
 
-// report prints the outcome of a change. After an accepted change it waits for
-// the gateways to have it in force.
-func (t *Tool) report(ctx context.Context, p platform.Platform, outcome presetstore.Outcome, asJSON bool) subcommands.ExitStatus {
+// uncheckedWarning is shown when an edit may have overwritten another one.
+const uncheckedWarning = "the file names no base revision, so edits by others since you read the preset were not detected; " +
+	"the difference shows what was replaced (start from \"preset show NAME\", or give -base)"
+
+// report prints the outcome of a change and returns the exit code.
+func (t *Tool) report(author presetstore.Author, outcome presetstore.Outcome, confirmed confirmation, asJSON bool) subcommands.ExitStatus {
 	report := changeReport{
 		Status:     statusNames[outcome.Status],
+		WriteID:    author.WriteID,
 		Name:       outcome.Head.Name,
 		Revision:   outcome.Head.InForceRevision,
+		InForceOn:  confirmed.inForce,
+		Missing:    confirmed.missing,
+		Gone:       confirmed.gone,
 		Difference: outcome.Difference,
-	}
-	if outcome.Err != nil {
-		report.Error = outcome.Err.Error()
+		Since:      outcome.Since,
 	}
 	exit := subcommands.ExitFailure
 	if outcome.Status == presetstore.Accepted {
 		exit = subcommands.ExitSuccess
-		report.InForceOn, report.Missing = confirm(ctx, p, outcome.Head.InForceRevision)
+		report.ChangeRevision = outcome.Head.Revision
+	}
+	if outcome.Err != nil {
+		report.Error = outcome.Err.Error()
+	}
+	switch {
+	case outcome.Unchecked && outcome.Status == presetstore.Accepted && len(outcome.Difference) > 0:
+		report.Warning = uncheckedWarning
+	case confirmed.err != nil:
+		report.Warning = "accepted, but the list of gateways could not be read: " + confirmed.err.Error()
 	}
 	if asJSON {
-		t.printJSON(report)
-		return exit
+		printed := t.printJSON(report)
+		return max(exit, printed)
 	}
 	t.printReport(outcome, report)
 	return exit
@@ -57,15 +82,41 @@
 func (t *Tool) printReport(outcome presetstore.Outcome, report changeReport) {
 	switch outcome.Status {
 	case presetstore.Accepted:
-		fmt.Fprintf(t.Out, "accepted; preset %s at revision %d is in force on %d of %d gateways\n",
-			report.Name, report.Revision, len(report.InForceOn), len(report.InForceOn)+len(report.Missing))
+		t.printAccepted(report)
 	case presetstore.Conflict:
-		fmt.Fprintf(t.Err, "balsamhill: conflict: another change came first; in force is %s at revision %d; nothing was written\n",
-			outcome.Head.Name, outcome.Head.InForceRevision)
-		for _, line := range outcome.Difference {
+		fmt.Fprintf(t.Err, "balsamhill: conflict: another change came first, and nothing was written: %s\n", report.Error)
+		fmt.Fprintf(t.Err, "balsamhill: in force now is %s at revision %d\n", orNone(report.Name), report.Revision)
+		for _, line := range report.Difference {
 			fmt.Fprintln(t.Err, "  stored -> yours:", line)
 		}
+		if len(report.Since) > 0 {
+			fmt.Fprintln(t.Err, "  changes that came first:")
+			printEntries(t.Err, "    ", report.Since)
+		}
+	case presetstore.Unknown:
+		fmt.Fprintf(t.Err, "balsamhill: outcome unknown, write ID %s: %s\n", report.WriteID, report.Error)
+		fmt.Fprintf(t.Err, "balsamhill: ask later with: balsamhill audit -write %s\n", report.WriteID)
 	default:
-		fmt.Fprintf(t.Err, "balsamhill: %s: %s\n", report.Status, report.Error)
+		t.fail(fmt.Errorf("%s, nothing was written: %w", report.Status, outcome.Err))
+	}
+}
+
+func (t *Tool) printAccepted(report changeReport) {
+	fmt.Fprintf(t.Out, "accepted as revision %d, write ID %s\n", report.ChangeRevision, report.WriteID)
+	for _, line := range report.Difference {
+		fmt.Fprintln(t.Out, "  "+line)
+	}
+	if report.Name != "" {
+		fmt.Fprintf(t.Out, "preset %s at revision %d is in force on %d of %d gateways\n",
+			report.Name, report.Revision, len(report.InForceOn), len(report.InForceOn)+len(report.Missing))
+	}
+	for _, id := range report.Missing {
+		fmt.Fprintf(t.Out, "  not yet in force on %s\n", id)
+	}
+	for _, id := range report.Gone {
+		fmt.Fprintf(t.Out, "  %s is gone: it does not answer and no longer refreshes its row\n", id)
+	}
+	if report.Warning != "" {
+		fmt.Fprintln(t.Err, "balsamhill: warning:", report.Warning)
 	}
 }
--- a/pkg/operator/tool.go
+++ b/pkg/operator/tool.go
@@ -7,13 +7,18 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
+	"net/url"
 	"os"
 	"os/user"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/google/subcommands"
+	"github.com/rotisserie/eris"
 
 	"balsamhill/pkg/platform"
 	"balsamhill/pkg/platform/httpplatform"
@@ -27,20 +32,39 @@
 	Out, Err    io.Writer
 }
 
-// callTimeout bounds one conversation with the platform.
-const callTimeout = 10 * time.Second
+const (
+	// readTimeout bounds a command that only reads.
+	readTimeout = 10 * time.Second
+	// changeTimeout bounds the store calls of a change, which repeats a
+	// transaction after a lost answer. Waiting for the gateways comes on top.
+	changeTimeout = 20 * time.Second
+)
 
-// connect returns a store, or prints why there is none.
+// connect returns a client, or prints why there is none.
 func (t *Tool) connect() (*httpplatform.Client, bool) {
 	if *t.PlatformURL == "" {
 		fmt.Fprintln(t.Err, "balsamhill: -platform URL or BALSAMHILL_PLATFORM is required")
 		return nil, false
 	}
+	parsed, err := url.Parse(*t.PlatformURL)
+	if err != nil || (parsed.Scheme != "http" && parsed.Scheme != "https") || parsed.Host == "" {
+		fmt.Fprintf(t.Err, "balsamhill: -platform: %q is not an http or https URL\n", *t.PlatformURL)
+		return nil, false
+	}
 	return httpplatform.New(*t.PlatformURL), true
 }
 
+// usage prints what is wrong with the command line.
+func (t *Tool) usage(format string, args ...any) subcommands.ExitStatus {
+	fmt.Fprintf(t.Err, "balsamhill: "+format+"\n", args...)
+	return subcommands.ExitUsageError
+}
+
+// fail prints an error, each of its lines with the program's name.
 func (t *Tool) fail(err error) subcommands.ExitStatus {
-	fmt.Fprintln(t.Err, "balsamhill:", err)
+	for line := range strings.SplitSeq(err.Error(), "\n") {
+		fmt.Fprintln(t.Err, "balsamhill:", line)
+	}
 	return subcommands.ExitFailure
 }
 
@@ -66,14 +90,64 @@
 	return presetstore.Author{Operator: name, Why: why, WriteID: rand.Text(), Now: time.Now()}
 }
 
-// withStore runs a function with a connection to the platform.
-func (t *Tool) withStore(ctx context.Context, f func(context.Context, *presetstore.Store, platform.Platform) subcommands.ExitStatus) subcommands.ExitStatus {
+// read runs a command that only reads and takes no arguments besides flags.
+func (t *Tool) read(ctx context.Context, f *flag.FlagSet, run func(context.Context, *presetstore.Store, platform.Table) subcommands.ExitStatus) subcommands.ExitStatus {
+	if f.NArg() > 0 {
+		return t.usage("unexpected argument %q", f.Arg(0))
+	}
 	client, ok := t.connect()
 	if !ok {
 		return subcommands.ExitUsageError
 	}
 	defer client.Close()
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	return f(ctx, presetstore.New(client), client)
+	return run(ctx, presetstore.New(client), client)
+}
+
+// change makes a change, waits until it is in force and reports its outcome.
+func (t *Tool) change(ctx context.Context, author presetstore.Author, asJSON bool, run func(context.Context, *presetstore.Store) presetstore.Outcome) subcommands.ExitStatus {
+	client, ok := t.connect()
+	if !ok {
+		return subcommands.ExitUsageError
+	}
+	defer client.Close()
+	storeCtx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	outcome := run(storeCtx, presetstore.New(client))
+	var confirmed confirmation
+	if outcome.Status == presetstore.Accepted {
+		confirmed = newConfirmer(client).confirm(ctx, outcome.Head.InForceRevision)
+	}
+	return t.report(author, outcome, confirmed, asJSON)
+}
+
+// nameArgument takes the preset's name and parses flags that stand behind it.
+func (t *Tool) nameArgument(f *flag.FlagSet) (string, bool) {
+	if f.NArg() == 0 {
+		t.usage("the name of a preset is required")
+		return "", false
+	}
+	name := f.Arg(0)
+	err := f.Parse(f.Args()[1:])
+	if err != nil {
+		return "", false
+	}
+	if f.NArg() > 0 {
+		t.usage("unexpected argument %q", f.Arg(0))
+		return "", false
+	}
+	return name, true
+}
+
+// baseFlag adds -base; the pointer stays nil if the flag is not given.
+func baseFlag(f *flag.FlagSet, base **uint64, usage string) {
+	f.Func("base", usage, func(text string) error {
+		revision, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return eris.New("must be a revision, a whole number of at least 0")
+		}
+		*base = &revision
+		return nil
+	})
 }
