--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"flag"
+	"fmt"
+	"os"
+	"time"
 
 	"github.com/google/subcommands"
 
@@ -29,6 +32,11 @@
 	f.StringVar(&c.listen, "listen", "127.0.0.1:0", "host:port to listen on")
 }
 
-func (c *platformCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	return serveUntilDone(ctx, c.listen, standin.New(), func(string) error { return nil })
+func (c *platformCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() > 0 {
+		fmt.Fprintf(os.Stderr, "standin: unexpected argument %q\n", f.Arg(0))
+		return subcommands.ExitUsageError
+	}
+	// Calls that hang because of a fault must not keep the program from ending.
+	return serveUntilDone(ctx, c.listen, standin.New(), lifecycle{grace: time.Second})
 }
