--- a/pkg/platform/httpplatform/client.go
+++ b/pkg/platform/httpplatform/client.go
@@ -44,7 +44,12 @@
 		MaxIdleConnsPerHost: 16,
 		IdleConnTimeout:     15 * time.Second,
 	}
-	return &Client{base: strings.TrimRight(base, "/"), http: &http.Client{Transport: transport}}
+	client := &http.Client{
+		Transport: transport,
+		// A redirect would send a transaction a second time, to another place.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return &Client{base: strings.TrimRight(base, "/"), http: client}
 }
 
 // Close closes idle connections.
@@ -139,10 +144,13 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, statusError(response.StatusCode)
 	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
 		return nil, unavailable(err)
 	}
+	if len(data) > maxResponseBytes {
+		return nil, eris.Wrapf(platform.ErrProtocol, "object %q has more than %d bytes", name, maxResponseBytes)
+	}
 	return data, nil
 }
 
--- a/pkg/preset/validate.go
+++ b/pkg/preset/validate.go
@@ -26,7 +26,9 @@
 
 var (
 	namePattern = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
-	vmPattern   = regexp.MustCompile(`^[^\s]{1,128}$`)
+	// servicePattern agrees with the names that settings accept.
+	servicePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
+	vmPattern      = regexp.MustCompile(`^[^\s]{1,128}$`)
 )
 
 // Classes returns all route classes.
@@ -104,6 +106,9 @@
 
 func (v *validator) tuning(service string, tuning Tuning) {
 	field := "services." + service
+	if !servicePattern.MatchString(service) {
+		v.report(field, "%q is not the name of a service: 1 to 63 lower-case letters, digits, dots and hyphens", service)
+	}
 	if !slices.Contains(Policies(), tuning.Policy) {
 		v.report(field+".policy", "%q is not one of %s", tuning.Policy, joinPolicies())
 	}
--- a/pkg/strictjson/strictjson.go
+++ b/pkg/strictjson/strictjson.go
@@ -4,6 +4,7 @@
 package strictjson
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -58,6 +59,8 @@
 // document leaves out keep their values, also within entries of maps. Field names
 // must match exactly, each at most once.
 func Decode(text []byte, target any) (*Document, []Problem) {
+	// Some editors put a byte order mark in front.
+	text = bytes.TrimPrefix(text, []byte("\xef\xbb\xbf"))
 	d := &Document{lines: make(map[string]int)}
 	for i, c := range text {
 		if c == '\n' {
