Always list the difference in reports of changes

Cause: a conflict in which no field differs had no difference in its JSON report. Change: the list is always present, and the text says that no field differs. Before: scripts had to tell a missing list from an empty one. After: they do not.

--- a/pkg/operator/report.go
+++ b/pkg/operator/report.go
@@ -24,8 +24,9 @@
 	Missing   []string `json:"missing,omitempty"`
 	Gone      []string `json:"gone,omitempty"`
 	// Difference lists stored against wanted after a conflict, and old against
-	// new after an accepted change.
-	Difference []string `json:"difference,omitempty"`
+	// new after an accepted change. It is always present; it is empty if no field
+	// differs.
+	Difference []string `json:"difference"`
 	// Since lists the changes that the operator had not seen after a conflict.
 	Since   []presetstore.AuditEntry `json:"since,omitempty"`
 	Warning string                   `json:"warning,omitempty"`
@@ -54,7 +55,7 @@
 		InForceOn:  confirmed.inForce,
 		Missing:    confirmed.missing,
 		Gone:       confirmed.gone,
-		Difference: outcome.Difference,
+		Difference: append([]string{}, outcome.Difference...),
 		Since:      outcome.Since,
 	}
 	exit := subcommands.ExitFailure
@@ -89,6 +90,9 @@
 		for _, line := range report.Difference {
 			fmt.Fprintln(t.Err, "  stored -> yours:", line)
 		}
+		if len(report.Difference) == 0 {
+			fmt.Fprintln(t.Err, "  no field differs: your values are stored already")
+		}
 		if len(report.Since) > 0 {
 			fmt.Fprintln(t.Err, "  changes that came first:")
 			printEntries(t.Err, "    ", report.Since)
