--- /dev/null
+++ b/pkg/platform/httpplatform/client_test.go
@@ -0,0 +1,52 @@
+package httpplatform
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"balsamhill/pkg/platform"
+)
+
+// Guards against an answer that is taken for certain although the transaction
+// may have been applied, and against one that is sent twice.
+func TestCommitStatusOfAnswers(t *testing.T) {
+	tests := []struct {
+		desc   string
+		status int // 0 closes the connection
+		body   string
+		want   platform.CommitStatus
+	}{
+		{"applied", 200, `{"version": 3}`, platform.CommitApplied},
+		{"applied, cut body", 200, `{"vers`, platform.CommitUnknown},
+		{"conflict without body", 409, "", platform.CommitUnknown},
+		{"bad request", 400, "", platform.CommitNotApplied},
+		{"outage", 503, "", platform.CommitNotApplied},
+		{"internal error", 500, "", platform.CommitUnknown},
+		{"redirect", 307, "", platform.CommitUnknown},
+		{"connection closed", 0, "", platform.CommitUnknown},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			requests := 0
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				requests++
+				if test.status == 0 {
+					panic(http.ErrAbortHandler)
+				}
+				w.Header().Set("Location", "/table/commit")
+				w.WriteHeader(test.status)
+				_, _ = io.WriteString(w, test.body)
+			}))
+			client := New(server.URL)
+			assert.Equal(t, client.Commit(t.Context(), platform.Txn{}).Status, test.want)
+			client.Close()
+			server.Close()
+			assert.Equal(t, requests, 1)
+			assert.Equal(t, client.Commit(t.Context(), platform.Txn{}).Status, platform.CommitNotApplied)
+		})
+	}
+}
--- /dev/null
+++ b/pkg/serverstandin/server_test.go
@@ -0,0 +1,132 @@
+package serverstandin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+type countedRuns struct {
+	mu   sync.Mutex
+	runs map[string]int64
+}
+
+func (c *countedRuns) RecordRun(_ context.Context, key string) (int64, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.runs[key]++
+	return c.runs[key], nil
+}
+
+// call runs one request; a nil recorder means that the connection was closed.
+func call(ctx context.Context, s *Server, header http.Header) (recorder *httptest.ResponseRecorder) {
+	request := httptest.NewRequestWithContext(ctx, http.MethodPost, "/x", strings.NewReader("body"))
+	if header != nil {
+		request.Header = header
+	}
+	defer func() {
+		if recover() == http.ErrAbortHandler {
+			recorder = nil
+		}
+	}()
+	recorder = httptest.NewRecorder()
+	s.ServeHTTP(recorder, request)
+	return recorder
+}
+
+// Guards against wrong run counts, status codes and outcome headers: "not-run" is
+// a guarantee, so it must be on shed requests and never on one that was started.
+func TestOutcomes(t *testing.T) {
+	const ms = time.Millisecond
+	header := func(name, value string) http.Header {
+		return http.Header{http.CanonicalHeaderKey(name): {value}, "Idempotency-Key": {"k"}}
+	}
+	tests := []struct {
+		desc    string
+		config  Config
+		busy    int // requests sent before
+		header  http.Header
+		cancel  time.Duration
+		status  int // 0 means a closed connection
+		outcome string
+		runs    int64
+		took    time.Duration
+	}{
+		{desc: "idle", status: 200, runs: 1, took: 100 * ms},
+		{desc: "queued", busy: 2, status: 200, runs: 1, took: 300 * ms},
+		{desc: "cold start", config: Config{ColdStart: time.Minute}, status: 200, runs: 1, took: time.Second},
+		{desc: "shed", config: Config{QueueLimit: 1}, busy: 2, status: 503, outcome: "not-run"},
+		{desc: "deadline while running", header: header(deadlineHeader, "50"), status: 504, runs: 1, took: 50 * ms},
+		{desc: "deadline in the queue", busy: 1, header: header(deadlineHeader, "50"), status: 503, outcome: "not-run", took: 50 * ms},
+		{desc: "bad deadline", header: header(deadlineHeader, "-1"), status: 400, outcome: "not-run"},
+		{desc: "deadline that would overflow", header: header(deadlineHeader, "9223372036854775807"), status: 400, outcome: "not-run"},
+		{desc: "cancelled while running", cancel: 50 * ms, runs: 1, took: 50 * ms},
+		{desc: "cancelled in the queue", busy: 1, cancel: 50 * ms, status: 503, outcome: "not-run", took: 50 * ms},
+		{desc: "crash", header: header(CrashHeader, "1"), runs: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				runs := &countedRuns{runs: make(map[string]int64)}
+				test.config.Slots, test.config.ServiceTime, test.config.Runs = 1, 100*ms, runs
+				s := New(test.config)
+				for range test.busy {
+					go call(t.Context(), s, nil)
+					synctest.Wait()
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				if test.cancel > 0 {
+					time.AfterFunc(test.cancel, cancel)
+				}
+				if test.header == nil {
+					test.header = header("X-None", "")
+				}
+				start := time.Now()
+				recorder := call(ctx, s, test.header)
+				cancel()
+				assert.Equal(t, time.Since(start), test.took)
+				assert.Equal(t, runs.runs["k"], test.runs)
+				if test.status == 0 {
+					assert.Assert(t, recorder == nil)
+				} else {
+					assert.Equal(t, recorder.Code, test.status)
+					assert.Equal(t, recorder.Header().Get(outcomeHeader), test.outcome)
+				}
+				time.Sleep(time.Minute)
+				// A crash or a cancellation must not cost a slot for ever.
+				assert.Equal(t, call(t.Context(), s, nil).Code, 200)
+				assert.Equal(t, s.inFlight.Load(), int64(0))
+			})
+		})
+	}
+}
+
+// Guards against load reports that count probes, and against a drain that is not
+// announced.
+func TestProbeAndDraining(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{Slots: 2, ServiceTime: time.Second, ProbeTime: 6 * time.Millisecond})
+		go call(t.Context(), s, nil)
+		synctest.Wait()
+		s.SetDraining(true)
+		recorder := httptest.NewRecorder()
+		start := time.Now()
+		s.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, LoadPath, nil))
+		assert.Equal(t, time.Since(start), 6*time.Millisecond)
+		assert.Equal(t, recorder.Code, http.StatusNoContent)
+		assert.Equal(t, recorder.Header().Get("Endpoint-Load-Metrics"), "TEXT named_metrics.in_flight=1, application_utilization=0.50")
+		assert.Equal(t, recorder.Header().Get(drainingHeader), "1")
+		time.Sleep(time.Second)
+		answer := Answer{}
+		assert.NilError(t, json.Unmarshal(call(t.Context(), s, nil).Body.Bytes(), &answer))
+		assert.Equal(t, answer.BodyBytes, int64(4))
+	})
+}
