Connect gateways with their peers, budgets and probes

Cause: a preset that one gateway read right before the store went down reached no other gateway, and nothing measured idle servers.

Change: a gateway opens the peer listener, gives rows and the platform's list to the exchange, performs preset and drain actions towards peers, and adopts presets from them. It renews grants for the link and for probes and sends the probes that the grants allow. Rows carry the peer address and the store's clock. /status lists the peers and /metrics has their counters.

Before: the store was the only source of a preset.

Conclusion: an accepted preset survives the store's outage once one gateway read it.

--- a/pkg/gateway/admin.go
+++ b/pkg/gateway/admin.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"balsamhill/pkg/peer"
 )
 
 // StatusDocument is the answer of /status.
@@ -23,6 +25,7 @@
 	Source   string          `json:"source"`
 	InFlight int64           `json:"inFlight"`
 	Services []ServiceStatus `json:"services"`
+	Peers    []peer.Status   `json:"peers,omitempty"`
 }
 
 // ServiceStatus is one service in /status.
@@ -111,6 +114,7 @@
 		InForceSince:  row.InForceSince,
 		Source:        g.status.Load().Source,
 		InFlight:      g.proxy.InFlight(),
+		Peers:         g.peers.status(),
 	}
 	snapshot := g.snapshot.Load()
 	if snapshot == nil {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -45,6 +45,10 @@
 	ready    atomic.Bool
 	stopping atomic.Bool
 
+	peers      *peers
+	budgets    *budgets
+	storeClock storeClock
+
 	proxy     *proxy.Proxy
 	transport *http.Transport
 	metrics   *metrics.Set
@@ -85,10 +89,18 @@
 		Now:       g.now,
 		Metrics:   proxy.NewMetrics(g.metrics),
 	})
+	g.budgets = g.newBudgets()
 	err := g.listen()
 	if err != nil {
 		return nil, err
 	}
+	g.peers, err = g.newPeers()
+	if err != nil {
+		_ = g.trafficListener.Close()
+		_ = g.adminListener.Close()
+		return nil, err
+	}
+	g.metrics.RegisterMetricsWriter(g.writePeerMetrics)
 	return g, nil
 }
 
@@ -160,6 +172,9 @@
 	addLoop(g.runPresetReader)
 	addLoop(g.runListReader)
 	addLoop(g.runRowWriter)
+	addLoop(g.runPeers)
+	addLoop(g.runBudgets)
+	g.addProbeLoops(addLoop)
 	group.Add(func() error { return serve(g.admin, g.adminListener) }, func(error) { _ = g.admin.Close() })
 	group.Add(func() error { return g.serveTraffic(ctx) }, func(error) { _ = g.traffic.Close() })
 	err := group.Run()
@@ -213,10 +228,11 @@
 		FailureDomain: g.settings.VM.FailureDomain,
 		Traffic:       g.TrafficAddress(),
 		Admin:         g.AdminAddress(),
+		Peer:          g.peers.peerAddress(),
 		State:         state,
 		Preset:        status.Preset,
 		Revision:      status.Revision,
 		InForceSince:  g.started.Add(time.Duration(status.AdoptedAt) - time.Second),
-		WrittenAt:     time.Now(),
+		WrittenAt:     g.storeClock.now(),
 	}
 }
--- a/pkg/gateway/loops.go
+++ b/pkg/gateway/loops.go
@@ -54,9 +54,11 @@
 			g.counters.presetAdoptions.Inc()
 			g.log.Info("preset adopted", "preset", a.Version.Preset.Name, "revision", a.Version.Revision,
 				"previousRevision", a.Previous, "source", a.Source)
+			g.peers.presetAdopted(a.Version)
 		case control.DrainLearned:
 			g.counters.drainNotices.Inc()
 			g.log.Info("server is leaving", "server", a.ServerID)
+			g.peers.drainLearned(a)
 		}
 	}
 }
@@ -77,7 +79,24 @@
 }
 
 func (g *Gateway) runPresetReader(ctx context.Context) {
-	every(ctx, presetInterval, g.readNow, g.readPreset)
+	ticker := time.NewTicker(presetInterval)
+	defer ticker.Stop()
+	due := true
+	var last time.Time
+	for {
+		if due {
+			last = time.Now()
+			g.readPreset(ctx)
+		}
+		select {
+		case <-ticker.C:
+			due = g.presetReadDue(time.Since(last))
+		case <-g.readNow:
+			due = true
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 func (g *Gateway) readPreset(ctx context.Context) {
@@ -86,6 +105,7 @@
 	revision, err := g.presets.Revision(ctx)
 	if err != nil {
 		g.counters.platformErrors.Inc()
+		g.peers.storeUnreachable()
 		return
 	}
 	if revision <= g.status.Load().Revision {
@@ -95,6 +115,7 @@
 	if err != nil {
 		if !errors.Is(err, presetstore.ErrNoHead) {
 			g.counters.platformErrors.Inc()
+			g.peers.storeUnreachable()
 		}
 		return
 	}
@@ -113,6 +134,7 @@
 		g.counters.platformErrors.Inc()
 		return
 	}
+	g.peers.listRead(vms)
 	g.send(ctx, control.VMListRead{VMs: vms})
 }
 
@@ -132,6 +154,7 @@
 	result := g.platform.Commit(ctx, platform.Txn{
 		Writes: []platform.Write{{Key: membership.RowPrefix + g.settings.VM.ID, Value: value}},
 	})
+	g.storeClock.observe(result.Time)
 	if result.Status != platform.CommitApplied {
 		g.counters.platformErrors.Inc()
 	}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -7,6 +7,10 @@
 	presetAdoptions *metrics.Counter
 	drainNotices    *metrics.Counter
 	platformErrors  *metrics.Counter
+	grantFailures   *metrics.Counter
+	probeFailures   *metrics.Counter
+	// probes returns the counter of probes sent to a service.
+	probes func(service string) *metrics.Counter
 }
 
 func newCounters(set *metrics.Set) *counters {
@@ -14,5 +18,10 @@
 		presetAdoptions: set.NewCounter("balsamhill_preset_adoptions_total"),
 		drainNotices:    set.NewCounter("balsamhill_drain_notices_total"),
 		platformErrors:  set.NewCounter("balsamhill_platform_errors_total"),
+		grantFailures:   set.NewCounter("balsamhill_grant_failures_total"),
+		probeFailures:   set.NewCounter("balsamhill_probe_failures_total"),
+		probes: func(service string) *metrics.Counter {
+			return set.GetOrCreateCounter(probeCounterName(service))
+		},
 	}
 }
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -1,20 +1,24 @@
 package peer
 
-import "balsamhill/pkg/peer/peerpb"
+import (
+	"google.golang.org/protobuf/proto"
 
-// Kind says to which share of the link budget a frame is charged.
+	"balsamhill/pkg/peer/peerpb"
+)
+
+// Kind says to which share of the link budget a frame is charged. Presets are
+// not charged: there are few of them, and they must arrive.
 type Kind int
 
 const (
-	// KindFixed is for heartbeats and presets: always sent, charged to the fixed
-	// share.
+	// KindFixed is for heartbeats: always sent, charged to the fixed share.
 	KindFixed Kind = iota
 	// KindGranted is for everything else: sent only if a share has room.
 	KindGranted
 )
 
 // Link decides on frames that cross the link between regions. It must be safe
-// for concurrent use.
+// for concurrent use and return at once.
 type Link interface {
 	// Allow charges a frame of this many bytes and reports whether it may be sent.
 	Allow(kind Kind, bytes int) bool
@@ -34,16 +38,14 @@
 	if s.region == e.config.Self.Region {
 		return s.send(frame, urgent)
 	}
-	data, err := EncodeFrame(frame)
-	if err != nil {
-		return false
-	}
 	kind := KindGranted
 	switch frame.GetBody().(type) {
-	case *peerpb.Frame_Heartbeat, *peerpb.Frame_PresetDocument, *peerpb.Frame_PresetRequest:
+	case *peerpb.Frame_PresetDocument, *peerpb.Frame_PresetRequest:
+		return s.send(frame, urgent)
+	case *peerpb.Frame_Heartbeat:
 		kind = KindFixed
 	}
-	if !e.config.Link.Allow(kind, len(data)+frameOverhead) {
+	if !e.config.Link.Allow(kind, proto.Size(frame)+lengthBytes+frameOverhead) {
 		e.counters.LinkRefused.Add(1)
 		return false
 	}
--- /dev/null
+++ b/processtest/peers_test.go
@@ -0,0 +1,173 @@
+package processtest
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"balsamhill/examples"
+)
+
+// relay passes connections on to the platform until it is closed.
+type relay struct {
+	listener net.Listener
+	target   string
+
+	mu     sync.Mutex
+	closed bool
+	conns  []net.Conn
+}
+
+func startRelay(t *testing.T, target string) *relay {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	r := &relay{listener: listener, target: strings.TrimPrefix(target, "http://")}
+	t.Cleanup(r.close)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go r.serve(conn)
+		}
+	}()
+	return r
+}
+
+func (r *relay) serve(conn net.Conn) {
+	upstream, err := net.Dial("tcp", r.target)
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	r.mu.Lock()
+	r.conns = append(r.conns, conn, upstream)
+	closed := r.closed
+	r.mu.Unlock()
+	if closed {
+		r.close()
+		return
+	}
+	go func() {
+		_, _ = io.Copy(upstream, conn)
+		_ = upstream.Close()
+	}()
+	_, _ = io.Copy(conn, upstream)
+	_ = conn.Close()
+}
+
+// close cuts all connections and refuses new ones.
+func (r *relay) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	_ = r.listener.Close()
+	for _, conn := range r.conns {
+		_ = conn.Close()
+	}
+}
+
+// gatewayStatus is what these tests read of /status.
+type gatewayStatus struct {
+	Preset   string `json:"preset"`
+	Revision uint64 `json:"revision"`
+	Source   string `json:"source"`
+	Peers    []struct {
+		ID        string `json:"id"`
+		Address   string `json:"address"`
+		Alive     bool   `json:"alive"`
+		Connected bool   `json:"connected"`
+	} `json:"peers"`
+}
+
+func (g *gatewayProcess) status(t *testing.T) gatewayStatus {
+	t.Helper()
+	var status gatewayStatus
+	code, body := get(g.admin + "/status")
+	assert.Equal(t, code, http.StatusOK)
+	assert.NilError(t, json.Unmarshal([]byte(body), &status), body)
+	return status
+}
+
+// connected reports how many peers the gateway has sessions with.
+func (g *gatewayProcess) connected(t *testing.T) int {
+	t.Helper()
+	count := 0
+	for _, peer := range g.status(t).Peers {
+		if peer.Connected && peer.Alive {
+			count++
+		}
+	}
+	return count
+}
+
+// startSeededGateway runs a daemon that knows a peer from its settings.
+func (f *fleet) startSeededGateway(id, seed string) *gatewayProcess {
+	f.t.Helper()
+	text := strings.NewReplacer(
+		"127.0.0.1:8080", "127.0.0.1:0", "127.0.0.1:8081", "127.0.0.1:0", "127.0.0.1:8082", "127.0.0.1:0",
+		"http://127.0.0.1:9000", f.url,
+		`"gw-khomas-1"`, `"`+id+`"`,
+		`"seeds": []`, `"seeds": ["`+seed+`"]`,
+		`"noticeMillis": 10000`, `"noticeMillis": 100`,
+	).Replace(string(examples.SignlineSettings()))
+	assert.Assert(f.t, strings.Contains(text, seed))
+	path := filepath.Join(f.t.TempDir(), id+".jsonc")
+	assert.NilError(f.t, os.WriteFile(path, []byte(text), 0o600))
+	p := start(f.t, "balsamhilld", "serve", "-config", path)
+	var addresses struct {
+		Gateway string `json:"gateway"`
+		Admin   string `json:"admin"`
+	}
+	assert.NilError(f.t, json.Unmarshal([]byte(p.firstLine), &addresses))
+	return &gatewayProcess{process: p, traffic: addresses.Gateway, admin: addresses.Admin}
+}
+
+// Guards an accepted preset against an outage of the store right after one
+// gateway read it: the others get it from that gateway, and one that starts
+// during the outage becomes ready with it.
+func TestPresetSurvivesOutage(t *testing.T) {
+	f := startFleet(t)
+	first := f.startGateway("gw-1", "khomas")
+	r := startRelay(t, f.url)
+	relayed := &fleet{t: t, platform: f.platform, url: "http://" + r.listener.Addr().String()}
+	second := relayed.startGateway("gw-2", "khomas")
+	eventually(t, "session between the gateways", func() bool {
+		return first.connected(t) == 1 && second.connected(t) == 1
+	})
+	before := second.status(t).Revision
+
+	r.close()
+	// The tool would wait for the gateways; the store goes down before that.
+	tool := exec.Command(filepath.Join(binaries, "balsamhill"), "-platform", f.url, "preset", "use", "peak")
+	assert.NilError(t, tool.Start())
+	defer func() { _ = tool.Wait() }()
+	eventually(t, "change on the first gateway", func() bool { return first.status(t).Preset == "peak" })
+	assert.NilError(t, f.platform.command.Process.Kill())
+	eventually(t, "change on the second gateway", func() bool { return second.status(t).Preset == "peak" })
+	status := second.status(t)
+	assert.Equal(t, status.Source, "gw-1")
+	assert.Assert(t, status.Revision > before)
+
+	seed := status.Peers[0].Address
+	third := f.startSeededGateway("gw-3", seed)
+	eventually(t, "third gateway ready", func() bool {
+		code, _ := get(third.admin + "/readyz")
+		return code == http.StatusOK
+	})
+	started := third.status(t)
+	assert.Equal(t, started.Revision, status.Revision)
+	assert.Equal(t, started.Preset, "peak")
+	eventually(t, "third gateway knows both", func() bool { return third.connected(t) == 2 })
+}
