Test probes through a running gateway

Cause: the grant must be checked immediately before a probe is sent, and probes must not cross the link.

Change: one test plans a probe under a grant that has ended, one runs a gateway against the platform stand-in until an idle server is probed.

Before: untested. After: go test -race -count=3 passes.

Conclusion: an ended grant stops a planned probe.

--- /dev/null
+++ b/pkg/gateway/probes_test.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"balsamhill/examples"
+	"balsamhill/pkg/budget"
+	"balsamhill/pkg/loadreport"
+	"balsamhill/pkg/platform"
+	"balsamhill/pkg/platform/httpplatform"
+	"balsamhill/pkg/platform/standin"
+	"balsamhill/pkg/presetstore"
+	"balsamhill/pkg/routing"
+	"balsamhill/pkg/settings"
+)
+
+// newTestGateway returns a gateway that does not run, with its platform.
+func newTestGateway(t *testing.T) (*Gateway, *httpplatform.Client) {
+	t.Helper()
+	store := httptest.NewServer(standin.New())
+	t.Cleanup(store.Close)
+	client := httpplatform.New(store.URL)
+	t.Cleanup(client.Close)
+	s, err := settings.Parse("signline.jsonc", examples.SignlineSettings())
+	assert.NilError(t, err)
+	s.Traffic.Listen, s.Admin.Listen, s.Peers.Listen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	s.Shutdown.NoticeMillis = 0
+	g, err := New(s, client, slog.New(slog.DiscardHandler))
+	assert.NilError(t, err)
+	return g, client
+}
+
+// probedServer counts the probes that it gets.
+func probedServer(t *testing.T) (*routing.Server, *atomic.Int64) {
+	t.Helper()
+	var probes atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		probes.Add(1)
+		w.Header().Set(loadreport.Header, "TEXT named_metrics.in_flight=3")
+	}))
+	t.Cleanup(server.Close)
+	return &routing.Server{ID: "s", Address: server.Listener.Addr().String(), Stats: &routing.Stats{}}, &probes
+}
+
+// Guards against a probe that was planned under a grant and is sent after the
+// process was paused beyond the grant's end.
+func TestNoProbeAfterGrantEnds(t *testing.T) {
+	g, _ := newTestGateway(t)
+	service := g.settings.Services[0]
+	gr := g.budgets.probes[service.Name]
+	gr.want(2, 4)
+	server, probes := probedServer(t)
+	grantFrom := func(sent int64) {
+		gr.holder.Plan(budget.Read{Sent: sent, Time: time.Now()}, 2, 4)
+		gr.holder.Written(true)
+	}
+	grantFrom(g.now())
+	g.probe(t.Context(), service, gr, server)
+	assert.Equal(t, probes.Load(), int64(1))
+	assert.Assert(t, server.Stats.ReportedAt() > 0)
+
+	grantFrom(g.now() - int64(budget.Life))
+	g.probe(t.Context(), service, gr, server)
+	assert.Equal(t, probes.Load(), int64(1))
+}
+
+// Guards the way of a probe through a running gateway: preset, grant row, probe.
+func TestIdleServerIsProbed(t *testing.T) {
+	g, client := newTestGateway(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	store := presetstore.New(client)
+	document := examples.Presets()[0]
+	author := func(id string) presetstore.Author {
+		return presetstore.Author{Operator: "test", WriteID: id, Now: time.Now()}
+	}
+	assert.Equal(t, store.Apply(ctx, author("apply"), document.Text, nil).Status, presetstore.Accepted)
+	assert.Equal(t, store.Use(ctx, author("use"), document.Name, nil).Status, presetstore.Accepted)
+	service := g.settings.Services[0]
+	near, nearProbes := probedServer(t)
+	far, farProbes := probedServer(t)
+	for region, server := range map[string]*routing.Server{"khomas": near, "erongo": far} {
+		err := client.RegisterVM(ctx, platform.VM{ID: "server-" + region, Role: platform.RoleServer, Incarnation: 1,
+			Service: service.Name, Region: region, FailureDomain: region, Address: server.Address, State: platform.VMLive})
+		assert.NilError(t, err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- g.Run(ctx) }()
+	for limit := time.Now().Add(20 * time.Second); nearProbes.Load() < 2; {
+		assert.Assert(t, time.Now().Before(limit), "no probe arrived")
+		time.Sleep(10 * time.Millisecond)
+	}
+	result, err := client.Get(ctx, budget.RowPrefix+"probe/"+service.Name)
+	assert.NilError(t, err)
+	row, err := budget.ParseRow(result.Rows[0].Value)
+	assert.NilError(t, err)
+	assert.Equal(t, len(row.Grants), 1)
+	assert.Equal(t, row.Grants[0].Holder, fmt.Sprintf("gw-khomas-1@%d", g.incarnation))
+	assert.Equal(t, row.Grants[0].Share, probeTotal(service, 1))
+	assert.Equal(t, farProbes.Load(), int64(0), "probes must not cross the link")
+	cancel()
+	assert.NilError(t, <-done)
+}
