--- a/pkg/gateway/admin.go
+++ b/pkg/gateway/admin.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"balsamhill/pkg/peer"
 	"balsamhill/pkg/presetoffer"
 )
 
@@ -25,6 +26,7 @@
 	Source   string          `json:"source"`
 	InFlight int64           `json:"inFlight"`
 	Services []ServiceStatus `json:"services"`
+	Peers    []peer.Status   `json:"peers,omitempty"`
 }
 
 // ServiceStatus is one service in /status.
@@ -114,6 +116,7 @@
 		InForceSince:  row.InForceSince,
 		Source:        g.status.Load().Source,
 		InFlight:      g.proxy.InFlight(),
+		Peers:         g.peers.status(),
 	}
 	snapshot := g.snapshot.Load()
 	if snapshot == nil {
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -8,6 +8,10 @@
 	drainNotices    *metrics.Counter
 	platformErrors  *metrics.Counter
 	refusedOffers   *metrics.Counter
+	grantFailures   *metrics.Counter
+	probeFailures   *metrics.Counter
+	// probes returns the counter of probes sent to a service.
+	probes func(service string) *metrics.Counter
 }
 
 func newCounters(set *metrics.Set) *counters {
@@ -16,5 +20,10 @@
 		drainNotices:    set.NewCounter("balsamhill_drain_notices_total"),
 		refusedOffers:   set.NewCounter("balsamhill_preset_offers_refused_total"),
 		platformErrors:  set.NewCounter("balsamhill_platform_errors_total"),
+		grantFailures:   set.NewCounter("balsamhill_grant_failures_total"),
+		probeFailures:   set.NewCounter("balsamhill_probe_failures_total"),
+		probes: func(service string) *metrics.Counter {
+			return set.GetOrCreateCounter(probeCounterName(service))
+		},
 	}
 }
