Test races, slow bodies and HTTP/2 resets

Cause: hedges, retries, silent connections, hour-long bodies and HTTP/2 stream resets had no tests, and REFUSED_STREAM was not recognised for requests with a body, because net/http then returns text only.

Change: the refusal is recognised by type or by the beginning of that text. Requests of non-idempotent calls over HTTP/2 always have a body, since net/http resends those without one after PROTOCOL_ERROR, which proves nothing. Tests over fake time run an hour of upload in in-memory connections; two fuzz targets cover the load report and the outgoing request.

--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -113,7 +113,7 @@
 
 // gotConn runs immediately before the request is written.
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
-	if a.got && a.written() {
+	if a.got && !a.onShared() && a.written() {
 		a.resent = true
 	}
 	a.got = true
@@ -136,6 +136,13 @@
 	}
 }
 
+// onShared reports whether the request has an HTTP/2 connection. There the
+// library assigns another one to a request with a body only if the first could
+// not be used at all.
+func (a *attempt) onShared() bool {
+	return a.conn != nil && a.conn.shared
+}
+
 // deny keeps the transport from writing the request. Cancelling is enough for
 // HTTP/2, which looks at the context before it writes; HTTP/1.1 does not, but
 // its connection belongs to this request alone and can be closed.
@@ -157,7 +164,7 @@
 		return false
 	case a.conn == nil:
 		return true
-	case a.conn.shared:
+	case a.onShared():
 		return !a.denied
 	case a.conn.writes.Load() != a.base:
 		return true
@@ -238,25 +245,6 @@
 	a.cancel(errDone)
 }
 
-// http2StreamError has the shape of the error type that net/http does not
-// export; it converts to any type with the same fields.
-type http2StreamError struct {
-	StreamID uint32
-	Code     uint32
-	Cause    error
-}
-
-func (e http2StreamError) Error() string { return "HTTP/2 stream error" }
-
-// refusedStreamCode guarantees that the server did not process the request
-// (RFC 9113, 8.7).
-const refusedStreamCode = 7
-
-func refusedStream(err error) bool {
-	var stream http2StreamError
-	return errors.As(err, &stream) && stream.Code == refusedStreamCode
-}
-
 // informer passes informational answers to the caller until the final answer
 // begins.
 type informer struct {
--- /dev/null
+++ b/pkg/proxy/fuzz_test.go
@@ -0,0 +1,87 @@
+package proxy
+
+import (
+	"bufio"
+	"math"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"balsamhill/pkg/preset"
+	"balsamhill/pkg/routing"
+)
+
+// A load report comes from a server and must not break or mislead the gateway.
+func FuzzParseLoad(f *testing.F) {
+	for _, seed := range []string{
+		"TEXT named_metrics.in_flight=3, application_utilization=0.7", "TEXT named_metrics.in_flight=NaN",
+		"TEXT named_metrics.in_flight=-1", "TEXT named_metrics.in_flight=1e300", "TEXT ,,=", "JSON {}", "",
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, value string) {
+		inFlight, ok := parseLoad(value)
+		if !ok && inFlight != 0 {
+			t.Fatalf("%q: %d without ok", value, inFlight)
+		}
+		if inFlight < 0 || inFlight > math.MaxInt32 {
+			t.Fatalf("%q: %d", value, inFlight)
+		}
+		if ok && !strings.HasPrefix(value, "TEXT ") {
+			t.Fatalf("%q accepted", value)
+		}
+	})
+}
+
+// Whatever a request holds, what is sent must match what was routed, and no
+// header of gateways may come from outside.
+func FuzzOutgoingRequest(f *testing.F) {
+	for _, seed := range []string{
+		"GET /fetch/a HTTP/1.1\r\nHost: x\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\nTe: trailers\r\n\r\n",
+		"POST /%2e%2e/x?q HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k\r\nBalsamhill_Attempt: 9\r\nContent-Length: 1\r\n\r\na",
+		"GET http://other//a\\b HTTP/1.1\r\nHost: x\r\nX-Forwarded-For: 1\r\nForwarded: for=1\r\n\r\n",
+		"GET /a HTTP/1.1\r\nHost: x\r\nConnection: upgrade\r\nUpgrade: websocket\r\nX-Request-Timeout-Ms: 5\r\n\r\n",
+	} {
+		f.Add(seed, false)
+		f.Add(seed, true)
+	}
+	p := New(Config{Now: func() int64 { return 1e9 }, Metrics: NewMetrics(metrics.NewSet())})
+	server := &routing.Server{Address: "127.0.0.1:1"}
+	f.Fuzz(func(t *testing.T, text string, trusted bool) {
+		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
+		if err != nil {
+			return
+		}
+		r.RemoteAddr = "127.0.0.1:9"
+		if status, _ := inspect(r); status != 0 {
+			return
+		}
+		w := httptest.NewRecorder()
+		c := &call{proxy: p, w: w, r: r, control: http.NewResponseController(w), trusted: trusted, deadline: 2e9,
+			requestID: requestID(r), route: routing.Route{Class: preset.ClassFetch}, service: p.service("desk")}
+		c.classify()
+		c.body.open(c)
+		out := c.outgoingRequest(server, 1)
+		if out.URL.Host != server.Address || out.URL.EscapedPath() != r.URL.EscapedPath() || out.URL.RawQuery != r.URL.RawQuery {
+			t.Fatalf("%v sent as %v", r.URL, out.URL)
+		}
+		if strings.Contains(out.URL.Path, "/../") || strings.Contains(out.URL.Path, "//") {
+			t.Fatalf("ambiguous path %q", out.URL.Path)
+		}
+		if out.Header.Get("Idempotency-Key") != "" || out.Header.Get("X-Idempotency-Key") != "" {
+			t.Fatal("http.Transport would resend this request")
+		}
+		for name := range out.Header {
+			allowed := name == attemptHeader || name == "X-Forwarded-For" || name == "X-Forwarded-Host" || name == "X-Forwarded-Proto"
+			if isInternal(name) && !allowed && !trusted {
+				t.Fatalf("%q from outside", name)
+			}
+		}
+		if c.upgrade == "" && out.Header.Get("Connection") != "" {
+			t.Fatal("Connection header passed on")
+		}
+	})
+}
--- /dev/null
+++ b/pkg/proxy/http2_test.go
@@ -0,0 +1,114 @@
+package proxy_test
+
+import (
+	"encoding/binary"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"balsamhill/pkg/claim"
+	"balsamhill/pkg/proxy"
+)
+
+// Frame types and error codes of RFC 9113.
+const (
+	frameHeaders   = 1
+	frameRST       = 3
+	frameSettings  = 4
+	frameGoAway    = 7
+	flagAck        = 1
+	protocolError  = 1
+	refusedStream  = 7
+	enhanceYourCut = 11
+	prefaceBytes   = 24
+	frameHeadBytes = 9
+)
+
+func frame(kind, flags byte, stream uint32, payload ...byte) []byte {
+	head := binary.BigEndian.AppendUint32(nil, uint32(len(payload))<<8|uint32(kind))
+	head = append(head, flags)
+	head = binary.BigEndian.AppendUint32(head, stream)
+	return append(head, payload...)
+}
+
+// resettingServer speaks just enough HTTP/2 to answer each request with frames.
+func resettingServer(t testing.TB, requests *atomic.Int64, answer func(stream uint32) []byte) string {
+	return startRaw(t, func(conn net.Conn) {
+		if _, err := io.ReadFull(conn, make([]byte, prefaceBytes)); err != nil {
+			return
+		}
+		_, _ = conn.Write(frame(frameSettings, 0, 0))
+		head := make([]byte, frameHeadBytes)
+		for {
+			if _, err := io.ReadFull(conn, head); err != nil {
+				return
+			}
+			length := int64(binary.BigEndian.Uint32(head) >> 8)
+			if _, err := io.CopyN(io.Discard, conn, length); err != nil {
+				return
+			}
+			switch {
+			case head[3] == frameSettings && head[4]&flagAck == 0:
+				_, _ = conn.Write(frame(frameSettings, flagAck, 0))
+			case head[3] == frameHeaders:
+				requests.Add(1)
+				_, _ = conn.Write(answer(binary.BigEndian.Uint32(head[5:])))
+			}
+		}
+	})
+}
+
+func reset(code byte) func(uint32) []byte {
+	return func(stream uint32) []byte { return frame(frameRST, 0, stream, 0, 0, 0, code) }
+}
+
+// goAway says that streams up to last may have been processed, and then closes
+// the stream with an error whose text holds the name of another.
+func goAway(last func(stream uint32) uint32) func(uint32) []byte {
+	return func(stream uint32) []byte {
+		payload := binary.BigEndian.AppendUint32(nil, last(stream))
+		payload = append(payload, 0, 0, 0, enhanceYourCut)
+		payload = append(payload, "; REFUSED_STREAM"...)
+		return append(frame(frameGoAway, 0, 0, payload...), frame(frameRST, 0, stream, 0, 0, 0, protocolError)...)
+	}
+}
+
+// REFUSED_STREAM proves that a call did not run; other resets do not, and the
+// library must not send the call again after them.
+func TestResetHTTP2Streams(t *testing.T) {
+	cases := []struct {
+		desc      string
+		answer    func(uint32) []byte
+		wantMoved bool
+	}{
+		{"refused stream", reset(refusedStream), true},
+		{"protocol error", reset(protocolError), false},
+		{"go away after the stream", goAway(func(stream uint32) uint32 { return stream }), false},
+	}
+	for _, c := range cases {
+		for _, body := range []string{"", "body"} {
+			t.Run(c.desc+" "+body, func(t *testing.T) {
+				var requests, runs atomic.Int64
+				whole := startServer(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+				claims := &fakeClaims{decision: claim.Decision{Kind: claim.Dispatch}, mayDispatch: true}
+				b := newBench(t, setup{http2: true, adjust: func(config *proxy.Config) { config.Claims = claims }},
+					resettingServer(t, &requests, c.answer), whole)
+				got := do(t, newClient(t, false), newRequest(t, "POST", b.url+"/x", strings.NewReader(body), "Idempotency-Key", "k"))
+				assert.Equal(t, requests.Load(), int64(1))
+				if c.wantMoved {
+					assert.Equal(t, got.status, 200)
+					assert.Equal(t, runs.Load(), int64(1))
+					return
+				}
+				assert.Equal(t, got.status, 502)
+				assert.Equal(t, got.header.Get("Balsamhill-Outcome"), "unknown")
+				assert.Equal(t, runs.Load(), int64(0))
+			})
+		}
+	}
+}
--- /dev/null
+++ b/pkg/proxy/race_test.go
@@ -0,0 +1,226 @@
+package proxy_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"balsamhill/pkg/preset"
+)
+
+// manyExtras lets nearly every call retry and hedge.
+func manyExtras(classes map[preset.Class]preset.Limits) {
+	limits := classes[preset.ClassFetch]
+	limits.RetryPercent, limits.HedgePercent = 100, 100
+	classes[preset.ClassFetch] = limits
+}
+
+func counter(b *bench, name string) uint64 {
+	return b.set.GetOrCreateCounter(name).Get()
+}
+
+// Answers of hedged and cancelled attempts arrive late and out of order. Each
+// caller must get the answer to its own request, whole.
+func TestEachCallerGetsItsOwnAnswer(t *testing.T) {
+	var calls atomic.Int64
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		n := calls.Add(1)
+		switch {
+		case n%10 == 3:
+			time.Sleep(30 * time.Millisecond)
+		case n%17 == 5:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case n%23 == 7:
+			panic(http.ErrAbortHandler)
+		}
+		id := r.URL.Query().Get("id")
+		size, _ := strconv.Atoi(r.URL.Query().Get("size"))
+		_, _ = io.WriteString(w, strings.Repeat(id+";", size))
+	}
+	for _, http2 := range []bool{false, true} {
+		t.Run(fmt.Sprintf("http2 %v", http2), func(t *testing.T) {
+			b := newBench(t, setup{http2: http2, limits: manyExtras, slots: 64},
+				startServer(t, handler), startServer(t, handler), startServer(t, handler))
+			var group sync.WaitGroup
+			var whole atomic.Int64
+			client := newClient(t, http2)
+			for caller := range 24 {
+				group.Go(func() {
+					for i := range 60 {
+						id := fmt.Sprintf("%d-%d", caller, i)
+						size := 1 + (caller*60+i)%3000
+						got := do(t, client, newRequest(t, "GET", fmt.Sprintf("%s/fetch?id=%s&size=%d", b.url, id, size), nil))
+						if got.err != nil || got.status != 200 {
+							continue
+						}
+						whole.Add(1)
+						if got.body != strings.Repeat(id+";", size) {
+							t.Errorf("caller %s got another answer: %.80q", id, got.body)
+						}
+					}
+				})
+			}
+			group.Wait()
+			assert.Assert(t, whole.Load() > 24*60*9/10, whole.Load())
+			assert.Assert(t, counter(b, `balsamhill_hedges_total{service="desk"}`) > 0)
+			assert.Assert(t, counter(b, `balsamhill_retries_total{service="desk"}`) > 0)
+			assert.NilError(t, b.proxy.Wait(t.Context()))
+			waitFor(t, "no request left at a server", func() bool {
+				total := int64(0)
+				for _, server := range b.servers {
+					total += server.Stats.InFlight()
+				}
+				return total == 0
+			})
+		})
+	}
+}
+
+func waitFor(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	limit := time.Now().Add(20 * time.Second)
+	for !condition() {
+		if time.Now().After(limit) {
+			t.Fatalf("not reached: %s", what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// silentAfterFirst answers one request on each connection and then goes silent
+// on it while new connections work.
+func silentAfterFirst(t testing.TB, silent *atomic.Int64) string {
+	return startRaw(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		_, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		_, err = http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		silent.Add(1)
+		_, _ = io.Copy(io.Discard, reader)
+	})
+}
+
+// Open connections that go silent must delay a caller by a bounded time and must
+// not be used again.
+func TestSilentConnectionsAreGivenUp(t *testing.T) {
+	var silent atomic.Int64
+	b := newBench(t, setup{limits: func(classes map[preset.Class]preset.Limits) {
+		manyExtras(classes)
+		limits := classes[preset.ClassFetch]
+		limits.TimeoutMillis = 400
+		classes[preset.ClassFetch] = limits
+	}}, silentAfterFirst(t, &silent), silentAfterFirst(t, &silent))
+	client := newClient(t, false)
+	for range 2 {
+		got := do(t, client, newRequest(t, "GET", b.url+"/fetch", nil))
+		assert.Equal(t, got.status, 200)
+	}
+	// Both pooled connections are silent now: the call uses up both.
+	got := do(t, client, newRequest(t, "GET", b.url+"/fetch", nil))
+	assert.Equal(t, got.status, 504)
+	assert.Equal(t, silent.Load(), int64(2))
+	got = do(t, client, newRequest(t, "GET", b.url+"/fetch", nil))
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, silent.Load(), int64(2))
+}
+
+// A server must not go on working for a caller that left.
+func TestCallerThatLeavesCancelsTheServersRequest(t *testing.T) {
+	for _, path := range []string{"/fetch", "/x", "/upload"} {
+		began, ended := make(chan struct{}), make(chan struct{})
+		server := startServer(t, func(_ http.ResponseWriter, r *http.Request) {
+			close(began)
+			<-r.Context().Done()
+			close(ended)
+		})
+		b := newBench(t, setup{}, server)
+		ctx, cancel := context.WithCancel(t.Context())
+		request := newRequest(t, "DELETE", b.url+path, nil).WithContext(ctx)
+		go func() {
+			<-began
+			cancel()
+		}()
+		got := do(t, newClient(t, false), request)
+		assert.ErrorIs(t, got.err, context.Canceled)
+		<-ended
+	}
+}
+
+// A retry or hedge must not be sent for a call that a trusted gateway sent a
+// second time already, nor beyond the budget.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	var sent atomic.Int64
+	broken := func(w http.ResponseWriter, _ *http.Request) {
+		sent.Add(1)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	b := newBench(t, setup{}, startServer(t, broken), startServer(t, broken), startServer(t, broken))
+	client := newClient(t, false)
+	const calls = 200
+	for range calls {
+		got := do(t, client, newRequest(t, "GET", b.url+"/fetch", nil))
+		assert.Equal(t, got.status, 503)
+	}
+	retries := sent.Load() - calls
+	assert.Assert(t, retries >= 1 && retries <= calls/10, retries)
+	assert.Equal(t, counter(b, `balsamhill_retries_total{service="desk"}`), uint64(retries))
+}
+
+// Answers must start before the request body has ended.
+func TestBothBodiesStreamAtOnce(t *testing.T) {
+	for _, http2 := range []bool{false, true} {
+		server := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+			control := http.NewResponseController(w)
+			_ = control.EnableFullDuplex()
+			buffer := make([]byte, 100)
+			for {
+				n, err := r.Body.Read(buffer)
+				_, _ = w.Write(buffer[:n])
+				_ = control.Flush()
+				if err != nil {
+					return
+				}
+			}
+		})
+		b := newBench(t, setup{http2: http2}, server)
+		read, write := io.Pipe()
+		response, err := newClient(t, http2).Do(newRequest(t, "POST", b.url+"/upload", firstLine(read, write)))
+		assert.NilError(t, err)
+		lines := bufio.NewReader(response.Body)
+		for i := range 5 {
+			line, err := lines.ReadString('\n')
+			assert.NilError(t, err)
+			assert.Equal(t, line, fmt.Sprintf("line %d\n", i))
+			_, err = fmt.Fprintf(write, "line %d\n", i+1)
+			assert.NilError(t, err)
+		}
+		assert.NilError(t, write.Close())
+		_, err = io.ReadAll(lines)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+	}
+}
+
+// firstLine writes the first line of a conversation.
+func firstLine(read *io.PipeReader, write *io.PipeWriter) io.Reader {
+	go func() { _, _ = io.WriteString(write, "line 0\n") }()
+	return read
+}
--- /dev/null
+++ b/pkg/proxy/refused.go
@@ -0,0 +1,50 @@
+package proxy
+
+import (
+	"errors"
+	"strings"
+)
+
+// http2StreamError has the shape of the error type that net/http does not
+// export; it converts to any type with the same fields.
+type http2StreamError struct {
+	StreamID uint32
+	Code     uint32
+	Cause    error
+}
+
+func (e http2StreamError) Error() string { return "HTTP/2 stream error" }
+
+const (
+	// refusedStreamCode guarantees that the server did not process the request
+	// (RFC 9113, 8.7).
+	refusedStreamCode = 7
+	// cannotRetry begins the error of net/http for a request with a body that it
+	// would send again if it could. What follows is text only.
+	cannotRetry   = "http2: Transport: cannot retry err ["
+	streamRefused = "stream error: stream ID "
+	goneAway      = "http2: Transport received Server's graceful shutdown GOAWAY]"
+)
+
+// refusedStream reports whether an HTTP/2 server guaranteed that it did not
+// process the request: by REFUSED_STREAM, or by a GOAWAY frame that excludes the
+// stream. The text is compared from its beginning, since the debug data of a
+// GOAWAY frame, which the server chooses, is part of other errors.
+func refusedStream(err error) bool {
+	if err == nil {
+		return false
+	}
+	var stream http2StreamError
+	if errors.As(err, &stream) {
+		return stream.Code == refusedStreamCode
+	}
+	cause, ok := strings.CutPrefix(err.Error(), cannotRetry)
+	if !ok {
+		return false
+	}
+	if strings.HasPrefix(cause, goneAway) {
+		return true
+	}
+	detail, ok := strings.CutPrefix(cause, streamRefused)
+	return ok && strings.HasPrefix(strings.TrimLeft(detail, "0123456789"), "; REFUSED_STREAM")
+}
--- a/pkg/proxy/servers.go
+++ b/pkg/proxy/servers.go
@@ -81,6 +81,11 @@
 		// gives the caller a valid answer.
 		request.Header.Del("Connection")
 		request.Header.Del("Upgrade")
+		if fresh && request.Body == nil {
+			// net/http resends requests without a body after some stream errors that
+			// do not prove that the request was not processed.
+			request.Body = &emptyBody{}
+		}
 	}
 	if fresh {
 		return transports.fresh.RoundTrip(request)
--- /dev/null
+++ b/pkg/proxy/slow_test.go
@@ -0,0 +1,206 @@
+package proxy_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"gotest.tools/v3/assert"
+
+	"balsamhill/pkg/preset"
+	"balsamhill/pkg/proxy"
+	"balsamhill/pkg/routing"
+)
+
+// pipeListener hands out in-memory connections, which follow fake time.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: "pipe", Net: "pipe"} }
+
+func (l *pipeListener) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	select {
+	case l.conns <- far:
+		return near, nil
+	case <-l.closed:
+		return nil, errors.New("listener closed")
+	}
+}
+
+// pipeServers sends requests over in-memory connections.
+type pipeServers struct{ transport *http.Transport }
+
+func (s pipeServers) RoundTrip(_ string, _ bool, r *http.Request) (*http.Response, error) {
+	return s.transport.RoundTrip(r)
+}
+
+// fakeTimeBench runs a gateway and a server over in-memory connections.
+func fakeTimeBench(t *testing.T, server http.HandlerFunc, use func(dial func() net.Conn)) {
+	back, front := newPipeListener(), newPipeListener()
+	backServer := &http.Server{Handler: server}
+	go func() { _ = backServer.Serve(back) }()
+	transport := &http.Transport{DialContext: back.dial}
+	view := routing.NewServiceView(serviceName, 4, "khomas", preset.DefaultTuning(), []*routing.Server{{
+		ID: "a", Address: "server:1", Region: "khomas", Weight: 1, Stats: &routing.Stats{},
+	}})
+	snapshot := &routing.Snapshot{
+		Version:  preset.Version{Preset: preset.Default("ordinary", preset.KindOrdinary)},
+		Services: map[string]*routing.ServiceView{serviceName: view},
+	}
+	started := time.Now()
+	p := proxy.New(proxy.Config{
+		Routes: routing.NewRouteTable([]routing.Route{
+			{PathPrefix: "/fetch", Service: serviceName, Class: preset.ClassFetch},
+			{PathPrefix: "/", Service: serviceName, Class: preset.ClassUpload},
+		}),
+		Snapshot: func() *routing.Snapshot { return snapshot },
+		Servers:  pipeServers{transport},
+		Now:      func() int64 { return int64(time.Since(started) + time.Second) },
+		Metrics:  proxy.NewMetrics(metrics.NewSet()),
+	})
+	frontServer := &http.Server{Handler: p, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute}
+	go func() { _ = frontServer.Serve(front) }()
+	use(func() net.Conn {
+		conn, err := front.dial(t.Context(), "", "")
+		assert.NilError(t, err)
+		return conn
+	})
+	// net/http keeps connections with unread bodies for 500 ms.
+	time.Sleep(time.Second)
+	transport.CloseIdleConnections()
+	assert.NilError(t, frontServer.Close())
+	assert.NilError(t, backServer.Close())
+	synctest.Wait()
+}
+
+// Uploads and downloads that take an hour must not be cut by any time limit.
+func TestHourLongBodiesAreNotCut(t *testing.T) {
+	const parts = 60
+	synctest.Test(t, func(t *testing.T) {
+		fakeTimeBench(t, func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodGet {
+				for range parts {
+					_, _ = io.WriteString(w, "part ")
+					_ = http.NewResponseController(w).Flush()
+					time.Sleep(25 * time.Second)
+				}
+				return
+			}
+			body, err := io.ReadAll(r.Body)
+			if err == nil {
+				_, _ = w.Write(body)
+			}
+		}, func(dial func() net.Conn) {
+			conn := dial()
+			defer conn.Close()
+			_, err := io.WriteString(conn, "POST /upload HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n")
+			assert.NilError(t, err)
+			began := time.Now()
+			for range parts {
+				time.Sleep(time.Minute)
+				_, err = io.WriteString(conn, "5\r\npart \r\n")
+				assert.NilError(t, err)
+			}
+			_, err = io.WriteString(conn, "0\r\n\r\n")
+			assert.NilError(t, err)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			body, err := io.ReadAll(response.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, string(body), strings.Repeat("part ", parts))
+			assert.Assert(t, time.Since(began) >= time.Hour)
+
+			download := dial()
+			defer download.Close()
+			_, err = io.WriteString(download, "GET /fetch HTTP/1.1\r\nHost: x\r\n\r\n")
+			assert.NilError(t, err)
+			response, err = http.ReadResponse(bufio.NewReader(download), nil)
+			assert.NilError(t, err)
+			body, err = io.ReadAll(response.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, len(body), parts*len("part "))
+		})
+	})
+}
+
+// A caller or a server that stops in the middle of a body must not hold the
+// gateway's memory and connections for good.
+func TestStalledBodiesEnd(t *testing.T) {
+	cases := []struct {
+		desc, request string
+		serverStalls  bool
+		wantStatus    string
+		// wantWithin is the idle time of the class and some slack.
+		wantWithin time.Duration
+	}{
+		{"caller stops sending", "POST /upload HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc", false, "408", 125 * time.Second},
+		{"server stops answering", "GET /fetch HTTP/1.1\r\nHost: x\r\n\r\n", true, "200", 35 * time.Second},
+		{"server takes no body", "POST /upload?full HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000\r\n\r\n", true, "504", 125 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				stop := make(chan struct{})
+				fakeTimeBench(t, func(w http.ResponseWriter, r *http.Request) {
+					if r.Method == http.MethodGet {
+						_, _ = io.WriteString(w, "beginning")
+						_ = http.NewResponseController(w).Flush()
+					}
+					if c.serverStalls {
+						<-stop
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+				}, func(dial func() net.Conn) {
+					defer close(stop)
+					conn := dial()
+					defer conn.Close()
+					began := time.Now()
+					_, err := io.WriteString(conn, c.request)
+					assert.NilError(t, err)
+					go func() {
+						// The whole body, for the case in which the server takes none.
+						if c.wantStatus == "504" {
+							_, _ = conn.Write(make([]byte, 1000000))
+						}
+					}()
+					answer, _ := io.ReadAll(conn)
+					assert.Assert(t, strings.HasPrefix(string(answer), "HTTP/1.1 "+c.wantStatus), string(answer))
+					assert.Assert(t, !strings.HasSuffix(string(answer), "0\r\n\r\n"))
+					assert.Assert(t, time.Since(began) <= c.wantWithin, time.Since(began))
+				})
+			})
+		})
+	}
+}
