Measure the added latency of the traffic path

Cause: the target of 0.35 ms for 99 in 100 calls had no measurement.

Change: BenchmarkAddedLatency sends calls directly and through the gateway in turn; BenchmarkHandlerAllocations counts the allocations of the handler alone. A test holds an upload to a server that reads nothing for 6 s.

--- /dev/null
+++ b/pkg/proxy/latency_bench_test.go
@@ -0,0 +1,115 @@
+package proxy_test
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"balsamhill/pkg/proxy"
+)
+
+// BenchmarkAddedLatency sends calls directly and through the gateway in turn, so
+// that noise of the machine meets both alike, and reports the quantiles of both
+// and their differences in microseconds. Server, gateway and caller share one
+// process; the server answers 1 KiB at once.
+func BenchmarkAddedLatency(b *testing.B) {
+	answer := []byte(strings.Repeat("x", 1<<10))
+	server := startServer(b, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = w.Write(answer)
+	})
+	cases := []struct {
+		desc, method, path string
+		setup              setup
+	}{
+		{"fetch", "GET", "/fetch", setup{}},
+		{"fetch over HTTP2 to the server", "GET", "/fetch", setup{http2: true}},
+		{"booking", "POST", "/x", setup{}},
+	}
+	for _, c := range cases {
+		b.Run(c.desc, func(b *testing.B) {
+			bench := newBench(b, c.setup, server, server)
+			client := newClient(b, false)
+			measure := func(url string) time.Duration {
+				var body io.Reader
+				if c.method == "POST" {
+					body = strings.NewReader("booking")
+				}
+				request := newRequest(b, c.method, url+c.path, body)
+				began := time.Now()
+				got := do(b, client, request)
+				took := time.Since(began)
+				assert.Equal(b, got.status, 200)
+				return took
+			}
+			for range 200 {
+				measure("http://" + server)
+				measure(bench.url)
+			}
+			var direct, through []time.Duration
+			b.ResetTimer()
+			for range b.N {
+				direct = append(direct, measure("http://"+server))
+				through = append(through, measure(bench.url))
+			}
+			b.StopTimer()
+			for _, q := range []struct {
+				name  string
+				share float64
+			}{{"p50", 0.5}, {"p99", 0.99}} {
+				d, g := quantile(direct, q.share), quantile(through, q.share)
+				b.ReportMetric(d, "direct-"+q.name+"-µs")
+				b.ReportMetric(g, "gateway-"+q.name+"-µs")
+				b.ReportMetric(g-d, "added-"+q.name+"-µs")
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func quantile(values []time.Duration, share float64) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	return float64(sorted[int(share*float64(len(sorted)-1))]) / float64(time.Microsecond)
+}
+
+// cannedServers answers without a network.
+type cannedServers struct{ header http.Header }
+
+func (s cannedServers) RoundTrip(_ string, _ bool, r *http.Request) (*http.Response, error) {
+	return &http.Response{
+		StatusCode: 200, ProtoMajor: 1, ProtoMinor: 1, Header: s.header, ContentLength: 2,
+		Body: io.NopCloser(strings.NewReader("ok")), Request: r,
+	}, nil
+}
+
+// quietWriter is a caller's side without a network.
+type quietWriter struct{ header http.Header }
+
+func (w *quietWriter) Header() http.Header              { return w.header }
+func (w *quietWriter) WriteHeader(int)                  {}
+func (w *quietWriter) Write(data []byte) (int, error)   { return len(data), nil }
+func (w *quietWriter) SetReadDeadline(time.Time) error  { return nil }
+func (w *quietWriter) SetWriteDeadline(time.Time) error { return nil }
+
+// BenchmarkHandlerAllocations counts what the traffic path itself allocates for
+// one call, without net/http on either side.
+func BenchmarkHandlerAllocations(b *testing.B) {
+	servers := cannedServers{http.Header{"Content-Type": {"text/plain"}, "Content-Length": {"2"},
+		"Endpoint-Load-Metrics": {"TEXT named_metrics.in_flight=3, application_utilization=0.7"}}}
+	bench := newBench(b, setup{adjust: func(config *proxy.Config) { config.Servers = servers }}, "127.0.0.1:1")
+	for _, path := range []string{"/fetch", "/x"} {
+		b.Run(path[1:], func(b *testing.B) {
+			request := newRequest(b, "GET", "http://x"+path, nil, "Accept", "*/*", "User-Agent", "bench", "Cookie", "a=b")
+			request.RemoteAddr = "127.0.0.1:1234"
+			b.ReportAllocs()
+			for range b.N {
+				bench.proxy.ServeHTTP(&quietWriter{header: http.Header{}}, request)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/proxy/pause_test.go
@@ -0,0 +1,35 @@
+package proxy_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Linux ends a connection after the TCP user timeout also when the receiver is
+// alive but does not read. A server that pauses for longer than 4 s must not cut
+// an upload. The kernel's timers do not follow fake time.
+func TestUploadSurvivesAPausedServer(t *testing.T) {
+	t.Parallel()
+	const pause, size = 6 * time.Second, 30 << 20
+	server := startRaw(t, func(conn net.Conn) {
+		time.Sleep(pause)
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		n, err := io.Copy(io.Discard, request.Body)
+		if err == nil && n == size {
+			_, _ = io.WriteString(conn, "HTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	b := newBench(t, setup{}, server)
+	got := do(t, newClient(t, false), newRequest(t, "POST", b.url+"/upload", strings.NewReader(strings.Repeat("x", size))))
+	assert.Equal(t, got.status, 201)
+}
