Count idle time over both bodies and test the defences one by one

Change: the idle time counts while neither body makes progress. The time to the answer's header, not the whole call, feeds the estimate of admission, and uploads do not feed it at all: one upload of an hour would have shed every waiting fetch for its deadline.

--- a/pkg/admission/limiter.go
+++ b/pkg/admission/limiter.go
@@ -154,12 +154,16 @@
 	return ahead * l.serviceTime.Load() / max(1, bounds.Limit)
 }
 
-// Release ends an admitted call that took the given time.
+// Release ends an admitted call that took the given time. 0 leaves the estimate
+// of the service time as it is; calls that last as long as their body, such as
+// uploads, must not count, or short calls would be shed for their deadlines.
 func (l *Limiter) Release(now, took int64) {
 	old := l.serviceTime.Load()
-	if old == 0 {
+	switch {
+	case took <= 0:
+	case old == 0:
 		l.serviceTime.Store(took)
-	} else {
+	default:
 		// A lost update of the average is harmless, so no compare-and-swap loop.
 		l.serviceTime.Store(old + int64(serviceTimeWeight*float64(took-old)))
 	}
--- a/pkg/proxy/body.go
+++ b/pkg/proxy/body.go
@@ -58,6 +58,10 @@
 	ended      bool
 	closed     bool
 	err        error
+	// reading says that a read from the caller is in flight.
+	reading bool
+	// moved is when the last bytes came.
+	moved time.Time
 	// trailer receives the caller's trailers at the end of the body.
 	trailer http.Header
 	// stall cancels the attempt when a server does not take the body.
@@ -170,6 +174,9 @@
 	if len(b.prefix) > 0 {
 		n := copy(p, b.prefix)
 		b.prefix = b.prefix[n:]
+		if b.stall != nil {
+			b.stall.Reset(b.idle)
+		}
 		b.mu.Unlock()
 		return n, nil
 	}
@@ -180,6 +187,7 @@
 	if b.stall != nil {
 		b.stall.Stop()
 	}
+	b.reading = true
 	_ = b.c.control.SetReadDeadline(time.Now().Add(b.idle))
 	b.mu.Unlock()
 
@@ -187,6 +195,8 @@
 
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.reading = false
+	b.moved = time.Now()
 	return b.took(n, err)
 }
 
@@ -234,6 +244,33 @@
 	b.stall.Stop()
 }
 
+// answerMoved gives the body more time, because the idle time counts only while
+// neither body makes progress.
+func (b *callerBody) answerMoved() {
+	if !b.present || b.buffered != nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case b.ended || b.closed:
+	case b.reading:
+		_ = b.c.control.SetReadDeadline(time.Now().Add(b.idle))
+	case b.stall != nil && b.err == nil:
+		b.stall.Reset(b.idle)
+	}
+}
+
+// movedWithin reports whether the body made progress within the idle time.
+func (b *callerBody) movedWithin(idle time.Duration) bool {
+	if !b.present || b.buffered != nil {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Since(b.moved) < idle
+}
+
 // finish ends the use of the caller's body by this call.
 func (b *callerBody) finish() {
 	if !b.present {
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"os"
 	"strconv"
 	"sync"
@@ -52,6 +53,7 @@
 	view      *routing.ServiceView
 	arrived   int64
 	deadline  int64
+	peer      netip.Addr
 	trusted   bool
 	requestID string
 	upgrade   string
@@ -63,6 +65,10 @@
 	ticket          *claim.Ticket
 	finished        bool
 
+	// admitted and headerAt are the times of admission and of the answer's header.
+	admitted int64
+	headerAt int64
+
 	// base is the context of all attempts.
 	base     context.Context
 	body     callerBody
@@ -108,11 +114,10 @@
 	if !c.bufferBody() {
 		return
 	}
-	release, ok := c.admit()
-	if !ok {
+	if !c.admit() {
 		return
 	}
-	defer release()
+	defer c.leave()
 	server := c.choose()
 	if server == nil {
 		c.proxy.config.Metrics.noServer.Inc()
@@ -146,7 +151,7 @@
 }
 
 // admit waits for a place among the calls in flight of the service.
-func (c *call) admit() (release func(), ok bool) {
+func (c *call) admit() bool {
 	now := c.proxy.config.Now()
 	limiter := &c.service.limiter
 	verdict, ticket := limiter.Acquire(now, c.deadline, c.bounds())
@@ -154,15 +159,22 @@
 		verdict = c.waitForPlace(ticket)
 	}
 	if verdict == admission.Admitted {
-		started := c.proxy.config.Now()
-		return func() {
-			ended := c.proxy.config.Now()
-			limiter.Release(ended, ended-started)
-		}, true
+		c.admitted = c.proxy.config.Now()
+		return true
 	}
 	c.proxy.config.Metrics.shed[verdict].Inc()
 	c.refuse(http.StatusServiceUnavailable, "too many calls of "+c.route.Service+" are in flight")
-	return nil, false
+	return false
+}
+
+// leave gives the place back. The time to the answer's header counts as service
+// time, because deadlines end with the header; bodies may be streamed for hours.
+func (c *call) leave() {
+	took := int64(0)
+	if c.headerAt != 0 && c.route.Class != preset.ClassUpload {
+		took = c.headerAt - c.admitted
+	}
+	c.service.limiter.Release(c.proxy.config.Now(), took)
 }
 
 func (c *call) waitForPlace(ticket *admission.Ticket) admission.Verdict {
@@ -252,6 +264,7 @@
 // conclude hands the last attempt's result to the caller.
 func (c *call) conclude(a *attempt) {
 	if a.response != nil {
+		c.headerAt = c.proxy.config.Now()
 		c.deliver(a)
 		return
 	}
--- a/pkg/proxy/deliver.go
+++ b/pkg/proxy/deliver.go
@@ -129,7 +129,7 @@
 	defer bufferPool.Put(pooled)
 	buffer := *pooled
 	idle := c.idle()
-	stall := time.AfterFunc(idle, func() { a.cancel(errIdle) })
+	stall := c.watchAnswer(a, idle)
 	defer stall.Stop()
 	var copied int64
 	var failed error
@@ -145,6 +145,7 @@
 			if failed != nil && (!record.wanted || record.full) {
 				return failed
 			}
+			c.body.answerMoved()
 			stall.Reset(idle)
 		}
 		if errors.Is(err, io.EOF) {
@@ -156,6 +157,23 @@
 	}
 }
 
+// watchAnswer cancels an attempt when neither the answer nor the request's body
+// makes progress for the idle time.
+func (c *call) watchAnswer(a *attempt, idle time.Duration) *time.Timer {
+	var timer *time.Timer
+	ready := make(chan struct{})
+	timer = time.AfterFunc(idle, func() {
+		<-ready
+		if c.body.movedWithin(idle) {
+			timer.Reset(idle)
+			return
+		}
+		a.cancel(errIdle)
+	})
+	close(ready)
+	return timer
+}
+
 // write sends a part of the body to the caller; the last part is not flushed,
 // because net/http does so when the handler returns.
 func (c *call) write(data []byte, last bool) error {
--- a/pkg/proxy/forwarded.go
+++ b/pkg/proxy/forwarded.go
@@ -25,16 +25,9 @@
 }
 
 // trusts reports whether the peer's forwarding headers are kept.
-func (p *Proxy) trusts(remote string) bool {
-	if len(p.config.TrustedProxies) == 0 {
-		return false
-	}
-	address, ok := peerAddress(remote)
-	if !ok {
-		return false
-	}
+func (p *Proxy) trusts(peer netip.Addr) bool {
 	for _, prefix := range p.config.TrustedProxies {
-		if prefix.Contains(address) {
+		if prefix.Contains(peer) {
 			return true
 		}
 	}
@@ -51,24 +44,22 @@
 
 // forwarding adds the peer to X-Forwarded-For, and to Forwarded if a trusted
 // proxy uses it. Headers of untrusted peers are not in the map any more.
-func (c *call) forwarding(to http.Header) {
+func (c *call) forwarding(to http.Header, values *headerValues) {
 	scheme := "http"
 	if c.r.TLS != nil {
 		scheme = "https"
 	}
-	address, ok := peerAddress(c.r.RemoteAddr)
-	if ok {
-		peer := address.String()
-		to["X-Forwarded-For"] = appendList(to["X-Forwarded-For"], peer)
+	if c.peer.IsValid() {
+		values.set(to, "X-Forwarded-For", appendList(to["X-Forwarded-For"], c.peer.String()))
 		if earlier := to["Forwarded"]; len(earlier) > 0 {
-			to["Forwarded"] = appendList(earlier, "for="+forwardedNode(address)+";proto="+scheme)
+			values.set(to, "Forwarded", appendList(earlier, "for="+forwardedNode(c.peer)+";proto="+scheme))
 		}
 	}
 	if len(to["X-Forwarded-Proto"]) == 0 {
-		to["X-Forwarded-Proto"] = []string{scheme}
+		values.set(to, "X-Forwarded-Proto", scheme)
 	}
 	if len(to["X-Forwarded-Host"]) == 0 {
-		to["X-Forwarded-Host"] = []string{c.r.Host}
+		values.set(to, "X-Forwarded-Host", c.r.Host)
 	}
 }
 
@@ -80,11 +71,11 @@
 	return `"[` + address.String() + `]"`
 }
 
-func appendList(earlier []string, element string) []string {
+func appendList(earlier []string, element string) string {
 	if len(earlier) == 0 {
-		return []string{element}
+		return element
 	}
-	return []string{strings.Join(earlier, ", ") + ", " + element}
+	return strings.Join(earlier, ", ") + ", " + element
 }
 
 const maxRequestIDBytes = 128
--- a/pkg/proxy/fuzz_test.go
+++ b/pkg/proxy/fuzz_test.go
@@ -44,6 +44,7 @@
 		"POST /%2e%2e/x?q HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k\r\nBalsamhill_Attempt: 9\r\nContent-Length: 1\r\n\r\na",
 		"GET http://other//a\\b HTTP/1.1\r\nHost: x\r\nX-Forwarded-For: 1\r\nForwarded: for=1\r\n\r\n",
 		"GET /a HTTP/1.1\r\nHost: x\r\nConnection: upgrade\r\nUpgrade: websocket\r\nX-Request-Timeout-Ms: 5\r\n\r\n",
+		"POST /a HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k\r\nX-Idempotency-Key: k\r\n\r\n",
 	} {
 		f.Add(seed, false)
 		f.Add(seed, true)
--- a/pkg/proxy/harness_test.go
+++ b/pkg/proxy/harness_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,6 +32,8 @@
 	proxy   *proxy.Proxy
 	servers []*routing.Server
 	front   *httptest.Server
+	// callers counts requests whose caller is still there.
+	callers atomic.Int64
 }
 
 // setup changes what newBench builds.
@@ -85,7 +88,11 @@
 		s.adjust(&config)
 	}
 	b.proxy = proxy.New(config)
-	b.front = httptest.NewUnstartedServer(b.proxy)
+	b.front = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b.callers.Add(1)
+		context.AfterFunc(r.Context(), func() { b.callers.Add(-1) })
+		b.proxy.ServeHTTP(w, r)
+	}))
 	b.front.Config.Protocols = bothProtocols()
 	b.front.Start()
 	b.url = b.front.URL
--- a/pkg/proxy/headers.go
+++ b/pkg/proxy/headers.go
@@ -77,7 +77,8 @@
 
 func (c *call) outgoingHeader(number int) http.Header {
 	from := c.r.Header
-	to := make(http.Header, len(from)+6)
+	to := make(http.Header, len(from)+addedHeaders)
+	values := make(headerValues, 0, addedHeaders)
 	named := connectionNames(from)
 	for name, values := range from {
 		if hopHeaders[name] || (named != nil && named[name]) || (!c.trusted && isInternal(name)) {
@@ -103,16 +104,28 @@
 		// Keeps http.Transport from adding its own.
 		to["User-Agent"] = nil
 	}
-	to[requestIDHeader] = []string{c.requestID}
-	to[attemptHeader] = []string{strconv.Itoa(retry.OutgoingAttempt(c.incomingAttempt, number))}
+	values.set(to, requestIDHeader, c.requestID)
+	values.set(to, attemptHeader, strconv.Itoa(retry.OutgoingAttempt(c.incomingAttempt, number)))
 	delete(to, timeoutHeader)
 	if left, ok := retry.RemainingMillis(c.proxy.config.Now(), c.deadline); ok {
-		to[timeoutHeader] = []string{strconv.FormatInt(left, 10)}
+		values.set(to, timeoutHeader, strconv.FormatInt(left, 10))
 	}
-	c.forwarding(to)
+	c.forwarding(to, &values)
 	return to
 }
 
+// addedHeaders is how many headers the gateway adds to a request.
+const addedHeaders = 8
+
+// headerValues holds the single values of several headers in one allocation.
+type headerValues []string
+
+func (v *headerValues) set(header http.Header, name, value string) {
+	*v = append(*v, value)
+	last := len(*v)
+	header[name] = (*v)[last-1 : last : last]
+}
+
 // connectionNames returns the names that the Connection header declares to be
 // hop-by-hop, nil if there is nothing unusual.
 func connectionNames(header http.Header) map[string]bool {
--- a/pkg/proxy/once_test.go
+++ b/pkg/proxy/once_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -68,6 +69,9 @@
 			runs.Store(0)
 			got := do(t, client, newRequest(t, c.method, b.url+c.path, strings.NewReader(c.body), c.headers...))
 			assert.Equal(t, runs.Load(), c.wantRuns)
+			// The library itself must not have tried; the guard behind it is the
+			// second defence.
+			assert.Equal(t, counter(b, "balsamhill_transport_resends_refused_total"), uint64(0))
 			assert.Equal(t, got.status, 502)
 			assert.Equal(t, got.header.Get("Balsamhill-Outcome"), "unknown")
 			assert.Equal(t, guard.ends[len(guard.ends)-1], crashguard.EndedBroken)
@@ -222,3 +226,29 @@
 		assert.Equal(t, len(guard.ends), 0)
 	}
 }
+
+// A caller that leaves and sends again must get the answer of the run, so the
+// run of a claimed call goes on without its caller.
+func TestClaimedCallGoesOnWithoutItsCaller(t *testing.T) {
+	began, left := make(chan struct{}), make(chan struct{})
+	server := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		close(began)
+		<-left
+		_, _ = io.WriteString(w, "booked")
+	})
+	claims := &fakeClaims{decision: claim.Decision{Kind: claim.Dispatch}, mayDispatch: true}
+	b := newBench(t, setup{adjust: func(config *proxy.Config) { config.Claims = claims }}, server)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-began
+		cancel()
+	}()
+	request := newRequest(t, "POST", b.url+"/x", strings.NewReader("body"), "Idempotency-Key", "k").WithContext(ctx)
+	got := do(t, newClient(t, false), request)
+	assert.ErrorIs(t, got.err, context.Canceled)
+	waitFor(t, "the gateway sees that the caller left", func() bool { return b.callers.Load() == 0 })
+	close(left)
+	assert.NilError(t, b.proxy.Wait(t.Context()))
+	assert.Equal(t, len(claims.results), 1)
+	assert.Equal(t, string(claims.results[0].Answer.Body), "booked")
+}
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -87,9 +87,9 @@
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
 	arrived := p.config.Now()
-	trusted := p.trusts(r.RemoteAddr)
+	peer, _ := peerAddress(r.RemoteAddr)
 	id := requestID(r)
-	w.Header().Set(requestIDHeader, id)
+	w.Header()[requestIDHeader] = []string{id}
 	if !checkRequest(p, w, r) {
 		return
 	}
@@ -107,7 +107,8 @@
 		route:     route,
 		service:   p.service(route.Service),
 		arrived:   arrived,
-		trusted:   trusted,
+		peer:      peer,
+		trusted:   p.trusts(peer),
 		requestID: id,
 		control:   http.NewResponseController(w),
 	}
--- a/pkg/proxy/race_test.go
+++ b/pkg/proxy/race_test.go
@@ -21,9 +21,10 @@
 
 // manyExtras lets nearly every call retry and hedge.
 func manyExtras(classes map[preset.Class]preset.Limits) {
-	limits := classes[preset.ClassFetch]
-	limits.RetryPercent, limits.HedgePercent = 100, 100
-	classes[preset.ClassFetch] = limits
+	for class, limits := range classes {
+		limits.RetryPercent, limits.HedgePercent = 100, 100
+		classes[class] = limits
+	}
 }
 
 func counter(b *bench, name string) uint64 {
@@ -142,6 +143,26 @@
 	assert.Equal(t, silent.Load(), int64(2))
 }
 
+// A connection that went silent speaks against its server, and the caller gets
+// the answer of another one.
+func TestSilentConnectionCountsAsFailure(t *testing.T) {
+	var silent atomic.Int64
+	whole := startServer(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+	b := newBench(t, setup{limits: func(classes map[preset.Class]preset.Limits) {
+		manyExtras(classes)
+		limits := classes[preset.ClassFetch]
+		limits.TimeoutMillis = 600
+		classes[preset.ClassFetch] = limits
+	}}, silentAfterFirst(t, &silent), whole)
+	client := newClient(t, false)
+	for range 3 {
+		got := do(t, client, newRequest(t, "GET", b.url+"/fetch", nil))
+		assert.Equal(t, got.status, 200)
+	}
+	assert.Equal(t, silent.Load(), int64(1))
+	waitFor(t, "failure counted", func() bool { return b.servers[0].Stats.Failures.Load() == 1 })
+}
+
 // A server must not go on working for a caller that left.
 func TestCallerThatLeavesCancelsTheServersRequest(t *testing.T) {
 	for _, path := range []string{"/fetch", "/x", "/upload"} {
@@ -172,7 +193,12 @@
 		sent.Add(1)
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
-	b := newBench(t, setup{}, startServer(t, broken), startServer(t, broken), startServer(t, broken))
+	noHedges := func(classes map[preset.Class]preset.Limits) {
+		limits := classes[preset.ClassFetch]
+		limits.HedgePercent = 0
+		classes[preset.ClassFetch] = limits
+	}
+	b := newBench(t, setup{limits: noHedges}, startServer(t, broken), startServer(t, broken), startServer(t, broken))
 	client := newClient(t, false)
 	const calls = 200
 	for range calls {
--- /dev/null
+++ b/pkg/proxy/resend_test.go
@@ -0,0 +1,53 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"net/http/httptrace"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	"gotest.tools/v3/assert"
+
+	"balsamhill/pkg/retry"
+)
+
+// The second defence against resends by the library: a connection that is
+// assigned after an earlier one was written to must be closed before the request
+// is written again.
+func TestSecondConnectionIsRefusedAfterAWrite(t *testing.T) {
+	cases := []struct {
+		desc       string
+		safety     retry.Safety
+		write      bool
+		wantDenied bool
+	}{
+		{"non-idempotent, written", retry.NonIdempotent, true, true},
+		{"keyed, written", retry.Keyed, true, true},
+		{"keyed, not written", retry.Keyed, false, false},
+		{"idempotent, written", retry.Idempotent, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			p := New(Config{Metrics: NewMetrics(metrics.NewSet())})
+			a := &attempt{call: &call{proxy: p, safety: c.safety}}
+			a.ctx, a.cancel = context.WithCancelCause(t.Context())
+			connect := func() *trackedConn {
+				near, far := net.Pipe()
+				go func() { _, _ = far.Read(make([]byte, 1)) }()
+				conn := newTrackedConn(near, false)
+				a.gotConn(httptrace.GotConnInfo{Conn: conn})
+				return conn
+			}
+			first := connect()
+			if c.write {
+				_, err := first.Write([]byte("x"))
+				assert.NilError(t, err)
+			}
+			second := connect()
+			_, err := second.Write([]byte("x"))
+			assert.Equal(t, err != nil, c.wantDenied)
+			assert.Assert(t, a.written())
+		})
+	}
+}
--- a/pkg/proxy/slow_test.go
+++ b/pkg/proxy/slow_test.go
@@ -117,43 +117,58 @@
 				}
 				return
 			}
+			if r.URL.RawQuery == "early" {
+				_ = http.NewResponseController(w).EnableFullDuplex()
+				_ = http.NewResponseController(w).Flush()
+			}
 			body, err := io.ReadAll(r.Body)
+			if r.URL.RawQuery == "" {
+				// Longer than the idle time, which does not count after the body's end.
+				time.Sleep(10 * time.Minute)
+			}
 			if err == nil {
 				_, _ = w.Write(body)
 			}
 		}, func(dial func() net.Conn) {
-			conn := dial()
-			defer conn.Close()
-			_, err := io.WriteString(conn, "POST /upload HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n")
-			assert.NilError(t, err)
-			began := time.Now()
-			for range parts {
-				time.Sleep(time.Minute)
-				_, err = io.WriteString(conn, "5\r\npart \r\n")
-				assert.NilError(t, err)
+			for _, path := range []string{"/upload", "/upload?early"} {
+				uploadForAnHour(t, dial(), path, parts)
 			}
-			_, err = io.WriteString(conn, "0\r\n\r\n")
-			assert.NilError(t, err)
-			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-			assert.NilError(t, err)
-			body, err := io.ReadAll(response.Body)
-			assert.NilError(t, err)
-			assert.Equal(t, string(body), strings.Repeat("part ", parts))
-			assert.Assert(t, time.Since(began) >= time.Hour)
-
 			download := dial()
 			defer download.Close()
-			_, err = io.WriteString(download, "GET /fetch HTTP/1.1\r\nHost: x\r\n\r\n")
+			_, err := io.WriteString(download, "GET /fetch HTTP/1.1\r\nHost: x\r\n\r\n")
 			assert.NilError(t, err)
-			response, err = http.ReadResponse(bufio.NewReader(download), nil)
+			response, err := http.ReadResponse(bufio.NewReader(download), nil)
 			assert.NilError(t, err)
-			body, err = io.ReadAll(response.Body)
+			body, err := io.ReadAll(response.Body)
 			assert.NilError(t, err)
 			assert.Equal(t, len(body), parts*len("part "))
 		})
 	})
 }
 
+func uploadForAnHour(t *testing.T, conn net.Conn, path string, parts int) {
+	defer conn.Close()
+	began := time.Now()
+	sent := make(chan error, 1)
+	go func() {
+		_, err := io.WriteString(conn, "POST "+path+" HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for range parts {
+			time.Sleep(time.Minute)
+			_, partErr := io.WriteString(conn, "5\r\npart \r\n")
+			err = errors.Join(err, partErr)
+		}
+		_, endErr := io.WriteString(conn, "0\r\n\r\n")
+		sent <- errors.Join(err, endErr)
+	}()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err, path)
+	assert.NilError(t, <-sent)
+	assert.Equal(t, string(body), strings.Repeat("part ", parts))
+	assert.Assert(t, time.Since(began) >= time.Hour)
+}
+
 // A caller or a server that stops in the middle of a body must not hold the
 // gateway's memory and connections for good.
 func TestStalledBodiesEnd(t *testing.T) {
