Don't fade load reports while own requests wait at the server

Cause (`-policy.trace` prints the slowest calls): the slowest calls of `noisy-70` went to servers with 15 to 35 requests present which the gateway believed to hold 5 to 13. A slowed server answers rarely, so its last report was 50 to 150 ms old and had faded with a half-life of 50 ms just when the queue was longest. Change: the report fades only while the gateway has no request of its own at the server.

--- a/pkg/policybench/gateway.go
+++ b/pkg/policybench/gateway.go
@@ -63,6 +63,7 @@
 	sent   int64
 	ended  bool
 	job    *job
+	traced TracedAttempt
 }
 
 func (g *gateway) tick() {
@@ -177,6 +178,7 @@
 		// Another server meets its own obstacles, so the service time is drawn anew.
 		a.job.work = serviceTime(g.run.random)
 	}
+	a.traced = traceAttempt(g.run, c, a)
 	c.attempts = append(c.attempts, a)
 	c.pending++
 	s.onTheWay++
--- a/pkg/policybench/policy_test.go
+++ b/pkg/policybench/policy_test.go
@@ -1,6 +1,7 @@
 package policybench
 
 import (
+	"flag"
 	"sync"
 	"testing"
 
@@ -64,11 +65,19 @@
 	}
 }
 
+// traceFlag prints the slowest calls of the policies that the benchmark runs.
+var traceFlag = flag.Bool("policy.trace", false, "print the slowest calls of each run")
+
 func report(b *testing.B, deployment Deployment, workload Workload, policy Policy) {
 	// The loop over b.N is left out: the metrics of a run in virtual time do not
 	// depend on it.
 	results := resultsOf(deployment, workload)
 	result, ideal, roundRobin := results[policy.Name], results["ideal"], results["round-robin"]
+	if *traceFlag && b.N == 1 {
+		for _, trace := range result.Slowest {
+			b.Logf("%+v", trace)
+		}
+	}
 	millis := func(q float64) float64 { return result.Quantile(q).Seconds() * 1e3 }
 	ratio := func(to *Result, q float64) float64 {
 		return float64(result.Quantile(q)) / float64(to.Quantile(q))
--- a/pkg/policybench/result.go
+++ b/pkg/policybench/result.go
@@ -35,8 +35,25 @@
 type Trace struct {
 	Arrived, Latency time.Duration
 	Gateway          string
-	Servers          []string
-	Work             time.Duration
+	Attempts         []TracedAttempt
+}
+
+// TracedAttempt is what was true, and what the gateway believed, when an attempt
+// was sent.
+type TracedAttempt struct {
+	Server string
+	// After is the time since the arrival of the call.
+	After time.Duration
+	Work  time.Duration
+	// Present is the number of other attempts at the server or on the way there,
+	// Least the lowest such number of any server of its region.
+	Present, Least int
+	// Estimated is what the gateway believed of Present.
+	Estimated float64
+	// Age is the age of the last load report, Average the average latency.
+	Age, Average time.Duration
+	// Slow is the server's slowness, 1 for none.
+	Slow float64
 }
 
 const (
@@ -97,9 +114,9 @@
 	if len(r.Slowest) == tracedCalls && latency <= r.Slowest[tracedCalls-1].Latency {
 		return
 	}
-	t := Trace{Arrived: time.Duration(c.arrived - start), Latency: latency, Gateway: c.gateway.id, Work: time.Duration(c.work)}
+	t := Trace{Arrived: time.Duration(c.arrived - start), Latency: latency, Gateway: c.gateway.id}
 	for _, a := range c.attempts {
-		t.Servers = append(t.Servers, a.server.id)
+		t.Attempts = append(t.Attempts, a.traced)
 	}
 	r.Slowest = append(r.Slowest, t)
 	slices.SortFunc(r.Slowest, func(a, b Trace) int { return int(b.Latency - a.Latency) })
@@ -143,3 +160,23 @@
 	}
 	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
 }
+
+// traceAttempt describes an attempt that is about to be sent.
+func traceAttempt(run *run, c *call, a *attempt) TracedAttempt {
+	now := run.clock.now
+	traced := TracedAttempt{
+		Server: a.server.id, After: time.Duration(now - c.arrived), Work: time.Duration(a.job.work),
+		Present: a.server.onTheWay, Least: a.server.onTheWay, Slow: a.server.factor(),
+	}
+	for _, other := range run.servers {
+		if other.region == a.server.region {
+			traced.Least = min(traced.Least, other.onTheWay)
+		}
+	}
+	if a.target != nil {
+		traced.Estimated = a.target.Stats.EstimatedInFlight(now)
+		traced.Age = time.Duration(now - a.target.Stats.ReportedAt())
+		traced.Average = time.Duration(a.target.Stats.Latency())
+	}
+	return traced
+}
--- a/pkg/routing/server.go
+++ b/pkg/routing/server.go
@@ -174,16 +174,21 @@
 // reportHalfLife is the age in nanoseconds at which a load report counts half.
 const reportHalfLife = 50e6
 
-// EstimatedInFlight combines the last report, faded by its age, with own
-// dispatches since. It is never below the own requests in flight.
+// EstimatedInFlight combines the last report, own dispatches since, and the sums
+// of peers. The report fades with age only while this gateway has no request at
+// the server: a server that slows down reports rarely, so a report that fades
+// would show it as idle when its queue is longest.
 func (s *Stats) EstimatedInFlight(now int64) float64 {
 	own := float64(s.inFlight.Load())
+	seen := own + float64(s.peersInFlight.Load())
 	reportedAt := s.reportedAt.Load()
 	if reportedAt == 0 {
-		return own
+		return seen
 	}
-	age := float64(max(0, now-reportedAt))
-	faded := float64(s.reported.Load()) * math.Exp2(-age/reportHalfLife)
-	estimate := faded + float64(max(0, s.sentSinceReport.Load()))
-	return max(own, estimate)
+	reported := float64(s.reported.Load())
+	if own == 0 {
+		age := float64(max(0, now-reportedAt))
+		return reported * math.Exp2(-age/reportHalfLife)
+	}
+	return max(own, reported+float64(max(0, s.sentSinceReport.Load())))
 }
