Sample distinct candidates in hot-cold

The policy sampled with replacement, so of 7 servers in a region all three samples were the same one in 2 % of the picks. Change: distinct samples by Floyd's algorithm (CACM 1987).

--- a/pkg/routing/hotcold.go
+++ b/pkg/routing/hotcold.go
@@ -1,5 +1,7 @@
 package routing
 
+import "math/rand/v2"
+
 // HotCold samples a constant number of candidates and chooses the one with the
 // lowest expected wait: the estimated requests in flight, scaled by the server's
 // weight and its recent latency. The idea of judging by requests in flight
@@ -17,18 +19,36 @@
 
 // Choose implements Policy.
 func (HotCold) Choose(candidates []*Server, pick Pick) *Server {
-	best := candidates[pick.Rand.IntN(len(candidates))]
-	bestScore := hotColdScore(best, pick.Now)
-	for range hotColdSamples - 1 {
-		server := candidates[pick.Rand.IntN(len(candidates))]
+	var indexes [hotColdSamples]int
+	var best *Server
+	bestScore := 0.0
+	for _, index := range sampleDistinct(pick.Rand, len(candidates), indexes[:0]) {
+		server := candidates[index]
 		score := hotColdScore(server, pick.Now)
-		if score < bestScore {
+		if best == nil || score < bestScore {
 			best, bestScore = server, score
 		}
 	}
 	return best
 }
 
+// sampleDistinct fills chosen up to its capacity with different indexes below n
+// (Floyd's algorithm; Bentley and Floyd, CACM 1987). With replacement, a sample
+// of 3 of 7 servers is one single server in 2 % of all picks, however bad it is.
+func sampleDistinct(random *rand.Rand, n int, chosen []int) []int {
+	for limit := max(0, n-cap(chosen)); limit < n; limit++ {
+		index := random.IntN(limit + 1)
+		for _, other := range chosen {
+			if other == index {
+				index = limit
+				break
+			}
+		}
+		chosen = append(chosen, index)
+	}
+	return chosen
+}
+
 func hotColdScore(server *Server, now int64) float64 {
 	latency := float64(server.Stats.Latency())
 	if latency == 0 {
