Count the silence of a server as latency

Cause (`-policy.trace`): the slowest calls went to servers that had left own requests of the gateway unanswered for 30 to 100 ms, with an average latency of 8 ms: the average learns of a slow server only from its late answers. Change: the latency in the score is at least the time for which own requests have waited without any answer.

--- a/pkg/routing/hotcold.go
+++ b/pkg/routing/hotcold.go
@@ -54,6 +54,9 @@
 	if latency == 0 {
 		latency = hotColdDefaultLatency
 	}
+	// A server that keeps own requests waiting for longer than usual has slowed
+	// down, and no answer can say so yet.
+	latency = max(latency, float64(server.Stats.Silence(now)))
 	queue := server.Stats.EstimatedInFlight(now) + 1
 	return (queue*latency + float64(server.Penalty)) / server.Weight
 }
--- a/pkg/routing/server.go
+++ b/pkg/routing/server.go
@@ -80,9 +80,11 @@
 	peersInFlight atomic.Int64
 	latency       atomic.Int64
 	answeredAt    atomic.Int64
-	Successes     atomic.Uint64
-	Failures      atomic.Uint64
-	Sheds         atomic.Uint64
+	// busySince is when the server was last chosen while it had no own request.
+	busySince atomic.Int64
+	Successes atomic.Uint64
+	Failures  atomic.Uint64
+	Sheds     atomic.Uint64
 	// ConsecutiveFailures counts failures since the last success.
 	ConsecutiveFailures atomic.Int64
 	// DrainNoticedAt is the time of the last drain notice on the wire, 0 for none.
@@ -161,6 +163,22 @@
 	return float64(s.reported.Load())
 }
 
+// markChosen records a choice that Start will follow.
+func (s *Stats) markChosen(now int64) {
+	if s.inFlight.Load() == 0 {
+		s.busySince.Store(now)
+	}
+}
+
+// Silence returns how long own requests have been waiting without any answer,
+// 0 if there are none.
+func (s *Stats) Silence(now int64) int64 {
+	if s.inFlight.Load() == 0 {
+		return 0
+	}
+	return max(0, now-max(s.busySince.Load(), s.answeredAt.Load()))
+}
+
 // AnsweredAt returns the time of the last answer, 0 if none.
 func (s *Stats) AnsweredAt() int64 {
 	return s.answeredAt.Load()
--- a/pkg/routing/snapshot.go
+++ b/pkg/routing/snapshot.go
@@ -72,6 +72,9 @@
 	if server == nil && v.Usable() == 0 {
 		server = v.chooseFrom(v.LastResort, pick)
 	}
+	if server != nil {
+		server.Stats.markChosen(pick.Now)
+	}
 	return server
 }
 
