Score hot-cold candidates by expected wait with slots

Cause: averages of log-normal service times differ by up to 1.5 times between equally fast servers, and the score (requests in flight + 1) times latency took that noise, the queue inside the latency, and requests that occupy free slots as waiting time, all as if they were queues. Change: requests count beyond the slots; a server's latency replaces the lowest of the samples only if it is more than 2 times that; the distance is added once.

--- a/pkg/routing/hotcold.go
+++ b/pkg/routing/hotcold.go
@@ -1,12 +1,16 @@
 package routing
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
+	"slices"
+)
 
 // HotCold samples a constant number of candidates and chooses the one with the
-// lowest expected wait: the estimated requests in flight, scaled by the server's
-// weight and its recent latency. The idea of judging by requests in flight
-// first and by latency second is Prequal's (Wydrowski et al., NSDI 2024); here
-// the view comes from answers instead of probes.
+// lowest expected time to the answer. Requests in flight count from the point
+// where they exceed the slots; latency counts where it is far above that of the
+// other samples. The idea of judging by requests in flight first and by latency
+// second is Prequal's (Wydrowski et al., NSDI 2024); here the view comes from
+// answers instead of probes.
 type HotCold struct{}
 
 const (
@@ -15,16 +19,33 @@
 	hotColdSamples = 3
 	// hotColdDefaultLatency is assumed for servers without a sample, in nanoseconds.
 	hotColdDefaultLatency = 5e6
+	// hotColdSlowFactor is how many times slower than the fastest sample a server
+	// must be to count as slow. Averages of healthy servers differ by up to 1.5
+	// times, and choosing by that noise would disturb the choice by queues.
+	hotColdSlowFactor = 2
+	// hotColdFreeSlot is the cost of a request in flight while there are free
+	// slots, as a share of the latency. It spreads work over idle servers.
+	hotColdFreeSlot = 0.05
 )
 
 // Choose implements Policy.
 func (HotCold) Choose(candidates []*Server, pick Pick) *Server {
-	var indexes [hotColdSamples]int
+	var indexArray [hotColdSamples]int
+	var latencies [hotColdSamples]float64
+	indexes := sampleDistinct(pick.Rand, len(candidates), indexArray[:0])
+	for i, index := range indexes {
+		latencies[i] = expectedLatency(candidates[index], pick.Now)
+	}
+	usual := slices.Min(latencies[:len(indexes)])
 	var best *Server
 	bestScore := 0.0
-	for _, index := range sampleDistinct(pick.Rand, len(candidates), indexes[:0]) {
+	for i, index := range indexes {
 		server := candidates[index]
-		score := hotColdScore(server, pick.Now)
+		latency := usual
+		if latencies[i] > hotColdSlowFactor*usual {
+			latency = latencies[i]
+		}
+		score := hotColdScore(server, pick, latency)
 		if best == nil || score < bestScore {
 			best, bestScore = server, score
 		}
@@ -32,6 +53,25 @@
 	return best
 }
 
+// hotColdScore is the expected time to the answer in nanoseconds, divided by
+// the server's weight.
+func hotColdScore(server *Server, pick Pick, latency float64) float64 {
+	inFlight := server.Stats.EstimatedInFlight(pick.Now)
+	slots := float64(max(1, pick.Slots))
+	queued := max(0, inFlight+1-slots) / slots
+	return (latency*(1+queued+hotColdFreeSlot*inFlight) + float64(server.Penalty)) / server.Weight
+}
+
+// expectedLatency is the average latency. A server that keeps own requests
+// waiting for longer has slowed down, and no answer can say so yet.
+func expectedLatency(server *Server, now int64) float64 {
+	latency := float64(server.Stats.Latency())
+	if latency == 0 {
+		latency = hotColdDefaultLatency
+	}
+	return max(latency, float64(server.Stats.Silence(now)))
+}
+
 // sampleDistinct fills chosen up to its capacity with different indexes below n
 // (Floyd's algorithm; Bentley and Floyd, CACM 1987). With replacement, a sample
 // of 3 of 7 servers is one single server in 2 % of all picks, however bad it is.
@@ -48,15 +88,3 @@
 	}
 	return chosen
 }
-
-func hotColdScore(server *Server, now int64) float64 {
-	latency := float64(server.Stats.Latency())
-	if latency == 0 {
-		latency = hotColdDefaultLatency
-	}
-	// A server that keeps own requests waiting for longer than usual has slowed
-	// down, and no answer can say so yet.
-	latency = max(latency, float64(server.Stats.Silence(now)))
-	queue := server.Stats.EstimatedInFlight(now) + 1
-	return (queue*latency + float64(server.Penalty)) / server.Weight
-}
--- a/pkg/routing/snapshot.go
+++ b/pkg/routing/snapshot.go
@@ -41,6 +41,9 @@
 	Now int64
 	// Tried holds servers that must not be chosen again for this call.
 	Tried []*Server
+	// Slots is the number of requests that a server of the service runs at once;
+	// ServiceView.Choose sets it.
+	Slots int
 }
 
 // Policy chooses one of the candidates, which are not empty. Implementations
@@ -61,6 +64,7 @@
 
 // Choose returns a server, or nil if none is available that has not been tried.
 func (v *ServiceView) Choose(pick Pick) *Server {
+	pick.Slots = v.Slots
 	first, second := v.Local, v.Remote
 	if len(first) == 0 || (len(second) > 0 && v.SpillShare > 0 && pick.Rand.Float64() < v.SpillShare) {
 		first, second = second, first
