Count latencies above a noise margin without a jump

Cause: with a limit at 2 times the lowest latency, a server that is just below the limit counts as fast and one just above it as twice as slow. Change: a server's latency is divided by 1.6 and counts where the result is above the lowest of the samples.

--- a/pkg/routing/hotcold.go
+++ b/pkg/routing/hotcold.go
@@ -19,10 +19,10 @@
 	hotColdSamples = 3
 	// hotColdDefaultLatency is assumed for servers without a sample, in nanoseconds.
 	hotColdDefaultLatency = 5e6
-	// hotColdSlowFactor is how many times slower than the fastest sample a server
-	// must be to count as slow. Averages of healthy servers differ by up to 1.5
-	// times, and choosing by that noise would disturb the choice by queues.
-	hotColdSlowFactor = 2
+	// hotColdNoise divides a server's latency before it is compared to the lowest
+	// of the samples: averages of healthy servers differ by about that much, and
+	// choosing by noise would disturb the choice by queues.
+	hotColdNoise = 1.6
 	// hotColdFreeSlot is the cost of a request in flight while there are free
 	// slots, as a share of the latency. It spreads work over idle servers.
 	hotColdFreeSlot = 0.05
@@ -41,11 +41,7 @@
 	bestScore := 0.0
 	for i, index := range indexes {
 		server := candidates[index]
-		latency := usual
-		if latencies[i] > hotColdSlowFactor*usual {
-			latency = latencies[i]
-		}
-		score := hotColdScore(server, pick, latency)
+		score := hotColdScore(server, pick, max(usual, latencies[i]/hotColdNoise))
 		if best == nil || score < bestScore {
 			best, bestScore = server, score
 		}
