--- a/pkg/routing/server.go
+++ b/pkg/routing/server.go
@@ -80,9 +80,11 @@
 	peersInFlight atomic.Int64
 	latency       atomic.Int64
 	answeredAt    atomic.Int64
-	Successes     atomic.Uint64
-	Failures      atomic.Uint64
-	Sheds         atomic.Uint64
+	// busySince is when the server was last chosen while it had no own request.
+	busySince atomic.Int64
+	Successes atomic.Uint64
+	Failures  atomic.Uint64
+	Sheds     atomic.Uint64
 	// ConsecutiveFailures counts failures since the last success.
 	ConsecutiveFailures atomic.Int64
 	// DrainNoticedAt is the time of the last drain notice on the wire, 0 for none.
@@ -161,6 +163,22 @@
 	return float64(s.reported.Load())
 }
 
+// markChosen records a choice that Start will follow.
+func (s *Stats) markChosen(now int64) {
+	if s.inFlight.Load() == 0 {
+		s.busySince.Store(now)
+	}
+}
+
+// Silence returns how long own requests have been waiting without any answer,
+// 0 if there are none.
+func (s *Stats) Silence(now int64) int64 {
+	if s.inFlight.Load() == 0 {
+		return 0
+	}
+	return max(0, now-max(s.busySince.Load(), s.answeredAt.Load()))
+}
+
 // AnsweredAt returns the time of the last answer, 0 if none.
 func (s *Stats) AnsweredAt() int64 {
 	return s.answeredAt.Load()
@@ -174,16 +192,21 @@
 // reportHalfLife is the age in nanoseconds at which a load report counts half.
 const reportHalfLife = 50e6
 
-// EstimatedInFlight combines the last report, faded by its age, with own
-// dispatches since. It is never below the own requests in flight.
+// EstimatedInFlight combines the last report, own dispatches since, and the sums
+// of peers. The report fades with age only while this gateway has no request at
+// the server: a server that slows down reports rarely, so a report that fades
+// would show it as idle when its queue is longest.
 func (s *Stats) EstimatedInFlight(now int64) float64 {
 	own := float64(s.inFlight.Load())
+	seen := own + float64(s.peersInFlight.Load())
 	reportedAt := s.reportedAt.Load()
 	if reportedAt == 0 {
-		return own
+		return seen
+	}
+	reported := float64(s.reported.Load())
+	if own == 0 {
+		age := float64(max(0, now-reportedAt))
+		return reported * math.Exp2(-age/reportHalfLife)
 	}
-	age := float64(max(0, now-reportedAt))
-	faded := float64(s.reported.Load()) * math.Exp2(-age/reportHalfLife)
-	estimate := faded + float64(max(0, s.sentSinceReport.Load()))
-	return max(own, estimate)
+	return max(own, reported+float64(max(0, s.sentSinceReport.Load())))
 }
