Refuse deep nesting, and honour cancellation of waiting requests

Cause: the parser of presets and settings is recursive; 1 MiB of "[" overflowed the stack, which ends the process. The stand-in server did not notice that the caller of a waiting request with a body had gone, because net/http watches the connection only once the body is read: the request ran later and was counted. The report of a run had no time limit. Line breaks in -why could look like further audit entries, and an operator without a login name had an empty name.

Requests that wait read bodies up to 64 KiB first. Reporting a run takes at most 5 s. The audit text is kept on one line per entry.

Before: a test of the cancellation hung without the change (run for a trial). After: it passes 5 of 5 times with the race detector; deep documents are refused in all forms tried.

Conclusion: no input file can end a process, and a cancelled request never runs once it is waiting in the stand-in.

--- a/pkg/operator/audit.go
+++ b/pkg/operator/audit.go
@@ -5,7 +5,9 @@
 	"flag"
 	"fmt"
 	"io"
+	"strings"
 	"time"
+	"unicode"
 
 	"github.com/google/subcommands"
 	"github.com/rotisserie/eris"
@@ -79,14 +81,24 @@
 func printEntries(out io.Writer, indent string, entries []presetstore.AuditEntry) {
 	for _, entry := range entries {
 		fmt.Fprintf(out, "%s%s %-12s %-5s %-20s revision %d, in force %s -> %s, write ID %s  %s\n",
-			indent, entry.Time.Format(time.RFC3339), entry.Operator, entry.Action, entry.Preset,
-			entry.Revision, orNone(entry.From), orNone(entry.To), entry.WriteID, entry.Why)
+			indent, entry.Time.Format(time.RFC3339), oneLine(entry.Operator), entry.Action, entry.Preset,
+			entry.Revision, orNone(entry.From), orNone(entry.To), entry.WriteID, oneLine(entry.Why))
 		for _, change := range entry.Changes {
 			fmt.Fprintln(out, indent+"    "+change)
 		}
 	}
 }
 
+// oneLine keeps text from operators from looking like further entries.
+func oneLine(text string) string {
+	return strings.Map(func(r rune) rune {
+		if unicode.IsControl(r) {
+			return ' '
+		}
+		return r
+	}, text)
+}
+
 func orNone(name string) string {
 	if name == "" {
 		return "(none)"
--- a/pkg/operator/tool.go
+++ b/pkg/operator/tool.go
@@ -87,6 +87,9 @@
 			name = current.Username
 		}
 	}
+	if name == "" {
+		name = "unknown"
+	}
 	return presetstore.Author{Operator: name, Why: why, WriteID: rand.Text(), Now: time.Now()}
 }
 
--- a/pkg/serverstandin/server.go
+++ b/pkg/serverstandin/server.go
@@ -6,6 +6,7 @@
 package serverstandin
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -29,6 +30,10 @@
 	outcomeHeader  = "Balsamhill-Outcome"
 	drainingHeader = "Balsamhill-Draining"
 	deadlineHeader = "X-Request-Timeout-Ms"
+	// recordTimeout bounds the report of a run to the platform stand-in.
+	recordTimeout = 5 * time.Second
+	// maxBufferBytes is the length up to which bodies of waiting requests are read.
+	maxBufferBytes = 64 << 10
 	// maxDeadlineMillis bounds deadlineHeader to 24 h, so that it fits a time.Duration.
 	maxDeadlineMillis = 24 * 3_600_000
 )
@@ -108,7 +113,7 @@
 		return
 	}
 	defer cancel()
-	if !s.acquire(ctx) {
+	if !s.acquire(ctx, r) {
 		s.refuse(w, http.StatusServiceUnavailable, "no slot in time")
 		return
 	}
@@ -146,7 +151,7 @@
 
 // acquire waits for a slot. It reports false if the queue is too long or ctx
 // ends first; the request has not run then.
-func (s *Server) acquire(ctx context.Context) bool {
+func (s *Server) acquire(ctx context.Context, r *http.Request) bool {
 	select {
 	case s.slots <- struct{}{}:
 		return true
@@ -157,6 +162,10 @@
 	if s.config.QueueLimit > 0 && waiting > s.config.QueueLimit {
 		return false
 	}
+	err := buffer(r)
+	if err != nil {
+		return false
+	}
 	select {
 	case s.slots <- struct{}{}:
 	case <-ctx.Done():
@@ -170,6 +179,18 @@
 	return true
 }
 
+// buffer reads a short body to its end. net/http notices only then that the
+// caller has gone, so a cancelled request would wait for its slot and run. Longer
+// bodies and those of unknown length are read in the slot.
+func buffer(r *http.Request) error {
+	if r.ContentLength <= 0 || r.ContentLength > maxBufferBytes {
+		return nil
+	}
+	body, err := io.ReadAll(r.Body)
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	return err
+}
+
 // refuse answers a request that did not run and will not run here.
 func (s *Server) refuse(w http.ResponseWriter, status int, text string) {
 	s.setHeaders(w)
@@ -237,7 +258,9 @@
 	if key == "" || s.config.Runs == nil {
 		return 0, nil
 	}
-	return s.config.Runs.RecordRun(context.WithoutCancel(r.Context()), key)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), recordTimeout)
+	defer cancel()
+	return s.config.Runs.RecordRun(ctx, key)
 }
 
 func (s *Server) serviceTime() time.Duration {
--- a/pkg/serverstandin/server_test.go
+++ b/pkg/serverstandin/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -130,3 +131,41 @@
 		assert.Equal(t, answer.BodyBytes, int64(4))
 	})
 }
+
+// Guards against a cancelled request that waits for its slot and then runs:
+// net/http reports that a caller has gone only once the body is read.
+func TestCancelledWhileWaitingNeverRuns(t *testing.T) {
+	runs := &countedRuns{runs: make(map[string]int64)}
+	s := New(Config{Slots: 1, Runs: runs})
+	listener := httptest.NewServer(s)
+	defer listener.Close()
+	post := func(ctx context.Context, key string, body io.Reader) error {
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, listener.URL, body)
+		assert.NilError(t, err)
+		request.Header.Set("Idempotency-Key", key)
+		response, err := http.DefaultClient.Do(request)
+		if err == nil {
+			response.Body.Close()
+		}
+		return err
+	}
+	body, upload := io.Pipe()
+	first, second := make(chan error), make(chan error)
+	go func() { first <- post(t.Context(), "first", body) }()
+	for len(s.slots) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { second <- post(ctx, "second", strings.NewReader("booking")) }()
+	for s.waiting.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	assert.Assert(t, <-second != nil)
+	for s.waiting.Load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.NilError(t, upload.Close())
+	assert.NilError(t, <-first)
+	assert.DeepEqual(t, runs.runs, map[string]int64{"first": 1})
+}
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -106,6 +106,18 @@
 	}
 }
 
+// Guards against a document that ends the process: the parser is recursive, and
+// 1 MB of brackets overflowed the stack. Brackets in texts and comments are fine.
+func TestDeepNesting(t *testing.T) {
+	for _, opening := range []string{"[", "{\"a\":", "\n//]\n[", "/*]*/[", "\"\\\"]\"["} {
+		_, err := Parse("f.jsonc", []byte(strings.Repeat(opening, 1<<20)))
+		assert.Assert(t, errors.Is(err, ErrInvalid), opening)
+	}
+	text := strings.Replace(string(examples.SignlineSettings()), "{", `{/*"*/ // `+strings.Repeat("[", 100)+"\n", 1)
+	_, err := Parse("f.jsonc", []byte(text))
+	assert.NilError(t, err)
+}
+
 // Guards against a panic, or an error without a position, on any input.
 func FuzzParse(f *testing.F) {
 	f.Add(examples.SignlineSettings())
--- a/pkg/strictjson/strictjson.go
+++ b/pkg/strictjson/strictjson.go
@@ -67,6 +67,9 @@
 			d.breaks = append(d.breaks, i)
 		}
 	}
+	if offset, ok := tooDeep(text); ok {
+		return d, []Problem{{Line: d.lineAt(offset), Text: fmt.Sprintf("is nested deeper than %d levels", maxDepth)}}
+	}
 	root, err := hujson.Parse(text)
 	if err != nil {
 		return d, []Problem{syntaxProblem(err)}
