Hand accepted presets from the tool to the gateways

Cause: the store may go down between its acceptance of a change and the first gateway's read. Ruled out: a shorter poll only makes the gap smaller. Change: the tool lists the gateways before the change and hands them the signed document after the store's answer. The stand-in can go down right after a commit. Before: TestStoreDownRightAfterAcceptance fails, no gateway has the preset while the store is down. After: it passes. The process tests import what they run, so that a cached result is not reused after a change.

--- a/pkg/operator/confirm.go
+++ b/pkg/operator/confirm.go
@@ -5,14 +5,22 @@
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"balsamhill/pkg/membership"
 	"balsamhill/pkg/platform"
+	"balsamhill/pkg/presetoffer"
 )
 
+// errNotListed is reported if no list of gateways could be read in time.
+var errNotListed = eris.New("the table service did not answer")
+
 const (
 	// adoptionLimit is the promised time for a preset to be in force everywhere.
 	adoptionLimit = 8 * time.Second
 	confirmPoll   = 200 * time.Millisecond
+	// listTimeout bounds one reading of the gateway rows.
+	listTimeout = 2 * time.Second
 	// goneAfter is the age of a row from which a gateway that does not answer is
 	// not waited for: it has missed two refreshes.
 	goneAfter = 3 * membership.RowRefresh
@@ -35,6 +43,12 @@
 	table platform.Table
 	limit time.Duration
 	poll  time.Duration
+	// offer is the accepted preset that gateways are handed, nil if the change
+	// was to a preset that is not in force.
+	offer *presetoffer.Offer
+	// rows are the gateways as last listed.
+	rows   []gatewayRow
+	listed bool
 	// notified holds the admin addresses that were told to read the store.
 	notified map[string]bool
 }
@@ -43,6 +57,17 @@
 	return &confirmer{table: table, limit: adoptionLimit, poll: confirmPoll, notified: make(map[string]bool)}
 }
 
+// list reads the gateways before the change, so that they can be handed the
+// preset also if the store goes down right after it accepted the change.
+func (c *confirmer) list(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	rows, err := readRows(ctx, c.table)
+	if err == nil {
+		c.rows, c.listed = rows, true
+	}
+}
+
 // confirm notifies all gateways and waits until each has the revision in force or
 // is gone, at most for the limit. It reads the list of gateways each time,
 // because they may be replaced meanwhile; if that fails it goes on with the
@@ -50,17 +75,14 @@
 func (c *confirmer) confirm(ctx context.Context, revision uint64) confirmation {
 	ctx, cancel := context.WithTimeout(ctx, c.limit)
 	defer cancel()
-	var rows []gatewayRow
 	var last confirmation
-	listed := false
+	// Gateways that are known already are told before the store is asked again.
+	c.notify(ctx, c.rows)
 	for {
-		read, err := readRows(ctx, c.table)
-		if err == nil {
-			rows, listed = read, true
-		}
-		c.notify(ctx, rows)
-		if listed {
-			now := classify(askGateways(ctx, rows), revision)
+		c.list(ctx)
+		c.notify(ctx, c.rows)
+		if c.listed {
+			now := classify(askGateways(ctx, c.rows), revision)
 			// A round that the time limit cut short says less than the one before.
 			if ctx.Err() == nil || last.empty() {
 				last = now
@@ -72,8 +94,8 @@
 		select {
 		case <-time.After(c.poll):
 		case <-ctx.Done():
-			if !listed {
-				last.err = err
+			if !c.listed {
+				last.err = errNotListed
 			}
 			return last
 		}
@@ -84,16 +106,26 @@
 	return len(c.inForce)+len(c.missing)+len(c.gone) == 0
 }
 
-// notify makes gateways read the store at once. One that cannot be reached
-// learns the revision by itself.
+// notify hands gateways the accepted preset, or makes them read the store. One
+// that cannot be reached learns the revision from its peers or from the store.
 func (c *confirmer) notify(ctx context.Context, rows []gatewayRow) {
 	for _, row := range rows {
 		if row.Admin == "" || c.notified[row.Admin] {
 			continue
 		}
 		c.notified[row.Admin] = true
-		go func() { _ = call(ctx, http.MethodPost, "http://"+row.Admin+"/notify", nil) }()
+		go func() { _ = c.tell(ctx, "http://"+row.Admin) }()
+	}
+}
+
+func (c *confirmer) tell(ctx context.Context, admin string) error {
+	if c.offer != nil {
+		err := call(ctx, http.MethodPost, admin+presetoffer.Path, c.offer, nil)
+		if err == nil {
+			return nil
+		}
 	}
+	return call(ctx, http.MethodPost, admin+"/notify", nil, nil)
 }
 
 func classify(statuses []gatewayStatus, revision uint64) confirmation {
--- a/pkg/operator/gateways.go
+++ b/pkg/operator/gateways.go
@@ -1,8 +1,10 @@
 package operator
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"sort"
 	"strings"
@@ -87,7 +89,7 @@
 		age:           row.age,
 	}
 	var document gateway.StatusDocument
-	err := call(ctx, http.MethodGet, "http://"+row.Admin+"/status", &document)
+	err := call(ctx, http.MethodGet, "http://"+row.Admin+"/status", nil, &document)
 	// Another gateway may have taken over the address of one that is gone.
 	if err != nil || document.ID != row.ID {
 		return status
@@ -100,10 +102,19 @@
 	return status
 }
 
-func call(ctx context.Context, method, url string, answer any) error {
+// call sends a request with an optional JSON body and decodes an optional JSON answer.
+func call(ctx context.Context, method, url string, body, answer any) error {
 	ctx, cancel := context.WithTimeout(ctx, gatewayTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, url, nil)
+	var reader io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return eris.Wrap(err, "encode request")
+		}
+		reader = bytes.NewReader(data)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, url, reader)
 	if err != nil {
 		return err
 	}
--- a/pkg/operator/tool.go
+++ b/pkg/operator/tool.go
@@ -22,6 +22,7 @@
 
 	"balsamhill/pkg/platform"
 	"balsamhill/pkg/platform/httpplatform"
+	"balsamhill/pkg/presetoffer"
 	"balsamhill/pkg/presetstore"
 )
 
@@ -115,16 +116,35 @@
 		return subcommands.ExitUsageError
 	}
 	defer client.Close()
+	key, err := operatorKey()
+	if err != nil {
+		return t.fail(err)
+	}
 	storeCtx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
+	confirmer := newConfirmer(client)
+	confirmer.list(storeCtx)
 	outcome := run(storeCtx, presetstore.New(client))
 	var confirmed confirmation
 	if outcome.Status == presetstore.Accepted {
-		confirmed = newConfirmer(client).confirm(ctx, outcome.Head.InForceRevision)
+		if outcome.InForce != "" {
+			offer := presetoffer.New(outcome.Head.InForceRevision, []byte(outcome.InForce), key)
+			confirmer.offer = &offer
+		}
+		confirmed = confirmer.confirm(ctx, outcome.Head.InForceRevision)
 	}
 	return t.report(author, outcome, confirmed, asJSON)
 }
 
+// operatorKey reads the key that signs preset offers, empty if none is named.
+func operatorKey() ([]byte, error) {
+	path := os.Getenv("BALSAMHILL_OPERATOR_KEY_FILE")
+	if path == "" {
+		return nil, nil
+	}
+	return presetoffer.ReadKey(path)
+}
+
 // nameArgument takes the preset's name and parses flags that stand behind it.
 func (t *Tool) nameArgument(f *flag.FlagSet) (string, bool) {
 	if f.NArg() == 0 {
--- a/pkg/platform/standin/handler.go
+++ b/pkg/platform/standin/handler.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -136,6 +137,7 @@
 		answer(w, http.StatusConflict, platform.CommitResponse{Conflicts: conflicts, Time: time.Now()})
 		return
 	}
+	s.startOutageAfter(txn)
 	if s.loseAnswer() {
 		// Breaks the connection after the write took effect.
 		panic(http.ErrAbortHandler)
@@ -143,6 +145,23 @@
 	answer(w, http.StatusOK, platform.CommitResponse{Version: version, Time: time.Now()})
 }
 
+// startOutageAfter starts the outage that DownAfterWrite asks for, before the
+// answer is sent, so that no other call comes in between.
+func (s *Server) startOutageAfter(txn platform.Txn) {
+	faults := *s.faults.Load()
+	if faults.DownAfterWrite == "" {
+		return
+	}
+	for _, write := range txn.Writes {
+		if strings.HasPrefix(write.Key, faults.DownAfterWrite) {
+			faults.Down = true
+			faults.DownAfterWrite = ""
+			s.faults.Store(&faults)
+			return
+		}
+	}
+}
+
 func validTxn(txn platform.Txn) bool {
 	for _, check := range txn.Checks {
 		if check.Key == "" {
--- a/pkg/platform/wire.go
+++ b/pkg/platform/wire.go
@@ -47,6 +47,9 @@
 	// LoseCommitAnswers is the number of next commits that take effect but whose
 	// connection is closed before the answer. Commits with a conflict don't count.
 	LoseCommitAnswers int64 `json:"loseCommitAnswers,omitempty"`
+	// DownAfterWrite starts an outage, as Down does, right after the answer to the
+	// next commit that writes a row whose key starts with it.
+	DownAfterWrite string `json:"downAfterWrite,omitempty"`
 	// ListLagMillis is the age of the VM list that GET /vms returns, at most 1 h.
 	ListLagMillis int64 `json:"listLagMillis,omitempty"`
 	// ListDown makes GET /vms answer 503.
--- a/pkg/presetstore/change.go
+++ b/pkg/presetstore/change.go
@@ -43,6 +43,9 @@
 	Status Status
 	// Head is the head after an accepted change, or the current one after a conflict.
 	Head Head
+	// InForce is the text of the preset that an accepted change put in force,
+	// empty if the change is to a preset that is not in force.
+	InForce string
 	// Current is the stored preset after a conflict, empty if it does not exist.
 	Current Stored
 	// Difference lists what is stored against what the operator wanted, one line
@@ -182,7 +185,7 @@
 // was lost. Repeating the transaction is safe because of its checks: they pass at
 // most once, and never again once the head has moved on.
 func (s *Store) commit(ctx context.Context, p plan) Outcome {
-	accepted := Outcome{Status: Accepted, Head: p.next, Difference: p.entry.Changes}
+	accepted := Outcome{Status: Accepted, Head: p.next, Difference: p.entry.Changes, InForce: p.document}
 	var last error
 	inDoubt := false
 	for range attempts {
--- a/pkg/presetstore/plan.go
+++ b/pkg/presetstore/plan.go
@@ -67,6 +67,9 @@
 	auditKey string
 	// auditValue is the value of the audit row that the transaction writes.
 	auditValue []byte
+	// document is the text of the preset that the change puts in force, empty if
+	// it does not change what is in force.
+	document string
 }
 
 // plan builds the transaction on top of a snapshot. The check of the audit row
@@ -98,6 +101,13 @@
 		writes = append(writes, write(documentPrefix+c.name,
 			Stored{Name: c.name, Revision: next.Revision, Document: string(c.document)}))
 	}
+	document := s.stored.Document
+	if c.action == actionApply {
+		document = string(c.document)
+	}
+	if next.InForceRevision != next.Revision {
+		document = ""
+	}
 	audit := write(auditPrefix+c.author.WriteID, entry)
 	return plan{
 		txn: platform.Txn{
@@ -112,6 +122,7 @@
 		entry:      entry,
 		auditKey:   audit.Key,
 		auditValue: audit.Value,
+		document:   document,
 	}
 }
 
--- a/processtest/process_test.go
+++ b/processtest/process_test.go
@@ -18,6 +18,11 @@
 	"gotest.tools/v3/assert"
 
 	"balsamhill/examples"
+
+	// The programs are built while the test runs, which the test cache does not
+	// see. These imports make a cached result invalid when the programs change.
+	_ "balsamhill/pkg/demo"
+	_ "balsamhill/pkg/operator"
 )
 
 // binaries is the folder with the programs that TestMain builds.
