--- a/pkg/gateway/budgets.go
+++ b/pkg/gateway/budgets.go
@@ -25,7 +25,9 @@
 	linkBurst = 4 * time.Second
 	// linkLeastBurst lets a small share carry one batch of key queries.
 	linkLeastBurst = 2 << 10
-	bitsPerByte    = 8
+	// noticeReserve is left by key queries for about seven notices.
+	noticeReserve = 1 << 10
+	bitsPerByte   = 8
 	// leastProbeMicros bounds the rate for services that do not state the cost.
 	leastProbeMicros = 1000
 )
@@ -213,9 +215,13 @@
 		l.fixed.Charge(now, fixed, float64(bytes))
 		return true
 	}
+	reserve := 0.0
+	if kind == peer.KindQuery {
+		reserve = noticeReserve
+	}
 	l.usedAt = now
-	if l.fixed.Take(now, fixed, float64(bytes)) {
+	if l.fixed.TakeAbove(now, fixed, float64(bytes), reserve) {
 		return true
 	}
-	return l.granted.Take(now, l.grant.share(now), float64(bytes))
+	return l.granted.TakeAbove(now, l.grant.share(now), float64(bytes), reserve)
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -110,6 +110,10 @@
 	if err != nil {
 		return eris.Wrap(err, "open traffic listener")
 	}
+	g.trafficListener, err = g.secureTraffic(g.trafficListener)
+	if err != nil {
+		return err
+	}
 	g.adminListener, err = net.Listen("tcp", g.settings.Admin.Listen)
 	if err != nil {
 		_ = g.trafficListener.Close()
@@ -123,6 +127,7 @@
 func (g *Gateway) newTrafficServer() *http.Server {
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler:           g.proxy,
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -288,7 +288,7 @@
 				InFlight: server.Stats.InFlight(),
 				Latency:  server.Stats.Latency(),
 				Ejected:  server.Availability == routing.Ejected,
-				Draining: server.Stats.DrainNoticedAt.Load() != 0,
+				Draining: server.Availability == routing.Draining,
 			})
 			p.repeatDrain(now, server)
 		}
--- a/pkg/gateway/probes_test.go
+++ b/pkg/gateway/probes_test.go
@@ -24,7 +24,7 @@
 )
 
 // newTestGateway returns a gateway that does not run, with its platform.
-func newTestGateway(t *testing.T) (*Gateway, *httpplatform.Client) {
+func newTestGateway(t *testing.T, changes ...func(*settings.Settings)) (*Gateway, *httpplatform.Client) {
 	t.Helper()
 	store := httptest.NewServer(standin.New())
 	t.Cleanup(store.Close)
@@ -34,6 +34,9 @@
 	assert.NilError(t, err)
 	s.Traffic.Listen, s.Admin.Listen, s.Peers.Listen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	s.Shutdown.NoticeMillis = 0
+	for _, change := range changes {
+		change(s)
+	}
 	g, err := New(s, client, slog.New(slog.DiscardHandler))
 	assert.NilError(t, err)
 	return g, client
--- a/pkg/membership/neighbours.go
+++ b/pkg/membership/neighbours.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"slices"
 	"time"
 
@@ -22,14 +21,7 @@
 
 // rank orders gateways of a region; the lowest are its speakers.
 func rank(region, id string) uint64 {
-	digest := xxhash.New()
-	_, _ = digest.WriteString(region)
-	_, _ = digest.Write([]byte{0})
-	_, _ = digest.WriteString(id)
-	// Mixed once more, so that ranks of similar names are independent.
-	var buffer [8]byte
-	binary.LittleEndian.PutUint64(buffer[:], digest.Sum64())
-	return xxhash.Sum64(buffer[:])
+	return xxhash.Sum64String(region + "\x00" + id)
 }
 
 // Speakers returns the gateways of a region that talk across the link, as far as
@@ -92,14 +84,15 @@
 	return ids
 }
 
-// HeartbeatInterval returns the time between heartbeats to a gateway. Regions
-// may disagree about who speaks, so one side's opinion is enough.
-func (v *View) HeartbeatInterval(now int64, id string) time.Duration {
+// HeartbeatInterval returns the time between heartbeats to a gateway, given the
+// current FarSpeakers. Regions may disagree about who speaks, so one side's
+// opinion is enough.
+func (v *View) HeartbeatInterval(id string, farSpeakers []string) time.Duration {
 	m := v.members[id]
 	if m == nil || m.Region == v.self.Region {
 		return NearInterval
 	}
-	if slices.Contains(v.FarSpeakers(now), id) {
+	if slices.Contains(farSpeakers, id) {
 		return NearInterval
 	}
 	return FarInterval
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -29,8 +29,8 @@
 	// Preset gets a document whose revision the peer claims.
 	Preset func(peer string, revision uint64, document []byte)
 	Drain  func(peer, serverID string, incarnation uint64)
-	// Summary gets the values that changed since the peer's last summary; the
-	// first after Lost holds all servers.
+	// Summary gets values that changed since the peer's last summary. All servers
+	// are told at first, but not in one call; those not named are unchanged.
 	Summary   func(peer string, loads []*peerpb.ServerLoad)
 	Lost      func(peer string)
 	Suspicion func(peer string, fingerprint crashguard.Fingerprint, serverID string)
@@ -77,8 +77,9 @@
 	answered map[string]bool
 	asks     asks
 	seen     seenNotices
-	summary  map[string]*peerpb.ServerLoad
 	sequence uint64
+
+	summaries summaries
 }
 
 // New returns an exchange that is not running yet.
@@ -103,7 +104,8 @@
 		answered: make(map[string]bool),
 		asks:     asks{failed: make(map[string]int64)},
 		seen:     make(seenNotices),
-		summary:  make(map[string]*peerpb.ServerLoad),
+
+		summaries: newSummaries(int64(time.Second)),
 	}
 }
 
--- a/pkg/peer/fleet_test.go
+++ b/pkg/peer/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 
 	"balsamhill/pkg/crashguard"
 	"balsamhill/pkg/membership"
+	"balsamhill/pkg/peer/peerpb"
 )
 
 // node is an exchange with the adoption rule of a gateway in place of its
@@ -34,6 +36,24 @@
 	suspicions []string
 	lost       []string
 	hasAttempt map[string]bool
+	loads      []string
+	link       countingLink
+}
+
+// countingLink allows everything and counts it.
+type countingLink struct{ bytes atomic.Uint64 }
+
+func (l *countingLink) Allow(_ Kind, bytes int) bool {
+	l.bytes.Add(uint64(bytes))
+	return true
+}
+
+func (n *node) summary(_ string, loads []*peerpb.ServerLoad) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, load := range loads {
+		n.loads = append(n.loads, fmt.Sprintf("%s=%d", load.GetServerId(), load.GetInFlight()))
+	}
 }
 
 func (n *node) current() (uint64, []byte) {
@@ -90,6 +110,7 @@
 				n.drains = append(n.drains, server)
 			},
 			Suspicion: n.suspect,
+			Summary:   n.summary,
 			Lost: func(peer string) {
 				n.mu.Lock()
 				defer n.mu.Unlock()
@@ -101,6 +122,7 @@
 				return n.hasAttempt[service+"/"+key]
 			},
 		},
+		Link: &n.link,
 		Seed: uint64(len(f.nodes)),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -132,7 +154,7 @@
 }
 
 // waitRevision waits until all nodes have the revision, at most for limit.
-func (f *testFleet) waitRevision(revision uint64, limit time.Duration) time.Duration {
+func (f *testFleet) waitRevision(revision uint64, limit time.Duration) {
 	f.t.Helper()
 	began := time.Now()
 	for {
@@ -144,7 +166,8 @@
 			}
 		}
 		if behind == "" {
-			return time.Since(began)
+			f.t.Logf("revision %d everywhere after %s", revision, time.Since(began))
+			return
 		}
 		if time.Since(began) > limit {
 			f.t.Fatalf("revision %d not everywhere after %s:%s", revision, limit, behind)
@@ -153,9 +176,15 @@
 	}
 }
 
-// runFleet runs a test over perRegion gateways in each of two regions that know
-// each other from the gateway rows and hold revision 1.
+// runFleet runs a test over perRegion gateways in each of two regions.
 func runFleet(t *testing.T, perRegion int, test func(f *testFleet)) {
+	t.Helper()
+	runRegions(t, perRegion, perRegion, test)
+}
+
+// runRegions runs a test over gateways of two regions that know each other from
+// the gateway rows and hold revision 1.
+func runRegions(t *testing.T, khomas, erongo int, test func(f *testFleet)) {
 	t.Helper()
 	// yamux pools timers in a global; timers of an earlier test belong to its fake
 	// clock and must not be reused. Two collections empty the pool.
@@ -168,9 +197,13 @@
 				n.kill()
 			}
 		}()
-		for i := range perRegion {
-			f.add(fmt.Sprintf("gw-a-%d", i), "khomas", 1)
-			f.add(fmt.Sprintf("gw-b-%d", i), "erongo", 1)
+		for i := range max(khomas, erongo) {
+			if i < khomas {
+				f.add(fmt.Sprintf("gw-a-%d", i), "khomas", 1)
+			}
+			if i < erongo {
+				f.add(fmt.Sprintf("gw-b-%d", i), "erongo", 1)
+			}
 		}
 		f.rows()
 		for _, n := range f.nodes {
@@ -209,7 +242,7 @@
 
 // Guards the same beyond the number of gateways up to which gossip is complete.
 func TestRevisionReachesLargeRegion(t *testing.T) {
-	runFleet(t, 18, func(f *testFleet) {
+	runRegions(t, 18, 3, func(f *testFleet) {
 		f.nodes[7].offer("store", 2, []byte("second"))
 		f.waitRevision(2, adoptionLimit)
 	})
--- a/pkg/peer/heartbeat.go
+++ b/pkg/peer/heartbeat.go
@@ -36,8 +36,9 @@
 
 // sendHeartbeats sends those that are due. The caller holds the lock.
 func (e *Exchange) sendHeartbeats(now int64) {
+	farSpeakers := e.view.FarSpeakers(now)
 	for id, s := range e.sessions {
-		if now-s.sentHeartbeat >= int64(e.view.HeartbeatInterval(now, id)) {
+		if now-s.sentHeartbeat >= int64(e.view.HeartbeatInterval(id, farSpeakers)) {
 			e.sendHeartbeat(now, s)
 		}
 	}
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -13,8 +13,11 @@
 const (
 	// KindFixed is for heartbeats: always sent, charged to the fixed share.
 	KindFixed Kind = iota
-	// KindGranted is for everything else: sent only if a share has room.
-	KindGranted
+	// KindNotice is for drain notices and suspicions: sent if a share has room.
+	KindNotice
+	// KindQuery is for key queries and replies: sent if a share has more room than
+	// notices may need. In an outage of the store there may be any number of them.
+	KindQuery
 )
 
 // Link decides on frames that cross the link between regions. It must be safe
@@ -38,12 +41,14 @@
 	if s.region == e.config.Self.Region {
 		return s.send(frame, urgent)
 	}
-	kind := KindGranted
+	kind := KindNotice
 	switch frame.GetBody().(type) {
 	case *peerpb.Frame_PresetDocument, *peerpb.Frame_PresetRequest:
 		return s.send(frame, urgent)
 	case *peerpb.Frame_Heartbeat:
 		kind = KindFixed
+	case *peerpb.Frame_KeyQuery, *peerpb.Frame_KeyReply:
+		kind = KindQuery
 	}
 	if !e.config.Link.Allow(kind, proto.Size(frame)+lengthBytes+frameOverhead) {
 		e.counters.LinkRefused.Add(1)
--- a/pkg/peer/messages_test.go
+++ b/pkg/peer/messages_test.go
@@ -14,7 +14,7 @@
 // Guards that each drain notice and each suspicion reaches every other gateway
 // exactly once, across the link included.
 func TestNoticesReachAll(t *testing.T) {
-	runFleet(t, 18, func(f *testFleet) {
+	runRegions(t, 18, 3, func(f *testFleet) {
 		f.nodes[3].TellDrain("server-1", 7)
 		f.nodes[3].TellSuspicion(42, "server-2")
 		f.nodes[3].TellSuspicion(42, "server-2")
--- a/pkg/peer/session.go
+++ b/pkg/peer/session.go
@@ -51,7 +51,8 @@
 
 	// The fields below belong to the exchange's lock.
 	sentHeartbeat int64
-	summarised    bool
+	// summarised says that summaries count on this session's earlier ones.
+	summarised bool
 	// servedAt is when the peer last got a document that it asked for.
 	servedAt int64
 	// countedSent and countedReceived are what the byte counters hold already.
--- /dev/null
+++ b/pkg/peer/summary.go
@@ -0,0 +1,118 @@
+package peer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"balsamhill/pkg/budget"
+	"balsamhill/pkg/peer/peerpb"
+)
+
+const (
+	// summaryBytesPerSecond bounds what a gateway sends in summaries to all its
+	// neighbours together. Control traffic of a node may take 15 KB/s; heartbeats
+	// and notices need the rest. Load reports on answers remain the main source.
+	summaryBytesPerSecond = 8 << 10
+	// summaryBurst is the time for which unused bytes may be saved.
+	summaryBurst = time.Second
+	// latencyChange is the relative change of a latency that is worth sending.
+	latencyChange = 0.1
+	// loadOverhead is the framing of one load within a message.
+	loadOverhead = 3
+)
+
+// summaries is what the neighbours were told about servers.
+type summaries struct {
+	last   map[string]*peerpb.ServerLoad
+	bucket *budget.Bucket
+}
+
+func newSummaries(now int64) summaries {
+	return summaries{
+		last:   make(map[string]*peerpb.ServerLoad),
+		bucket: budget.NewBucket(now, summaryBurst, summaryBytesPerSecond),
+	}
+}
+
+// ShareSummary takes the view of all servers and sends what changed most to the
+// neighbours in the region, within the limit of bytes. What is left out is sent
+// later. A neighbour that joins makes everything count as changed.
+func (e *Exchange) ShareSummary(all []*peerpb.ServerLoad) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	var targets []*session
+	for _, id := range e.view.Neighbours(now) {
+		s := e.sessions[id]
+		if s == nil {
+			continue
+		}
+		targets = append(targets, s)
+		if !s.summarised {
+			s.summarised = true
+			clear(e.summaries.last)
+		}
+	}
+	loads := e.summaries.choose(now, all, len(targets))
+	if len(loads) == 0 {
+		return
+	}
+	for _, s := range targets {
+		// A neighbour whose queue is full counts as new, so that it misses nothing.
+		s.summarised = s.send(summaryFrame(loads), false)
+	}
+}
+
+// choose returns the loads to send to this many neighbours now.
+func (m *summaries) choose(now int64, all []*peerpb.ServerLoad, neighbours int) []*peerpb.ServerLoad {
+	var changed []*peerpb.ServerLoad
+	for _, load := range all {
+		if m.change(load) > 0 {
+			changed = append(changed, load)
+		}
+	}
+	slices.SortStableFunc(changed, func(a, b *peerpb.ServerLoad) int {
+		return cmp.Compare(m.change(b), m.change(a))
+	})
+	var chosen []*peerpb.ServerLoad
+	cost := float64(frameOverhead * neighbours)
+	for _, load := range changed[:min(len(changed), maxListed)] {
+		cost += float64((proto.Size(load) + loadOverhead) * neighbours)
+		if !m.bucket.Take(now, summaryBytesPerSecond, cost) {
+			break
+		}
+		cost = 0
+		m.last[load.GetServerId()] = load
+		chosen = append(chosen, load)
+	}
+	return chosen
+}
+
+// Weights of changes: a server that was never told or changed its state comes
+// before any change of numbers.
+const (
+	changeOfState   = 1e9
+	changeOfLatency = 1
+)
+
+// change returns how much a load differs from what was told, 0 if not at all.
+func (m *summaries) change(load *peerpb.ServerLoad) float64 {
+	last := m.last[load.GetServerId()]
+	if last == nil || last.GetEjected() != load.GetEjected() || last.GetDraining() != load.GetDraining() {
+		return changeOfState
+	}
+	change := max(load.GetInFlight()-last.GetInFlight(), last.GetInFlight()-load.GetInFlight())
+	latency := float64(max(load.GetLatency()-last.GetLatency(), last.GetLatency()-load.GetLatency()))
+	if latency > latencyChange*float64(last.GetLatency()) {
+		return float64(change + changeOfLatency)
+	}
+	return float64(change)
+}
+
+func summaryFrame(loads []*peerpb.ServerLoad) *peerpb.Frame {
+	summary := &peerpb.ServerSummary{Loads: loads}
+	return &peerpb.Frame{Body: &peerpb.Frame_ServerSummary{ServerSummary: summary}}
+}
