Leave answers without a Content-Type as they are

Cause: a review of the delivery code. net/http guessed a Content-Type for answers without one; a server's not-run on a successful answer was believed and the call sent again; replays of answers without a body counted as callers that left.

Change: the three cases are handled, the first two with tests.

Conclusion: answers reach callers unchanged but for hop-by-hop and internal headers.

--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -189,7 +189,8 @@
 	if a.response != nil {
 		o.Written = true
 		o.Status = a.response.StatusCode
-		o.NotRun = a.response.Header.Get(outcomeHeader) == string(NotRun)
+		// On a successful answer the guarantee would contradict the status.
+		o.NotRun = o.Status >= http.StatusBadRequest && a.response.Header.Get(outcomeHeader) == string(NotRun)
 		return retry.Classify(o)
 	}
 	o.NotRun = refusedStream(a.err) && !a.resent
--- a/pkg/proxy/headers.go
+++ b/pkg/proxy/headers.go
@@ -170,6 +170,10 @@
 		}
 		to[name] = values
 	}
+	if _, ok := to["Content-Type"]; !ok {
+		// Keeps net/http from guessing one.
+		to["Content-Type"] = nil
+	}
 }
 
 func isPrivateAnswer(name string) bool {
--- a/pkg/proxy/keyed.go
+++ b/pkg/proxy/keyed.go
@@ -105,8 +105,11 @@
 	c.closeIfBodyUnread()
 	c.w.WriteHeader(answer.Status)
 	_ = c.control.SetWriteDeadline(time.Now().Add(c.idle()))
+	if len(answer.Body) == 0 {
+		return
+	}
 	_, err := c.w.Write(answer.Body)
-	if err != nil && c.r.Method != http.MethodHead {
+	if err != nil {
 		c.proxy.config.Metrics.callerLeft.Inc()
 	}
 }
--- a/pkg/proxy/once_test.go
+++ b/pkg/proxy/once_test.go
@@ -126,6 +126,8 @@
 			[]claim.ResultKind{claim.ResultReleased}},
 		{"server vouches", refusing("not-run", 503), "k", false, claim.Decision{Kind: claim.Dispatch}, true, 503, "not-run",
 			"", []claim.ResultKind{claim.ResultReleased}},
+		{"success contradicts the guarantee", refusing("not-run", 200), "k", false, claim.Decision{Kind: claim.Dispatch}, true,
+			200, "", "", []claim.ResultKind{claim.ResultDone}},
 		{"server sheds without guarantee", refusing("", 503), "k", false, claim.Decision{Kind: claim.Dispatch}, true, 503,
 			"unknown", "", []claim.ResultKind{claim.ResultUnknown}},
 		{"server error", refusing("", 500), "k", false, claim.Decision{Kind: claim.Dispatch}, true, 500, "unknown", "",
--- a/pkg/proxy/wire_test.go
+++ b/pkg/proxy/wire_test.go
@@ -129,6 +129,8 @@
 		w.Header().Set("Endpoint-Load-Metrics", "TEXT named_metrics.in_flight=7")
 		w.Header().Set("Keep-Alive", "timeout=5")
 		w.Header().Set("X-Kept", "yes")
+		w.Header()["Content-Type"] = nil
+		_, _ = io.WriteString(w, "<html>")
 	})
 	headers := []string{
 		"Balsamhill-Attempt", "2", "Balsamhill_Attempt", "3", "X-Forwarded-For", "9.9.9.9", "X_forwarded_for", "8.8.8.8",
@@ -145,7 +147,7 @@
 		assert.Equal(t, got.status, 200)
 		assert.Equal(t, got.header.Get("X-Kept"), "yes")
 		assert.Equal(t, got.header.Get("X-Request-Id"), "abc")
-		for _, private := range []string{"Balsamhill-Draining", "Endpoint-Load-Metrics", "Keep-Alive"} {
+		for _, private := range []string{"Content-Type", "Balsamhill-Draining", "Endpoint-Load-Metrics", "Keep-Alive"} {
 			assert.Equal(t, got.header.Get(private), "", private)
 		}
 		header := *seen.Load()
