Run the first attempt of a race in the handler's goroutine

Cause: the profile of the handler showed 14 % of its time in growing the stacks of goroutines that each fetch started, and more in switching to them. In a race an error of a hedge that failed fast replaced a good answer on its way.

Change: the first attempt runs in the handler's goroutine, and the timer starts the others; an error decides a race only when nothing else runs, with a test.

--- a/pkg/proxy/race.go
+++ b/pkg/proxy/race.go
@@ -14,41 +14,120 @@
 		(!c.body.present || c.body.buffered != nil)
 }
 
-// contest is a race between attempts. Attempts that end when it is over give up
-// their answer themselves.
+// contest is a race between attempts. The first runs in the handler's goroutine,
+// so that a call without a hedge costs no goroutine; the timer starts others.
+// Attempts that end when the race is over give up their answer themselves.
 type contest struct {
-	call    *call
+	call     *call
+	first    *attempt
+	patience time.Duration
+	// results receives the attempts other than the first.
 	results chan *attempt
-	mu      sync.Mutex
-	over    bool
-	running []*attempt
-	hedged  bool
+
+	// mu guards the fields below and those of the call that change with each
+	// attempt: sent and tried.
+	mu       sync.Mutex
+	over     bool
+	running  []*attempt
+	timer    *time.Timer
+	mayHedge bool
+	hedged   bool
 }
 
 // maxRacers is the largest number of attempts of one call.
 const maxRacers = 2
 
+// race sends a call and, when it takes longer than most, a hedge to another
+// server; the first answer wins. It also retries as sequence does.
+func (c *call) race(server *routing.Server) *attempt {
+	x := &contest{call: c, results: make(chan *attempt, maxRacers), first: c.newAttempt(server)}
+	x.running = append(x.running, x.first)
+	x.arm()
+	defer x.timer.Stop()
+	x.first.send()
+	var fallback *attempt
+	for a := x.first; ; a = <-x.results {
+		last, decided := x.ended(a, fallback)
+		if decided {
+			c.won(x, last)
+			return last
+		}
+		fallback = last
+	}
+}
+
+// arm sets the timer to the hedge, or to the end of the patience with the first
+// attempt if there may be no hedge.
+func (x *contest) arm() {
+	c := x.call
+	started := x.first.started
+	x.patience = retry.FirstByteWait(started, c.deadline)
+	wait := x.patience
+	hedgeAfter, known := c.service.latency.HedgeAfter(started)
+	if known && c.limits.HedgePercent > 0 && retry.MayHedge(c.safety, safeMethod(c.r.Method)) {
+		x.mayHedge = true
+		wait = min(wait, hedgeAfter)
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.timer = time.AfterFunc(wait, x.tick)
+}
+
+// tick runs in the timer's goroutine while the first attempt is in flight.
+func (x *contest) tick() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.over {
+		return
+	}
+	now := x.call.proxy.config.Now()
+	if x.mayHedge && x.call.sent == 1 {
+		x.mayHedge = false
+		x.hedge(now)
+		x.timer.Reset(time.Duration(x.first.started-now) + x.patience)
+		return
+	}
+	if next, more := x.afterPatience(now); more {
+		x.timer.Reset(next)
+	}
+}
+
+// start runs an attempt beside the first.
 func (x *contest) start(a *attempt) {
 	x.running = append(x.running, a)
 	go func() {
 		a.send()
 		x.mu.Lock()
-		late := x.over
-		if !late {
-			x.results <- a
-		}
-		x.mu.Unlock()
-		if late {
+		defer x.mu.Unlock()
+		if x.over {
 			a.discard()
+			return
+		}
+		x.results <- a
+		if a.decides() {
+			x.first.cancel(errLost)
 		}
 	}()
 }
 
-// finish ends the race and gives up all attempts but the winner.
-func (x *contest) finish(winner *attempt) {
+// decides reports whether the end of an attempt ends its race. An error does not
+// while others run: a server that fails fast would win every race.
+func (a *attempt) decides() bool {
+	return a.end == retry.Answered
+}
+
+// ended takes note of the end of an attempt; see judge.
+func (x *contest) ended(a, fallback *attempt) (*attempt, bool) {
 	x.mu.Lock()
-	x.over = true
-	x.mu.Unlock()
+	defer x.mu.Unlock()
+	x.call.record(a)
+	last, decided := x.judge(a, fallback)
+	x.over = decided
+	return last, decided
+}
+
+// finish gives up all attempts but the winner when the race is over.
+func (x *contest) finish(winner *attempt) {
 	for _, a := range x.running {
 		if a != winner {
 			a.cancel(errLost)
@@ -64,52 +143,11 @@
 	}
 }
 
-// race sends a call and, when it takes longer than most, a hedge to another
-// server; the first answer wins. It also retries as sequence does.
-func (c *call) race(server *routing.Server) *attempt {
-	x := &contest{call: c, results: make(chan *attempt, maxRacers)}
-	first := c.newAttempt(server)
-	hedgeAfter, hedge := c.service.latency.HedgeAfter(first.started)
-	hedge = hedge && c.limits.HedgePercent > 0 && retry.MayHedge(c.safety, safeMethod(c.r.Method))
-	patience := retry.FirstByteWait(first.started, c.deadline)
-	wait := patience
-	if hedge {
-		wait = min(wait, hedgeAfter)
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	x.start(first)
-	var fallback *attempt
-	for {
-		select {
-		case a := <-x.results:
-			c.record(a)
-			last, decided := x.judge(a, fallback)
-			if decided {
-				c.won(x, first, last)
-				return last
-			}
-			fallback = last
-		case <-timer.C:
-			now := c.proxy.config.Now()
-			if hedge && c.sent == 1 {
-				hedge = false
-				x.hedge(now)
-				timer.Reset(time.Duration(first.started-now) + patience)
-				continue
-			}
-			if next, more := x.afterPatience(now, first); more {
-				timer.Reset(next)
-			}
-		}
-	}
-}
-
 // judge looks at the end of one attempt. It reports the attempt that decides
 // the race, or the one to fall back to while others run.
 func (x *contest) judge(a, fallback *attempt) (*attempt, bool) {
 	c := x.call
-	if a.end == retry.Answered || a.end == retry.ServerError {
+	if a.decides() {
 		if fallback != nil {
 			fallback.discard()
 		}
@@ -161,7 +199,7 @@
 // given up for an attempt at another server if there may be one, so that a pool
 // of silent connections delays each caller by a bounded time. Else everything
 // continues to the deadline. It returns the time to the next look.
-func (x *contest) afterPatience(now int64, first *attempt) (time.Duration, bool) {
+func (x *contest) afterPatience(now int64) (time.Duration, bool) {
 	c := x.call
 	if retry.Expired(now, c.deadline) {
 		for _, a := range x.running {
@@ -172,7 +210,7 @@
 	if c.sent == 1 && c.service.retries.Take(now, c.limits.RetryPercent) {
 		if server := c.choose(); server != nil {
 			c.service.Counters.retries.Inc()
-			first.cancel(errDeadline)
+			x.first.cancel(errDeadline)
 			x.start(c.newAttempt(server))
 		}
 	}
@@ -183,7 +221,7 @@
 }
 
 // won ends the race and learns from it.
-func (c *call) won(x *contest, first, last *attempt) {
+func (c *call) won(x *contest, last *attempt) {
 	x.finish(last)
 	now := c.proxy.config.Now()
 	if last.response == nil {
@@ -191,8 +229,8 @@
 	}
 	// A first attempt that lost took at least this long; leaving it out would
 	// make the observed p95 fall with each hedge.
-	c.service.latency.Observe(now, time.Duration(now-first.started))
-	if last != first && x.hedged {
+	c.service.latency.Observe(now, time.Duration(now-x.first.started))
+	if last != x.first && x.hedged {
 		c.service.Counters.hedgesWon.Inc()
 	}
 }
--- a/pkg/proxy/race_test.go
+++ b/pkg/proxy/race_test.go
@@ -163,6 +163,45 @@
 	waitFor(t, "failure counted", func() bool { return b.servers[0].Stats.Failures.Load() == 1 })
 }
 
+// A hedge that reaches a server that fails fast must not replace a good answer
+// that takes longer.
+func TestFastFailureDoesNotWinTheRace(t *testing.T) {
+	var slow atomic.Bool
+	var firstAtGood sync.Map
+	good := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if slow.Load() {
+			if r.Header.Get("Balsamhill-Attempt") == "1" {
+				firstAtGood.Store(r.URL.RawQuery, true)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		_, _ = io.WriteString(w, "good")
+	})
+	failing := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		if slow.Load() {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+	})
+	b := newBench(t, setup{limits: manyExtras}, good, failing)
+	client := newClient(t, false)
+	for range 150 {
+		assert.Equal(t, do(t, client, newRequest(t, "GET", b.url+"/fetch", nil)).status, 200)
+	}
+	waitFor(t, "hedge delay known", func() bool {
+		do(t, client, newRequest(t, "GET", b.url+"/fetch", nil))
+		return counter(b, `balsamhill_hedges_total{service="desk"}`) > 0
+	})
+	hedged := counter(b, `balsamhill_hedges_total{service="desk"}`)
+	slow.Store(true)
+	for id := range 20 {
+		got := do(t, client, newRequest(t, "GET", fmt.Sprintf("%s/fetch?%d", b.url, id), nil))
+		if _, ok := firstAtGood.Load(strconv.Itoa(id)); ok {
+			assert.Equal(t, got.body, "good", "%+v", got)
+		}
+	}
+	assert.Assert(t, counter(b, `balsamhill_hedges_total{service="desk"}`) > hedged)
+}
+
 // A server must not go on working for a caller that left.
 func TestCallerThatLeavesCancelsTheServersRequest(t *testing.T) {
 	for _, path := range []string{"/fetch", "/x", "/upload"} {
