Sample five candidates in hot-cold

Cause (`-policy.trace`): under `noisy-70` and `straggler-70`, with 2 to 4 slow servers at once, the three samples were at times all slow, or two slow and one with a long queue, while idle servers stood by. Change: 5 samples in place of 3.

--- a/pkg/routing/hotcold.go
+++ b/pkg/routing/hotcold.go
@@ -16,7 +16,7 @@
 const (
 	// hotColdSamples is the number of candidates compared. More samples find
 	// idle servers more often, but with stale views more gateways find the same one.
-	hotColdSamples = 3
+	hotColdSamples = 5
 	// hotColdDefaultLatency is assumed for servers without a sample, in nanoseconds.
 	hotColdDefaultLatency = 5e6
 	// hotColdNoise divides a server's latency before it is compared to the lowest
