Treat weights as shares of samples and break ties at random

Changes: a server of weight w takes part in a share w of its samples; the comparison starts at a random sample.

--- a/pkg/routing/hotcold.go
+++ b/pkg/routing/hotcold.go
@@ -37,25 +37,40 @@
 		latencies[i] = expectedLatency(candidates[index], pick.Now)
 	}
 	usual := slices.Min(latencies[:len(indexes)])
-	var best *Server
-	bestScore := 0.0
-	for i, index := range indexes {
-		server := candidates[index]
+	var best, fallback *Server
+	bestScore, fallbackScore := 0.0, 0.0
+	// The first of several equal samples wins, so the turn starts at a random one;
+	// the samples themselves are not in random order.
+	offset := pick.Rand.IntN(len(indexes))
+	for turn := range indexes {
+		i := (offset + turn) % len(indexes)
+		server := candidates[indexes[i]]
 		score := hotColdScore(server, pick, max(usual, latencies[i]/hotColdNoise))
+		if fallback == nil || score < fallbackScore {
+			fallback, fallbackScore = server, score
+		}
+		// A server of share w takes part in a share w of its samples. Dividing its
+		// score by w would give it nothing as long as another server is idle.
+		share := server.Weight
+		if share < 1 && pick.Rand.Float64() >= share {
+			continue
+		}
 		if best == nil || score < bestScore {
 			best, bestScore = server, score
 		}
 	}
+	if best == nil {
+		return fallback
+	}
 	return best
 }
 
-// hotColdScore is the expected time to the answer in nanoseconds, divided by
-// the server's weight.
+// hotColdScore is the expected time to the answer in nanoseconds.
 func hotColdScore(server *Server, pick Pick, latency float64) float64 {
 	inFlight := server.Stats.EstimatedInFlight(pick.Now)
 	slots := float64(max(1, pick.Slots))
 	queued := max(0, inFlight+1-slots) / slots
-	return (latency*(1+queued+hotColdFreeSlot*inFlight) + float64(server.Penalty)) / server.Weight
+	return latency*(1+queued+hotColdFreeSlot*inFlight) + float64(server.Penalty)
 }
 
 // expectedLatency is the average latency. A server that keeps own requests
@@ -68,7 +83,8 @@
 	return max(latency, float64(server.Stats.Silence(now)))
 }
 
-// sampleDistinct fills chosen up to its capacity with different indexes below n
+// sampleDistinct fills chosen up to its capacity with different indexes below n.
+// Every set is equally likely, but not every order
 // (Floyd's algorithm; Bentley and Floyd, CACM 1987). With replacement, a sample
 // of 3 of 7 servers is one single server in 2 % of all picks, however bad it is.
 func sampleDistinct(random *rand.Rand, n int, chosen []int) []int {
--- /dev/null
+++ b/pkg/routing/pick_test.go
@@ -0,0 +1,151 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"balsamhill/pkg/preset"
+)
+
+func testServers(n int) []*Server {
+	servers := make([]*Server, n)
+	for i := range servers {
+		servers[i] = &Server{ID: fmt.Sprintf("s%d", i), Region: "r", Weight: 1, Stats: &Stats{}}
+		servers[i].Stats.Success(1, 5e6)
+	}
+	return servers
+}
+
+func testView(policy preset.Policy, servers []*Server) *ServiceView {
+	return NewServiceView("s", 4, "r", preset.Tuning{Policy: policy}, servers)
+}
+
+// BenchmarkPick shows that the time of a pick does not grow with the number of
+// servers and that it allocates nothing.
+func BenchmarkPick(b *testing.B) {
+	for _, policy := range []preset.Policy{preset.PolicyHotCold, preset.PolicyPowerOfTwo, preset.PolicyWeightedLoad} {
+		for _, n := range []int{10, 100, 910} {
+			b.Run(fmt.Sprintf("%s/%d", policy, n), func(b *testing.B) {
+				view := testView(policy, testServers(n))
+				b.ReportAllocs()
+				b.RunParallel(func(pb *testing.PB) {
+					random := rand.New(rand.NewPCG(1, 2))
+					for pb.Next() {
+						server := view.Choose(Pick{Rand: random, Now: 1e9})
+						server.Stats.Start()
+						server.Stats.End()
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestWeightIsShare guards against a server in slow start that gets no work at
+// all, or its full share: with idle servers it gets about its weight.
+func TestWeightIsShare(t *testing.T) {
+	for _, weight := range []float64{0.1, 0.5, 0.9} {
+		t.Run(fmt.Sprintf("weight %v", weight), func(t *testing.T) {
+			servers := testServers(8)
+			servers[3].Weight = weight
+			view := testView(preset.PolicyHotCold, servers)
+			random := rand.New(rand.NewPCG(1, 2))
+			counts := make(map[string]int)
+			for range 80_000 {
+				counts[view.Choose(Pick{Rand: random, Now: 1e9}).ID]++
+			}
+			others := float64(80_000-counts["s3"]) / 7
+			share := float64(counts["s3"]) / others
+			assert.Assert(t, share > 0.7*weight && share < 1.3*weight, "share %v", share)
+		})
+	}
+}
+
+// TestSampleDistinct guards against samples out of range or drawn twice, and
+// against servers that are never sampled.
+func TestSampleDistinct(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 30).Draw(t, "n")
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		counts := make([]int, n)
+		for range 100 * n {
+			var array [hotColdSamples]int
+			seen := make(map[int]bool)
+			for _, index := range sampleDistinct(random, n, array[:0]) {
+				assert.Assert(t, !seen[index])
+				seen[index] = true
+				counts[index]++
+			}
+			assert.Equal(t, len(seen), min(n, hotColdSamples))
+		}
+		for _, count := range counts {
+			assert.Assert(t, count > 0)
+		}
+	})
+}
+
+// TestTriedIsNotChosenAgain guards against a retry that goes to the server that
+// has just failed while another one is left.
+func TestTriedIsNotChosenAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		servers := testServers(rapid.IntRange(1, 12).Draw(t, "servers"))
+		for _, server := range servers {
+			server.Weight = rapid.Float64Range(0.05, 1).Draw(t, "weight")
+			if rapid.Bool().Draw(t, "remote") {
+				server.Region = "other"
+			}
+		}
+		policies := []preset.Policy{
+			preset.PolicyRandom, preset.PolicyRoundRobin, preset.PolicyLeastInFlight,
+			preset.PolicyPowerOfTwo, preset.PolicyWeightedLoad, preset.PolicyHotCold,
+		}
+		view := testView(rapid.SampledFrom(policies).Draw(t, "policy"), servers)
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		var tried []*Server
+		for range servers {
+			server := view.Choose(Pick{Rand: random, Now: 1e9, Tried: tried})
+			assert.Assert(t, server != nil && !contains(tried, server))
+			tried = append(tried, server)
+		}
+		assert.Assert(t, view.Choose(Pick{Rand: random, Now: 1e9, Tried: tried}) == nil)
+	})
+}
+
+// TestSlowServersAreAvoided guards against choosing servers that look idle
+// because they do not answer, or that fail fast.
+func TestSlowServersAreAvoided(t *testing.T) {
+	tests := []struct {
+		desc   string
+		worsen func(*Stats)
+	}{
+		{"own requests wait without an answer", func(s *Stats) { s.markChosen(1e9); s.Start() }},
+		{"the last report shows a queue", func(s *Stats) { s.Start(); s.Report(1e9, 12) }},
+		{"much slower than the others", func(s *Stats) {
+			for range 50 {
+				s.Success(1e9, 50e6)
+			}
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			servers := testServers(8)
+			test.worsen(servers[0].Stats)
+			view := testView(preset.PolicyHotCold, servers)
+			random := rand.New(rand.NewPCG(1, 2))
+			count := 0
+			for range 1000 {
+				if view.Choose(Pick{Rand: random, Now: 1.1e9}) == servers[0] {
+					count++
+				}
+				for _, server := range servers[1:] {
+					server.Stats.busySince.Store(0)
+				}
+			}
+			assert.Assert(t, count < 25, "chosen %d times of 1000", count)
+		})
+	}
+}
