--- a/pkg/routing/hotcold.go
+++ b/pkg/routing/hotcold.go
@@ -26,6 +26,9 @@
 	// hotColdFreeSlot is the cost of a request in flight while there are free
 	// slots, as a share of the latency. It spreads work over idle servers.
 	hotColdFreeSlot = 0.05
+	// hotColdMaxHalvings leaves 1/32 of the weight, about one call a second at
+	// the rates of today.
+	hotColdMaxHalvings = 5
 )
 
 // Choose implements Policy.
@@ -51,7 +54,7 @@
 		}
 		// A server of share w takes part in a share w of its samples. Dividing its
 		// score by w would give it nothing as long as another server is idle.
-		share := server.Weight
+		share := hotColdShare(server)
 		if share < 1 && pick.Rand.Float64() >= share {
 			continue
 		}
@@ -65,6 +68,15 @@
 	return best
 }
 
+// hotColdShare halves the weight for each failure in a row. A server that fails
+// fast has few requests in flight and would attract work; the halving acts at
+// once, before the control loop ejects the server. The rest of its share is kept
+// so that it can show its recovery.
+func hotColdShare(server *Server) float64 {
+	failures := server.Stats.ConsecutiveFailures.Load()
+	return server.Weight / float64(int64(1)<<min(failures, hotColdMaxHalvings))
+}
+
 // hotColdScore is the expected time to the answer in nanoseconds.
 func hotColdScore(server *Server, pick Pick, latency float64) float64 {
 	inFlight := server.Stats.EstimatedInFlight(pick.Now)
--- a/pkg/routing/pick_test.go
+++ b/pkg/routing/pick_test.go
@@ -129,6 +129,7 @@
 				s.Success(1e9, 50e6)
 			}
 		}},
+		{"fails fast", func(s *Stats) { s.Failure(); s.Failure(); s.Failure() }},
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
