Claim idempotency keys and watch for crashing requests in the gateway

Cause: the traffic path had the seams for claims and the crash guard, but the gateway passed none, so bookings were refused. Change: the gateway runs the claim store and the guard, and connects both with its peers. A gateway without an exchange vouches for the fleet only if settings say that it is the only one.

--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -109,6 +109,7 @@
 	s.Traffic.Listen = "127.0.0.1:0"
 	s.Admin.Listen = "127.0.0.1:0"
 	s.Peers.Listen = ""
+	s.Peers.MaxGateways = 1
 	s.Platform.URL = "http://" + platformAddress
 	s.Shutdown.NoticeMillis = 500
 	return s, nil
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -15,7 +15,9 @@
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
 
+	"balsamhill/pkg/claimstore"
 	"balsamhill/pkg/control"
+	"balsamhill/pkg/crashguard"
 	"balsamhill/pkg/membership"
 	"balsamhill/pkg/platform"
 	"balsamhill/pkg/presetstore"
@@ -49,6 +51,8 @@
 	budgets    *budgets
 	storeClock storeClock
 
+	claims    *claimstore.Store
+	guard     crashGuard
 	proxy     *proxy.Proxy
 	transport *proxy.Transports
 	metrics   *metrics.Set
@@ -86,14 +90,6 @@
 	g.state = control.NewState(controlConfig(s))
 	addFixedServers(g.state, s)
 	g.status.Store(&control.Status{})
-	g.proxy = proxy.New(proxy.Config{
-		Routes:         routeTable(s),
-		Snapshot:       g.snapshot.Load,
-		Servers:        g.transport,
-		Now:            g.now,
-		Metrics:        proxy.NewMetrics(g.metrics),
-		TrustedProxies: trusted,
-	})
 	g.budgets = g.newBudgets()
 	err = g.listen()
 	if err != nil {
@@ -105,6 +101,21 @@
 		_ = g.adminListener.Close()
 		return nil, err
 	}
+	g.claims = g.newClaims()
+	g.guard = crashGuard{Guard: crashguard.New(), peers: g.peers}
+	g.connectHooks()
+	g.proxy = proxy.New(proxy.Config{
+		Routes:         routeTable(s),
+		Snapshot:       g.snapshot.Load,
+		Servers:        g.transport,
+		Now:            g.now,
+		Metrics:        proxy.NewMetrics(g.metrics),
+		TrustedProxies: trusted,
+		Claims:         g.claims,
+		CrashGuard:     g.guard,
+	})
+	g.traffic = g.newTrafficServer()
+	g.admin = &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: 5 * time.Second}
 	g.metrics.RegisterMetricsWriter(g.writePeerMetrics)
 	return g, nil
 }
@@ -124,8 +135,6 @@
 		_ = g.trafficListener.Close()
 		return eris.Wrap(err, "open admin listener")
 	}
-	g.traffic = g.newTrafficServer()
-	g.admin = &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: 5 * time.Second}
 	return nil
 }
 
@@ -184,6 +193,8 @@
 	addLoop(g.runRowWriter)
 	addLoop(g.runPeers)
 	addLoop(g.runBudgets)
+	addLoop(g.claims.Run)
+	addLoop(g.runGuardExpiry)
 	g.addProbeLoops(addLoop)
 	group.Add(func() error { return serve(g.admin, g.adminListener) }, func(error) { _ = g.admin.Close() })
 	group.Add(func() error { return g.serveTraffic(ctx) }, func(error) { _ = g.traffic.Close() })
@@ -232,7 +243,10 @@
 	for g.proxy.InFlight() > 0 {
 		time.Sleep(drainPoll)
 	}
-	g.log.Info("graceful shutdown complete")
+	drainContext, cancel := context.WithTimeout(ctx, drainLimit)
+	defer cancel()
+	drained := g.claims.Drain(drainContext)
+	g.log.Info("graceful shutdown complete", "claimResultsWritten", drained)
 	return err
 }
 
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -8,8 +8,11 @@
 	drainNotices    *metrics.Counter
 	platformErrors  *metrics.Counter
 	refusedOffers   *metrics.Counter
-	grantFailures   *metrics.Counter
-	probeFailures   *metrics.Counter
+	// suspected and blocked are the requests that the crash guard watches.
+	suspected     *metrics.Gauge
+	blocked       *metrics.Gauge
+	grantFailures *metrics.Counter
+	probeFailures *metrics.Counter
 	// probes returns the counter of probes sent to a service.
 	probes func(service string) *metrics.Counter
 }
@@ -18,6 +21,8 @@
 	return &counters{
 		presetAdoptions: set.NewCounter("balsamhill_preset_adoptions_total"),
 		drainNotices:    set.NewCounter("balsamhill_drain_notices_total"),
+		suspected:       set.NewGauge("balsamhill_suspected_requests", nil),
+		blocked:         set.NewGauge("balsamhill_blocked_requests", nil),
 		refusedOffers:   set.NewCounter("balsamhill_preset_offers_refused_total"),
 		platformErrors:  set.NewCounter("balsamhill_platform_errors_total"),
 		grantFailures:   set.NewCounter("balsamhill_grant_failures_total"),
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -43,7 +43,7 @@
 type peerHooks struct {
 	// hasAttempt answers key queries; without it there may be an attempt.
 	hasAttempt func(service, key string) bool
-	suspicion  func(fingerprint crashguard.Fingerprint, serverID string)
+	suspicion  func(fingerprint crashguard.Fingerprint, serverID, from string)
 }
 
 // peers is a gateway's side of the exchange with other gateways. A nil pointer
@@ -122,9 +122,9 @@
 		},
 		Summary: p.onSummary,
 		Lost:    func(id string) { p.send(control.PeerLost{Peer: id}) },
-		Suspicion: func(_ string, fingerprint crashguard.Fingerprint, serverID string) {
+		Suspicion: func(from string, fingerprint crashguard.Fingerprint, serverID string) {
 			if p.hooks.suspicion != nil {
-				p.hooks.suspicion(fingerprint, serverID)
+				p.hooks.suspicion(fingerprint, serverID, from)
 			}
 		},
 		HasAttempt: func(service, key string) bool {
--- /dev/null
+++ b/processtest/keyed_test.go
@@ -0,0 +1,157 @@
+package processtest
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// bookingAnswer is what a caller sees of a keyed call.
+type bookingAnswer struct {
+	status  int
+	outcome string
+	replay  string
+	body    string
+	err     error
+}
+
+// book sends a booking with an idempotency key.
+func book(url, key string) bookingAnswer {
+	request, err := http.NewRequest(http.MethodPost, url+"/booking-desk/book", strings.NewReader(`{"lesson":7}`))
+	if err != nil {
+		return bookingAnswer{err: err}
+	}
+	request.Header.Set("Idempotency-Key", key)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return bookingAnswer{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return bookingAnswer{
+		status:  response.StatusCode,
+		outcome: response.Header.Get("Balsamhill-Outcome"),
+		replay:  response.Header.Get("Balsamhill-Replay"),
+		body:    string(body),
+		err:     err,
+	}
+}
+
+// runs asks the platform stand-in how often a key has run.
+func (f *fleet) runs(key string) int64 {
+	f.t.Helper()
+	_, body := get(f.url + "/standin/runs?key=" + key)
+	var answer struct {
+		Runs int64 `json:"runs"`
+	}
+	assert.NilError(f.t, json.Unmarshal([]byte(body), &answer))
+	return answer.Runs
+}
+
+// Guards against a booking that runs twice: the same key through two gateways at
+// once, again later, and at a gateway that was started since.
+func TestSameKeyThroughTwoGateways(t *testing.T) {
+	f := startFleet(t)
+	f.startServer("booking-desk", "khomas")
+	f.startServer("booking-desk", "khomas")
+	gateways := []*gatewayProcess{f.startGateway("gw-1", "khomas"), f.startGateway("gw-2", "khomas")}
+	for _, g := range gateways {
+		f.waitForService(g, "booking-desk")
+	}
+	answers := make([]bookingAnswer, 8)
+	var group sync.WaitGroup
+	for i := range answers {
+		group.Go(func() { answers[i] = book(gateways[i%2].traffic, "key-1") })
+	}
+	group.Wait()
+	assert.Equal(t, f.runs("key-1"), int64(1))
+	for _, answer := range answers {
+		assert.NilError(t, answer.err)
+		assert.Assert(t, answer.outcome != "not-run", "%+v", answer)
+	}
+	eventually(t, "recorded answer replayed", func() bool {
+		again := book(gateways[0].traffic, "key-1")
+		return again.replay == "answer" && strings.Contains(again.body, `"runs":1`)
+	})
+	third := f.startGateway("gw-3", "khomas")
+	f.waitForService(third, "booking-desk")
+	again := book(third.traffic, "key-1")
+	assert.Equal(t, again.replay, "answer", "%+v", again)
+	assert.Equal(t, f.runs("key-1"), int64(1))
+}
+
+// Guards against a booking that is dispatched without a claim, or that hangs,
+// while the store is down; fetches go on.
+func TestStoreOutageRefusesBookings(t *testing.T) {
+	f := startFleet(t)
+	f.startServer("booking-desk", "khomas")
+	g := f.startGateway("gw-1", "khomas")
+	f.waitForService(g, "booking-desk")
+	first := book(g.traffic, "before")
+	assert.Equal(t, first.status, http.StatusOK, "%+v", first)
+
+	f.faults(`{"down":true}`)
+	// A refusal right after the start of the outage may say unknown, because the
+	// key digest may not have been read yet.
+	eventually(t, "refused as not run", func() bool {
+		answer := book(g.traffic, "during")
+		assert.Equal(t, answer.status, http.StatusServiceUnavailable, "%+v", answer)
+		return answer.outcome == "not-run"
+	})
+	again := book(g.traffic, "before")
+	assert.Assert(t, again.outcome != "not-run", "the key ran: %+v", again)
+	status, _ := get(g.traffic + "/booking-desk/free")
+	assert.Equal(t, status, http.StatusOK)
+
+	f.faults(`{}`)
+	eventually(t, "booking after the outage", func() bool { return book(g.traffic, "during").status == http.StatusOK })
+	assert.Equal(t, f.runs("during"), int64(1))
+	assert.Equal(t, f.runs("before"), int64(1))
+}
+
+// Guards against a false not-run and a second run when a gateway is stopped with
+// a booking in flight and continued after its caller has gone elsewhere.
+func TestPausedGateway(t *testing.T) {
+	f := startFleet(t)
+	f.startServer("booking-desk", "khomas", "-service-time", "300ms")
+	first, second := f.startGateway("gw-1", "khomas"), f.startGateway("gw-2", "khomas")
+	f.waitForService(first, "booking-desk")
+	f.waitForService(second, "booking-desk")
+
+	done := make(chan bookingAnswer, 1)
+	go func() { done <- book(first.traffic, "key-1") }()
+	eventually(t, "booking in flight", func() bool { return first.inFlight() == 1 })
+	assert.NilError(t, first.command.Process.Signal(syscall.SIGSTOP))
+	other := book(second.traffic, "key-1")
+	assert.Assert(t, other.outcome != "not-run", "%+v", other)
+	assert.NilError(t, first.command.Process.Signal(syscall.SIGCONT))
+	answer := <-done
+	assert.NilError(t, answer.err)
+	assert.Assert(t, answer.outcome != "not-run" || f.runs("key-1") == 0, "%+v", answer)
+	assert.Assert(t, f.runs("key-1") <= 1)
+}
+
+// Guards against a gateway that dies with a booking in flight: a resend through
+// another gateway does not run it again and is not told that it did not run.
+func TestKilledGateway(t *testing.T) {
+	f := startFleet(t)
+	f.startServer("booking-desk", "khomas", "-service-time", "300ms")
+	first, second := f.startGateway("gw-1", "khomas"), f.startGateway("gw-2", "khomas")
+	f.waitForService(first, "booking-desk")
+	f.waitForService(second, "booking-desk")
+	done := make(chan bookingAnswer, 1)
+	go func() { done <- book(first.traffic, "key-1") }()
+	eventually(t, "booking ran", func() bool { return f.runs("key-1") == 1 })
+	assert.NilError(t, first.command.Process.Kill())
+	lost := <-done
+	assert.Assert(t, lost.err != nil)
+	resent := book(second.traffic, "key-1")
+	assert.Equal(t, resent.outcome, "unknown", "%+v", resent)
+	assert.Equal(t, f.runs("key-1"), int64(1))
+}
