Test slow readers, the limit of calls and callers' deadlines

Cause: these parts of the traffic path had no test of their own.

Change: a caller that stops reading for longer than the idle time is cut off, one that reads 8 KiB every 5 s gets everything (fake time); calls beyond the limit are refused with a verified outcome; X-Request-Timeout-Ms ends the call.

Conclusion: no behaviour changes.

--- /dev/null
+++ b/pkg/proxy/admit_test.go
@@ -0,0 +1,60 @@
+package proxy_test
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"balsamhill/pkg/claim"
+	"balsamhill/pkg/preset"
+	"balsamhill/pkg/proxy"
+)
+
+// Calls beyond the limit must be refused with a proven outcome, and the place of
+// an ended call must be free again.
+func TestCallsBeyondTheLimitAreRefused(t *testing.T) {
+	began, leave := make(chan struct{}), make(chan struct{})
+	server := startServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/hold" {
+			close(began)
+			<-leave
+		}
+	})
+	claims := &fakeClaims{decision: claim.Decision{Kind: claim.Dispatch}, mayDispatch: true}
+	// 4 slots × 0.25: one call at a time.
+	b := newBench(t, setup{tuning: preset.Tuning{Policy: preset.PolicyRandom, QueueFactor: 0.25, QueueMillis: 20},
+		adjust: func(config *proxy.Config) { config.Claims = claims }}, server)
+	client := newClient(t, false)
+	held := make(chan result)
+	go func() { held <- do(t, client, newRequest(t, "POST", b.url+"/hold", nil)) }()
+	<-began
+	got := do(t, client, newRequest(t, "POST", b.url+"/x", nil))
+	assert.Equal(t, got.status, 503)
+	assert.Equal(t, got.header.Get("Balsamhill-Outcome"), "not-run")
+	got = do(t, client, newRequest(t, "POST", b.url+"/x", nil, "Idempotency-Key", "k"))
+	assert.Equal(t, got.header.Get("Balsamhill-Outcome"), "unknown")
+	assert.Equal(t, claims.verifies, 1)
+	assert.Equal(t, len(claims.calls), 0)
+	close(leave)
+	assert.Equal(t, (<-held).status, 200)
+	assert.NilError(t, b.proxy.Wait(t.Context()))
+	got = do(t, client, newRequest(t, "POST", b.url+"/x", nil))
+	assert.Equal(t, got.status, 200)
+}
+
+// A caller's deadline ends the wait for the answer, and the server's work too.
+func TestDeadlineOfTheCallerHolds(t *testing.T) {
+	ended := make(chan struct{}, 2)
+	server := startServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		ended <- struct{}{}
+	})
+	b := newBench(t, setup{}, server)
+	for _, method := range []string{"GET", "POST"} {
+		got := do(t, newClient(t, false), newRequest(t, method, b.url+"/fetch", nil, "X-Request-Timeout-Ms", "50"))
+		assert.Equal(t, got.status, 504)
+		assert.Equal(t, got.header.Get("Balsamhill-Outcome"), "unknown")
+		<-ended
+	}
+}
--- a/pkg/proxy/slow_test.go
+++ b/pkg/proxy/slow_test.go
@@ -240,3 +240,40 @@
 		})
 	}
 }
+
+// A caller that stops reading must not keep a server busy for good, while one
+// that reads slowly gets everything.
+func TestSlowReaders(t *testing.T) {
+	const size = 256 << 10
+	for _, stops := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			began := time.Now()
+			var served time.Duration
+			fakeTimeBench(t, func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write(make([]byte, size))
+				served = time.Since(began)
+			}, func(dial func() net.Conn) {
+				conn := dial()
+				defer conn.Close()
+				_, err := io.WriteString(conn, "GET /fetch HTTP/1.1\r\nHost: x\r\n\r\n")
+				assert.NilError(t, err)
+				if stops {
+					// The idle time of fetches is 30 s.
+					time.Sleep(35 * time.Second)
+				}
+				response, err := http.ReadResponse(bufio.NewReaderSize(conn, 512), nil)
+				if stops {
+					assert.Assert(t, err != nil)
+					return
+				}
+				assert.NilError(t, err)
+				for n := 0; n < size; n += 8 << 10 {
+					time.Sleep(5 * time.Second)
+					_, err = io.CopyN(io.Discard, response.Body, 8<<10)
+					assert.NilError(t, err)
+				}
+			})
+			assert.Assert(t, !stops || served <= 35*time.Second, served)
+		})
+	}
+}
