Answer fetches when pooled connections have gone silent

Cause: when all pooled connections are silent, the second attempt of a fetch took another silent one, and with a single server there was no second attempt at all; the caller waited until the deadline. Ruled out: TCP keep-alive, which takes 4 s and does not see a peer whose kernel still acknowledges. Change: second attempts use a connection that carried an answer within 500 ms or a new one, a silent reused connection makes the gateway drop the idle ones of its service (once a second at most), and without another server the same one is tried. The outage test now stores the change without the tool, which hands it to both gateways.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -225,10 +226,6 @@
 	return g.shutDownTraffic(context.WithoutCancel(ctx))
 }
 
-// drainPoll is the interval at which requests on upgraded connections are
-// counted during a graceful shutdown; http.Server does not wait for those.
-const drainPoll = 100 * time.Millisecond
-
 // shutDownTraffic stops new work and waits without limit for requests in flight.
 func (g *Gateway) shutDownTraffic(ctx context.Context) error {
 	g.stopping.Store(true)
@@ -240,9 +237,8 @@
 	// Answers now carry Connection: close, so that kept-alive connections move on.
 	g.traffic.SetKeepAlivesEnabled(false)
 	err := g.traffic.Shutdown(ctx)
-	for g.proxy.InFlight() > 0 {
-		time.Sleep(drainPoll)
-	}
+	// http.Server does not wait for upgraded connections.
+	err = errors.Join(err, g.proxy.Wait(ctx))
 	drainContext, cancel := context.WithTimeout(ctx, drainLimit)
 	defer cancel()
 	drained := g.claims.Drain(drainContext)
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -7,6 +7,7 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"balsamhill/pkg/crashguard"
@@ -36,6 +37,11 @@
 	// conn carries the request; base is its count of writes before.
 	conn *trackedConn
 	base int64
+	// fresh asks for a connection that is known to work. A second attempt needs
+	// one: all pooled connections may have gone silent for the same reason.
+	fresh bool
+	// reused says that the connection had carried a request before.
+	reused atomic.Bool
 	// got says that a connection was assigned.
 	got bool
 	// resent says that an earlier connection of this attempt was written to.
@@ -57,6 +63,13 @@
 	return a
 }
 
+// freshAttempt is an attempt over a connection that is known to work.
+func (c *call) freshAttempt(server *routing.Server) *attempt {
+	a := c.newAttempt(server)
+	a.fresh = true
+	return a
+}
+
 // limit bounds the time to the answer's header. The returned function ends the
 // limit; 0 means no limit.
 func (a *attempt) limit(wait time.Duration) (stop func()) {
@@ -104,7 +117,7 @@
 	trace := &httptrace.ClientTrace{GotConn: a.gotConn, Got1xxResponse: a.got1xx}
 	request := c.outgoingRequest(a.server, a.number).WithContext(httptrace.WithClientTrace(a.ctx, trace))
 	c.body.watch(func() { a.cancel(errIdle) })
-	fresh := c.safety != retry.Idempotent
+	fresh := a.fresh || c.safety != retry.Idempotent
 	a.response, a.err = c.proxy.config.Servers.RoundTrip(c.route.Service, fresh, request)
 	if a.err != nil {
 		a.response = nil
@@ -117,6 +130,7 @@
 		a.resent = true
 	}
 	a.got = true
+	a.reused.Store(info.Reused)
 	conn, _ := info.Conn.(*trackedConn)
 	a.conn = conn
 	if conn != nil {
--- a/pkg/proxy/latency_bench_test.go
+++ b/pkg/proxy/latency_bench_test.go
@@ -80,6 +80,9 @@
 // cannedServers answers without a network.
 type cannedServers struct{ header http.Header }
 
+// DropIdle implements proxy.Servers; there are no connections.
+func (cannedServers) DropIdle(string) {}
+
 func (s cannedServers) RoundTrip(_ string, _ bool, r *http.Request) (*http.Response, error) {
 	return &http.Response{
 		StatusCode: 200, ProtoMajor: 1, ProtoMinor: 1, Header: s.header, ContentLength: 2,
--- a/pkg/proxy/once_property_test.go
+++ b/pkg/proxy/once_property_test.go
@@ -31,6 +31,9 @@
 
 var scriptedEnds = []string{"no connection", "lost before run", "lost after run", "refused", "refused", "refused", "shed", "error", "answer", "truncated"}
 
+// DropIdle implements proxy.Servers; there are no connections.
+func (*scriptedServers) DropIdle(string) {}
+
 func (s *scriptedServers) RoundTrip(_ string, _ bool, r *http.Request) (*http.Response, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/proxy/race.go
+++ b/pkg/proxy/race.go
@@ -192,7 +192,7 @@
 	}
 	c.service.Counters.hedges.Inc()
 	x.hedged = true
-	x.start(c.newAttempt(server))
+	x.start(c.freshAttempt(server))
 }
 
 // afterPatience runs when the first attempt has been silent for long: it is
@@ -208,10 +208,10 @@
 		return 0, false
 	}
 	if c.sent == 1 && c.service.retries.Take(now, c.limits.RetryPercent) {
-		if server := c.choose(); server != nil {
+		if server := x.serverAfterSilence(); server != nil {
 			c.service.Counters.retries.Inc()
 			x.first.cancel(errDeadline)
-			x.start(c.newAttempt(server))
+			x.start(c.freshAttempt(server))
 		}
 	}
 	if c.deadline == 0 {
@@ -220,6 +220,22 @@
 	return time.Duration(c.deadline - now), true
 }
 
+// serverAfterSilence returns where to send the second attempt of a silent call.
+// If the silent connection had been used before, something between may have
+// forgotten it and others of its kind: those are closed, and without another
+// server the same one is tried over a new connection.
+func (x *contest) serverAfterSilence() *routing.Server {
+	c := x.call
+	if x.first.reused.Load() {
+		c.proxy.config.Servers.DropIdle(c.route.Service)
+	}
+	server := c.choose()
+	if server == nil && x.first.reused.Load() {
+		return x.first.server
+	}
+	return server
+}
+
 // won ends the race and learns from it.
 func (c *call) won(x *contest, last *attempt) {
 	x.finish(last)
--- a/pkg/proxy/servers.go
+++ b/pkg/proxy/servers.go
@@ -42,6 +42,9 @@
 	// RoundTrip sends one request. Fresh requests use a connection that carried
 	// an answer within the last 500 ms, or a new one.
 	RoundTrip(service string, fresh bool, request *http.Request) (*http.Response, error)
+	// DropIdle closes the idle connections of a service, because one of them
+	// turned out to be silent.
+	DropIdle(service string)
 }
 
 // Transports is the Servers of a gateway: two http.Transports for each service.
@@ -52,6 +55,8 @@
 type serviceTransports struct {
 	http2           bool
 	ordinary, fresh *http.Transport
+	// droppedAt is the wall clock of the last DropIdle in nanoseconds.
+	droppedAt atomic.Int64
 }
 
 var _ Servers = (*Transports)(nil)
@@ -93,6 +98,19 @@
 	return transports.ordinary.RoundTrip(request)
 }
 
+// dropInterval keeps slow servers from making the gateway reconnect all the time.
+const dropInterval = time.Second
+
+// DropIdle implements Servers.
+func (t *Transports) DropIdle(service string) {
+	transports := t.services[service]
+	now := time.Now().UnixNano()
+	last := transports.droppedAt.Load()
+	if now-last >= int64(dropInterval) && transports.droppedAt.CompareAndSwap(last, now) {
+		transports.ordinary.CloseIdleConnections()
+	}
+}
+
 // CloseIdleConnections closes connections without a request.
 func (t *Transports) CloseIdleConnections() {
 	for _, transports := range t.services {
--- a/pkg/proxy/slow_test.go
+++ b/pkg/proxy/slow_test.go
@@ -61,6 +61,9 @@
 // pipeServers sends requests over in-memory connections.
 type pipeServers struct{ transport *http.Transport }
 
+// DropIdle implements proxy.Servers; connections are made for each request.
+func (pipeServers) DropIdle(string) {}
+
 func (s pipeServers) RoundTrip(_ string, _ bool, r *http.Request) (*http.Response, error) {
 	return s.transport.RoundTrip(r)
 }
--- a/processtest/peers_test.go
+++ b/processtest/peers_test.go
@@ -6,14 +6,16 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"balsamhill/examples"
+	"balsamhill/pkg/platform/httpplatform"
+	"balsamhill/pkg/presetstore"
 )
 
 // startRelay passes requests on to the platform until it is closed.
@@ -108,10 +110,13 @@
 
 	r.CloseClientConnections()
 	r.Close()
-	// The tool would wait for the gateways; the store goes down before that.
-	tool := exec.Command(filepath.Join(binaries, "balsamhill"), "-platform", f.url, "preset", "use", "peak")
-	assert.NilError(t, tool.Start())
-	defer func() { _ = tool.Wait() }()
+	// The tool would hand the preset to both gateways, so the change is stored
+	// without it.
+	client := httpplatform.New(f.url)
+	defer client.Close()
+	author := presetstore.Author{Operator: "test", WriteID: "peers-test", Now: time.Now()}
+	outcome := presetstore.New(client).Use(t.Context(), author, "peak", nil)
+	assert.Equal(t, outcome.Status, presetstore.Accepted)
 	eventually(t, "change on the first gateway", func() bool { return first.status(t).Preset == "peak" })
 	assert.NilError(t, f.platform.command.Process.Kill())
 	eventually(t, "change on the second gateway", func() bool { return second.status(t).Preset == "peak" })
