Wire claims and the crash guard for the gateway

Cause: pkg/gateway needs one place that builds the claim store and the guard, and removal of claimed rows needs to know which owners still exist. The stateful test could not see a not-run that was said without asking the peers, because it took the time of the verdict from the query. Change: add gateway.NewClaims with the watch of owners. The oracle falls back to the time of the answer. The read back now follows from claim.AfterCommit, which had a branch that nothing reached. Conclusion: the parts are ready to be added to Gateway.Run.

--- a/pkg/claimstore/claims.go
+++ b/pkg/claimstore/claims.go
@@ -260,21 +260,21 @@
 	}
 	result := s.commit(ctx, claim.ClaimTxn(pending, s.clock.at(now)), left*commitShare/100)
 	s.counters.claimCommit(result.Status)
-	if result.Status == platform.CommitUnknown {
-		for _, item := range batch {
-			item.unsettled = true
-		}
-		s.readBack(ctx, batch, pending, time.Duration(deadline-s.config.Now()))
-		return
-	}
 	for i, next := range claim.AfterCommit(pending, result) {
+		if next.Step == claim.StepReadBack {
+			s.readBack(ctx, batch, pending, time.Duration(deadline-s.config.Now()))
+			return
+		}
 		s.settle(batch[i], next)
 	}
 }
 
-// readBack learns what became of claims whose write was not answered.
+// readBack learns what became of a batch of claims whose write was not answered.
 func (s *Store) readBack(ctx context.Context, batch []*claimItem, pending []claim.Pending, left time.Duration) {
 	s.counters.readBacks.Inc()
+	for _, item := range batch {
+		item.unsettled = true
+	}
 	keys := make([]string, len(pending))
 	for i, p := range pending {
 		keys[i] = p.RowKey
--- a/pkg/claimstore/fleet_test.go
+++ b/pkg/claimstore/fleet_test.go
@@ -355,6 +355,10 @@
 		g.mu.Lock()
 		asked := g.asked[call.Key]
 		g.mu.Unlock()
+		if asked.Before(r.arrived) {
+			// The peers were not asked for this send.
+			asked = time.Now()
+		}
 		f.oracle.notRun(s.Key, verdict{sendID: r.sendID, asked: asked})
 	}
 	return decision
--- a/pkg/claimstore/store.go
+++ b/pkg/claimstore/store.go
@@ -202,8 +202,6 @@
 	}
 	notRun := false
 	if result.Kind == claim.ResultReleased && !others {
-		// The row is released after the query, so that no send that arrived before
-		// the query can claim it unnoticed.
 		notRun = s.verifyReleased(ticket, id)
 	}
 	s.counters.finished(result.Kind)
--- /dev/null
+++ b/pkg/gateway/claims.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"balsamhill/pkg/claim"
+	"balsamhill/pkg/claimstore"
+	"balsamhill/pkg/crashguard"
+	"balsamhill/pkg/membership"
+	"balsamhill/pkg/platform"
+)
+
+const (
+	// ownerInterval must stay below the gap that claim.OwnerWatch accepts.
+	ownerInterval = 30 * time.Second
+	// ownerRowAge is the age beyond which a gateway row counts as missing. It is
+	// far above the refresh interval, because removal waits for 48 h anyway.
+	ownerRowAge = time.Hour
+	ownerRows   = 1000
+	// expireInterval is how often suspicions whose time is over are removed.
+	expireInterval = time.Second
+	// drainLimit bounds how long the shutdown waits for results to be written.
+	drainLimit = 10 * time.Second
+)
+
+// Claims holds the parts of a gateway that keep calls at most once and that guard
+// servers against a crashing request.
+type Claims struct {
+	Store *claimstore.Store
+	Guard *crashguard.Guard
+
+	gateway *Gateway
+	mu      sync.Mutex
+	owners  *claim.OwnerWatch
+}
+
+// NewClaims prepares the parts. Peers may be nil if the exchange between gateways
+// is off; the outcome of refused calls with a key is unknown then. FeedRead may be
+// nil; see claimstore.Config.
+func NewClaims(g *Gateway, peers claimstore.PeerQuery, feedRead func(startedAt int64)) *Claims {
+	c := &Claims{Guard: crashguard.New(), gateway: g, owners: claim.NewOwnerWatch()}
+	c.Store = claimstore.New(claimstore.Config{
+		Table:        g.platform,
+		Peers:        peers,
+		Gateway:      g.settings.VM.ID,
+		Incarnation:  g.incarnation,
+		Now:          g.now,
+		ClaimTimeout: g.settings.Platform.ClaimTimeout(),
+		Seed:         g.incarnation,
+		Metrics:      g.metrics,
+		FeedRead:     feedRead,
+		OwnerGone:    c.ownerGone,
+	})
+	return c
+}
+
+// Run performs the background work until ctx ends. It must not end before the
+// last request in flight, and returns when the results of the calls are written.
+func (c *Claims) Run(ctx context.Context) {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var running sync.WaitGroup
+	running.Go(func() { c.Store.Run(background) })
+	running.Go(func() {
+		every(ctx, expireInterval, nil, func(context.Context) { c.Guard.Expire(c.gateway.now()) })
+	})
+	running.Go(func() { every(ctx, ownerInterval, nil, c.observeOwners) })
+	<-ctx.Done()
+	limited, cancel := context.WithTimeout(background, drainLimit)
+	defer cancel()
+	if !c.Store.Drain(limited) {
+		c.gateway.log.Warn("results of calls with an idempotency key were not written before the shutdown")
+	}
+	stop()
+	running.Wait()
+}
+
+// ownerGone reports whether the owner of a claim has been missing for the
+// retention, and watches it from now on.
+func (c *Claims) ownerGone(owner claim.Incarnation) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.owners.Watch(owner)
+	return c.owners.Gone(owner)
+}
+
+// observeOwners reads the gateway rows and the VM list. It observes nothing unless
+// both reads are complete.
+func (c *Claims) observeOwners(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	rows, err := c.gateway.platform.Scan(ctx, membership.RowPrefix, "", ownerRows)
+	if err != nil || rows.More {
+		return
+	}
+	vms, err := c.gateway.platform.ListVMs(ctx)
+	if err != nil {
+		return
+	}
+	present, ok := presentOwners(rows, vms)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.owners.Observe(c.gateway.now(), present)
+}
+
+// presentOwners returns whether an incarnation of a gateway may exist. A VM of the
+// list counts for every incarnation that no gateway row shows as replaced, since
+// the list numbers VMs, not processes. It reports false if a row is unreadable.
+func presentOwners(rows platform.ReadResult, vms []platform.VM) (func(claim.Incarnation) bool, bool) {
+	newest := make(map[string]uint64)
+	fresh := make(map[claim.Incarnation]bool)
+	for _, stored := range rows.Rows {
+		var row membership.Row
+		if json.Unmarshal(stored.Value, &row) != nil {
+			return nil, false
+		}
+		newest[row.ID] = max(newest[row.ID], row.Incarnation)
+		if rows.Time.Sub(row.WrittenAt) < ownerRowAge {
+			fresh[claim.Incarnation{Gateway: row.ID, Number: row.Incarnation}] = true
+		}
+	}
+	listed := make(map[string]bool)
+	for _, vm := range vms {
+		listed[vm.ID] = true
+	}
+	return func(owner claim.Incarnation) bool {
+		return fresh[owner] || (listed[owner.Gateway] && newest[owner.Gateway] <= owner.Number)
+	}, true
+}
