Wire claims with owner watch, and ask every gateway that may hold an attempt

Cause: a gateway that restarts under its ID answered key queries for its predecessor, whose attempts it does not know; a gateway that only a peer had named was not asked at all. Either makes not-run a lie when the store goes down in the same second. Change: after a replacement, key queries are incomplete until the claims were read anew, and named gateways are asked too. The claims drain after the last request, and rows of gateways that are gone are watched for removal. Before: TestReplacedGatewayNeedsFeedRead fails on the old view. After: it passes.

--- a/pkg/gateway/claims.go
+++ b/pkg/gateway/claims.go
@@ -8,7 +8,6 @@
 
 	"balsamhill/pkg/claim"
 	"balsamhill/pkg/claimstore"
-	"balsamhill/pkg/crashguard"
 	"balsamhill/pkg/membership"
 	"balsamhill/pkg/platform"
 )
@@ -20,58 +19,47 @@
 	// far above the refresh interval, because removal waits for 48 h anyway.
 	ownerRowAge = time.Hour
 	ownerRows   = 1000
-	// expireInterval is how often suspicions whose time is over are removed.
-	expireInterval = time.Second
 	// drainLimit bounds how long the shutdown waits for results to be written.
 	drainLimit = 10 * time.Second
 )
 
-// Claims holds the parts of a gateway that keep calls at most once and that guard
-// servers against a crashing request.
-type Claims struct {
-	Store *claimstore.Store
-	Guard *crashguard.Guard
-
+// claims holds the parts of a gateway that keep calls at most once.
+type claims struct {
+	store   *claimstore.Store
 	gateway *Gateway
 	mu      sync.Mutex
 	owners  *claim.OwnerWatch
 }
 
-// NewClaims prepares the parts. Peers may be nil if the exchange between gateways
-// is off; the outcome of refused calls with a key is unknown then. FeedRead may be
-// nil; see claimstore.Config.
-func NewClaims(g *Gateway, peers claimstore.PeerQuery, feedRead func(startedAt int64)) *Claims {
-	c := &Claims{Guard: crashguard.New(), gateway: g, owners: claim.NewOwnerWatch()}
-	c.Store = claimstore.New(claimstore.Config{
+func (g *Gateway) newClaims() *claims {
+	c := &claims{gateway: g, owners: claim.NewOwnerWatch()}
+	c.store = claimstore.New(claimstore.Config{
 		Table:        g.platform,
-		Peers:        peers,
+		Peers:        g.peerQuery(),
 		Gateway:      g.settings.VM.ID,
 		Incarnation:  g.incarnation,
 		Now:          g.now,
 		ClaimTimeout: g.settings.Platform.ClaimTimeout(),
 		Seed:         g.incarnation,
 		Metrics:      g.metrics,
-		FeedRead:     feedRead,
+		FeedRead:     g.peers.feedRead,
 		OwnerGone:    c.ownerGone,
 	})
 	return c
 }
 
-// Run performs the background work until ctx ends. It must not end before the
+// run performs the background work until ctx ends. It must not end before the
 // last request in flight, and returns when the results of the calls are written.
-func (c *Claims) Run(ctx context.Context) {
+func (c *claims) run(ctx context.Context) {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var running sync.WaitGroup
-	running.Go(func() { c.Store.Run(background) })
-	running.Go(func() {
-		every(ctx, expireInterval, nil, func(context.Context) { c.Guard.Expire(c.gateway.now()) })
-	})
+	running.Go(func() { c.store.Run(background) })
 	running.Go(func() { every(ctx, ownerInterval, nil, c.observeOwners) })
 	<-ctx.Done()
 	limited, cancel := context.WithTimeout(background, drainLimit)
 	defer cancel()
-	if !c.Store.Drain(limited) {
+	if !c.store.Drain(limited) {
 		c.gateway.log.Warn("results of calls with an idempotency key were not written before the shutdown")
 	}
 	stop()
@@ -80,7 +68,7 @@
 
 // ownerGone reports whether the owner of a claim has been missing for the
 // retention, and watches it from now on.
-func (c *Claims) ownerGone(owner claim.Incarnation) bool {
+func (c *claims) ownerGone(owner claim.Incarnation) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.owners.Watch(owner)
@@ -89,7 +77,7 @@
 
 // observeOwners reads the gateway rows and the VM list. It observes nothing unless
 // both reads are complete.
-func (c *Claims) observeOwners(ctx context.Context) {
+func (c *claims) observeOwners(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	rows, err := c.gateway.platform.Scan(ctx, membership.RowPrefix, "", ownerRows)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -16,7 +16,6 @@
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
 
-	"balsamhill/pkg/claimstore"
 	"balsamhill/pkg/control"
 	"balsamhill/pkg/crashguard"
 	"balsamhill/pkg/membership"
@@ -52,7 +51,7 @@
 	budgets    *budgets
 	storeClock storeClock
 
-	claims    *claimstore.Store
+	claims    *claims
 	guard     crashGuard
 	proxy     *proxy.Proxy
 	transport *proxy.Transports
@@ -112,7 +111,7 @@
 		Now:            g.now,
 		Metrics:        proxy.NewMetrics(g.metrics),
 		TrustedProxies: trusted,
-		Claims:         g.claims,
+		Claims:         g.claims.store,
 		CrashGuard:     g.guard,
 	})
 	g.traffic = g.newTrafficServer()
@@ -194,7 +193,7 @@
 	addLoop(g.runRowWriter)
 	addLoop(g.runPeers)
 	addLoop(g.runBudgets)
-	addLoop(g.claims.Run)
+	addLoop(g.claims.run)
 	addLoop(g.runGuardExpiry)
 	g.addProbeLoops(addLoop)
 	group.Add(func() error { return serve(g.admin, g.adminListener) }, func(error) { _ = g.admin.Close() })
@@ -239,10 +238,7 @@
 	err := g.traffic.Shutdown(ctx)
 	// http.Server does not wait for upgraded connections.
 	err = errors.Join(err, g.proxy.Wait(ctx))
-	drainContext, cancel := context.WithTimeout(ctx, drainLimit)
-	defer cancel()
-	drained := g.claims.Drain(drainContext)
-	g.log.Info("graceful shutdown complete", "claimResultsWritten", drained)
+	g.log.Info("graceful shutdown complete")
 	return err
 }
 
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -186,6 +186,14 @@
 	}
 }
 
+// feedRead is told when the feed of claims was read to its end.
+func (p *peers) feedRead(startedAt int64) {
+	if p != nil {
+		// The exchange has a clock of its own.
+		p.exchange.FeedRead(time.Duration(p.gateway.now() - startedAt))
+	}
+}
+
 func (p *peers) listRead(vms []platform.VM) {
 	if p != nil {
 		p.exchange.List(vms)
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -45,6 +45,9 @@
 	heardSinceRead bool
 	// introducedAt is when a peer named it, 0 if none did.
 	introducedAt int64
+	// replacedAt is when an earlier incarnation was found replaced, 0 if none was.
+	// The new one does not know the calls of its predecessor.
+	replacedAt int64
 	// spokeSince is when it became one of the expected speakers, 0 if it is none.
 	spokeSince int64
 	// mute marks an expected speaker that sent no heartbeat in time.
@@ -58,6 +61,10 @@
 	members map[string]*member
 	// rowsRead says that the gateway rows were read at least once.
 	rowsRead bool
+	// feedReadAt is when the last complete read of the claims began.
+	feedReadAt int64
+	// latest is the time of the last event.
+	latest int64
 }
 
 // NewView returns the view of a gateway that knows only itself.
@@ -69,6 +76,7 @@
 // clock at the read. Rows older than RowLife are ignored. Between reads, for
 // example while the store is down, the last read stays valid.
 func (v *View) ApplyRows(now int64, storeTime time.Time, rows []Row) {
+	v.latest = now
 	v.rowsRead = true
 	for _, m := range v.members {
 		m.inRows = false
@@ -113,6 +121,7 @@
 	if g.ID == v.self.ID || v.members[g.ID] != nil {
 		return
 	}
+	v.latest = now
 	m := v.learn(Gateway{ID: g.ID, Region: g.Region, Peer: g.Peer})
 	m.introducedAt = now
 }
@@ -124,6 +133,7 @@
 	if beat.ID == v.self.ID || (known != nil && beat.Incarnation < known.Incarnation) {
 		return false
 	}
+	v.latest = now
 	m := v.learn(beat)
 	m.heardAt = now
 	m.heardSinceRead = true
@@ -140,8 +150,11 @@
 		m = &member{Gateway: g}
 		v.members[g.ID] = m
 	case g.Incarnation > m.Incarnation:
-		peer := cmp.Or(g.Peer, m.Peer)
-		*m = member{Gateway: g, inList: m.inList}
+		peer, replacedAt := cmp.Or(g.Peer, m.Peer), m.replacedAt
+		if m.Incarnation != 0 {
+			replacedAt = v.latest
+		}
+		*m = member{Gateway: g, inList: m.inList, replacedAt: replacedAt}
 		m.Peer = peer
 	case g.Incarnation == m.Incarnation:
 		m.State = g.State
@@ -236,18 +249,30 @@
 	return m.inRows || v.heardRecently(now, m)
 }
 
+// FeedRead records that all claims until a time were read. Attempts of earlier
+// incarnations are among them.
+func (v *View) FeedRead(startedAt int64) {
+	v.feedReadAt = startedAt
+}
+
 // MayHoldCalls returns the gateways that may hold an attempt of a key: those
-// with a row at the last read, those heard since even if they are silent now, and
-// those in the platform's list. It reports false if the rows were never read.
+// with a row at the last read, those heard since even if they are silent now,
+// those in the platform's list and those that a peer named. It reports false if
+// there may be others: the rows were never read, or a gateway was replaced since
+// the claims were last read, so that nobody speaks for its predecessor.
 func (v *View) MayHoldCalls() ([]string, bool) {
 	var ids []string
+	complete := v.rowsRead
 	for id, m := range v.members {
-		if m.inRows || m.inList || m.heardSinceRead {
+		if m.replacedAt != 0 && m.replacedAt >= v.feedReadAt {
+			complete = false
+		}
+		if m.inRows || m.inList || m.heardSinceRead || m.introducedAt != 0 {
 			ids = append(ids, id)
 		}
 	}
 	slices.Sort(ids)
-	return ids, v.rowsRead
+	return ids, complete
 }
 
 // Known returns all known gateways but the own one, in ID order.
--- a/pkg/membership/view_test.go
+++ b/pkg/membership/view_test.go
@@ -102,6 +102,28 @@
 	assert.Equal(t, len(ids), 0)
 }
 
+// Guards against a restarted gateway that speaks for its predecessor, whose
+// attempts it does not know, and against one that only a peer has named yet.
+func TestReplacedGatewayNeedsFeedRead(t *testing.T) {
+	v := NewView(Gateway{ID: "gw-self", Region: "khomas"})
+	v.ApplyRows(second, time.Now(), nil)
+	v.FeedRead(2 * second)
+	heard(v, 3*second, "gw", "khomas")
+	_, complete := v.MayHoldCalls()
+	assert.Assert(t, complete)
+	assert.Assert(t, v.Heard(4*second, Gateway{ID: "gw", Incarnation: 9, Region: "khomas"}))
+	_, complete = v.MayHoldCalls()
+	assert.Assert(t, !complete)
+	v.FeedRead(4 * second)
+	_, complete = v.MayHoldCalls()
+	assert.Assert(t, !complete, "the read began before the restart was known")
+	v.FeedRead(5 * second)
+	v.Introduce(5*second, Gateway{ID: "gw-new", Region: "khomas"})
+	ids, complete := v.MayHoldCalls()
+	assert.Assert(t, complete)
+	assert.DeepEqual(t, ids, []string{"gw", "gw-new"})
+}
+
 // Guards that messages and rows of a replaced incarnation change nothing.
 func TestIncarnationsRise(t *testing.T) {
 	v := NewView(Gateway{ID: "gw-self", Region: "khomas"})
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -176,6 +176,13 @@
 	e.view.ApplyRows(e.now(), storeTime, rows)
 }
 
+// FeedRead records that all claims were read; the read began the given time ago.
+func (e *Exchange) FeedRead(ago time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.view.FeedRead(e.now() - int64(ago))
+}
+
 // List takes the platform's list.
 func (e *Exchange) List(vms []platform.VM) {
 	e.mu.Lock()
