Let old load reports count less in the spill-over

A server that is avoided because it was busy keeps its last, high report for up to 2 s, so the measured load of the region was too high. Change: reports count in the load of the region with a half-life of 50 ms.

--- a/pkg/control/spill.go
+++ b/pkg/control/spill.go
@@ -32,6 +32,8 @@
 	blindSpillShare = 0.02
 	// reportLife is the age up to which a load report counts.
 	reportLife = 2 * time.Second
+	// reportHalfLife is the age at which a report counts half.
+	reportHalfLife = 50 * time.Millisecond
 	// spillStep is the change of the share that is worth a new snapshot.
 	spillStep = 0.01
 )
@@ -61,6 +63,10 @@
 // runSpillSystem updates the spill-over of all services.
 func (s *State) runSpillSystem(now int64, preset *preset.Preset) {
 	loads := make(map[string]*regionLoads, len(s.config.Services))
+	slots := make(map[string]int, len(s.config.Services))
+	for _, service := range s.config.Services {
+		slots[service.Name] = service.Slots
+	}
 	for _, row := range s.sortedServers() {
 		if s.judge(now, row).availability != routing.Available {
 			continue
@@ -70,7 +76,7 @@
 			sums = &regionLoads{}
 			loads[row.service] = sums
 		}
-		sums.add(now, row, s.config.Region)
+		sums.add(now, row, s.config.Region, slots[row.service])
 	}
 	for _, service := range s.config.Services {
 		state := s.spill[service.Name]
@@ -84,8 +90,8 @@
 			*state = spillState{published: state.published}
 			continue
 		}
-		own, _ := sums.own.share(service.Slots)
-		far, farKnown := sums.far.share(service.Slots)
+		own, _ := sums.own.share()
+		far, farKnown := sums.far.share()
 		state.update(now, own, far, farKnown, preset.SpillOver.LoadPercent/100)
 	}
 }
@@ -96,35 +102,43 @@
 	ownServers int
 }
 
-// reports holds the reported requests in flight of servers. The share of slots
+// reports sums the reported requests in flight of servers. The share of slots
 // taken is used and not the length of queues, because queues of a few requests
 // are usual well below the threshold.
-type reports []float64
+type reports struct {
+	taken  float64
+	weight float64
+}
 
-func (r reports) share(slots int) (share float64, known bool) {
-	if len(r) == 0 {
+// add takes a report in. A server that is avoided because it was busy keeps its
+// last report, so reports count less with age; otherwise they would overstate
+// the load of the region.
+func (r *reports) add(inFlight float64, age int64, slots int) {
+	weight := math.Exp2(-float64(age) / float64(reportHalfLife))
+	r.taken += weight * min(1, inFlight/float64(max(1, slots)))
+	r.weight += weight
+}
+
+func (r *reports) share() (share float64, known bool) {
+	if r.weight == 0 {
 		return 0, false
 	}
-	capacity := float64(max(1, slots))
-	taken := 0.0
-	for _, inFlight := range r {
-		taken += min(capacity, inFlight)
-	}
-	return taken / (capacity * float64(len(r))), true
+	return r.taken / r.weight, true
 }
 
-func (l *regionLoads) add(now int64, row *serverRow, region string) {
+func (l *regionLoads) add(now int64, row *serverRow, region string, slots int) {
 	inOwn := row.region == region
 	if inOwn {
 		l.ownServers++
 	}
 	reportedAt := row.stats.ReportedAt()
-	if reportedAt == 0 || now-reportedAt > int64(reportLife) {
+	age := max(0, now-reportedAt)
+	if reportedAt == 0 || age > int64(reportLife) {
 		return
 	}
 	if inOwn {
-		l.own = append(l.own, row.stats.ReportedInFlight())
+		l.own.add(row.stats.ReportedInFlight(), age, slots)
 		return
 	}
-	l.far = append(l.far, row.stats.ReportedInFlight())
+	l.far.add(row.stats.ReportedInFlight(), age, slots)
 }
