Don't avoid a server because it runs a long call

Cause, found in review: a server with one long upload of this gateway gives neither an answer nor a report for up to an hour. Change: silence counts for at most 1 s and reports fade after 1 s; then the server is tried again. Requests that ended without a report no longer count as sent. TestLongUploadDoesNotStarveServer guards it.

--- a/pkg/routing/pick_test.go
+++ b/pkg/routing/pick_test.go
@@ -150,3 +150,30 @@
 		})
 	}
 }
+
+// TestLongUploadDoesNotStarveServer guards against a server that is avoided for
+// ever because it runs one long call, which brings neither an answer nor a
+// report. Every server runs one; one of them last reported a queue.
+func TestLongUploadDoesNotStarveServer(t *testing.T) {
+	servers := testServers(8)
+	servers[0].Stats.Report(1e9, 20)
+	for _, server := range servers {
+		server.Stats.markChosen(1e9)
+		server.Stats.Start()
+	}
+	view := testView(preset.PolicyHotCold, servers)
+	random := rand.New(rand.NewPCG(1, 2))
+	count := 0
+	const calls = 8000
+	for i := range int64(calls) {
+		now := 3e9 + i*10e6
+		server := view.Choose(Pick{Rand: random, Now: now})
+		if server == servers[0] {
+			count++
+		}
+		server.Stats.Start()
+		server.Stats.Success(now+5e6, 5e6)
+		server.Stats.End()
+	}
+	assert.Assert(t, count > calls/8/2 && count < calls/8*2, "chosen %d times of %d", count, calls)
+}
--- a/pkg/routing/server.go
+++ b/pkg/routing/server.go
@@ -165,18 +165,24 @@
 
 // markChosen records a choice that Start will follow.
 func (s *Stats) markChosen(now int64) {
-	if s.inFlight.Load() == 0 {
+	if s.inFlight.Load() == 0 || now-s.quietSince() > patience {
 		s.busySince.Store(now)
 	}
 }
 
-// Silence returns how long own requests have been waiting without any answer,
-// 0 if there are none.
+// quietSince is the time since which nothing was heard of own requests.
+func (s *Stats) quietSince() int64 {
+	return max(s.busySince.Load(), s.answeredAt.Load())
+}
+
+// Silence returns how long own requests have been waiting without any answer.
+// It is 0 if there are none, and after patience, when the server is tried again.
 func (s *Stats) Silence(now int64) int64 {
-	if s.inFlight.Load() == 0 {
+	silence := now - s.quietSince()
+	if silence > patience || s.inFlight.Load() == 0 {
 		return 0
 	}
-	return max(0, now-max(s.busySince.Load(), s.answeredAt.Load()))
+	return max(0, silence)
 }
 
 // AnsweredAt returns the time of the last answer, 0 if none.
@@ -189,24 +195,31 @@
 	return s.reportedAt.Load()
 }
 
+// patience bounds in nanoseconds how long the lack of answers speaks against a
+// server. A long upload alone produces no answer either, and a server that is
+// avoided for that reason could never show that it is well.
+const patience = 1e9
+
 // reportHalfLife is the age in nanoseconds at which a load report counts half.
 const reportHalfLife = 50e6
 
-// EstimatedInFlight combines the last report, own dispatches since, and the sums
-// of peers. The report fades with age only while this gateway has no request at
-// the server: a server that slows down reports rarely, so a report that fades
-// would show it as idle when its queue is longest.
+// EstimatedInFlight combines the last report with own dispatches since; without
+// any report it is the sum of own and peers' requests. The report fades with
+// age; while this gateway has requests at the server, fading starts only after
+// patience: a server that slows down reports rarely, so a report that fades at
+// once would show it as idle when its queue is longest.
 func (s *Stats) EstimatedInFlight(now int64) float64 {
-	own := float64(s.inFlight.Load())
-	seen := own + float64(s.peersInFlight.Load())
+	own := s.inFlight.Load()
 	reportedAt := s.reportedAt.Load()
 	if reportedAt == 0 {
-		return seen
+		return float64(own + s.peersInFlight.Load())
 	}
-	reported := float64(s.reported.Load())
-	if own == 0 {
-		age := float64(max(0, now-reportedAt))
-		return reported * math.Exp2(-age/reportHalfLife)
+	age := max(0, now-reportedAt)
+	if own > 0 {
+		age = max(0, age-patience)
 	}
-	return max(own, reported+float64(max(0, s.sentSinceReport.Load())))
+	faded := float64(s.reported.Load()) * math.Exp2(-float64(age)/reportHalfLife)
+	// Requests that ended without a report are no longer in flight.
+	sent := min(own, max(0, s.sentSinceReport.Load()))
+	return max(float64(own), faded+float64(sent))
 }
