--- a/pkg/control/control_test.go
+++ b/pkg/control/control_test.go
@@ -201,3 +201,29 @@
 	h.state.Apply(second, PeerLost{Peer: "p2"})
 	assert.Equal(t, len(h.state.peers.sums), 0)
 }
+
+// BenchmarkRunSystems is one tick at the size to design for (910 servers in 47
+// services), without a change and with one that publishes a snapshot.
+func BenchmarkRunSystems(b *testing.B) {
+	for _, publish := range []bool{false, true} {
+		b.Run(fmt.Sprintf("publish=%v", publish), func(b *testing.B) {
+			config := Config{VMID: "g", Region: "r0"}
+			for i := range 47 {
+				config.Services = append(config.Services, ServiceConfig{Name: fmt.Sprintf("s%d", i), Slots: 4})
+			}
+			state := NewState(config)
+			vms := liveVMs(910)
+			for i := range vms {
+				vms[i].Service = fmt.Sprintf("s%d", i%47)
+			}
+			state.Apply(second, PresetOffered{Version: version(1)})
+			state.Apply(second, VMListRead{VMs: vms})
+			state.RunSystems(second)
+			b.ReportAllocs()
+			for i := range b.N {
+				state.dirty = publish
+				state.RunSystems(2*second + int64(i)*tick)
+			}
+		})
+	}
+}
