--- /dev/null
+++ b/pkg/capacity/control_test.go
@@ -0,0 +1,128 @@
+package capacity
+
+import (
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"balsamhill/pkg/control"
+	"balsamhill/pkg/routing"
+)
+
+// published returns the snapshot among the actions, nil if there is none.
+func published(actions []control.Action) *routing.Snapshot {
+	for _, action := range actions {
+		if publish, ok := action.(control.Publish); ok {
+			return publish.Snapshot
+		}
+	}
+	return nil
+}
+
+// BenchmarkCapacityControl measures one tick of the control loop: with nothing to
+// do, with a snapshot to build, and after a VM list.
+func BenchmarkCapacityControl(b *testing.B) {
+	for _, s := range sizes {
+		vms := serverList(s)
+		b.Run(s.String()+"/idle", func(b *testing.B) { benchmarkTicks(b, s, func(*control.State, int64) {}) })
+		b.Run(s.String()+"/list", func(b *testing.B) {
+			benchmarkTicks(b, s, func(state *control.State, now int64) {
+				state.Apply(now, control.VMListRead{VMs: vms})
+			})
+		})
+		b.Run(s.String()+"/publish", func(b *testing.B) {
+			revision := uint64(1)
+			benchmarkTicks(b, s, func(state *control.State, now int64) {
+				revision++
+				state.Apply(now, control.PresetOffered{Version: version(revision), Source: "store"})
+			})
+		})
+	}
+}
+
+func benchmarkTicks(b *testing.B, s size, before func(*control.State, int64)) {
+	state := newState(s)
+	now := int64(time.Second)
+	state.Apply(now, control.VMListRead{VMs: serverList(s)})
+	state.RunSystems(now)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		now += int64(control.Tick)
+		before(state, now)
+		state.RunSystems(now)
+	}
+}
+
+// BenchmarkCapacityControlMemory reports the memory of the tables with one
+// published snapshot, and of each snapshot.
+func BenchmarkCapacityControlMemory(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(s.String(), func(b *testing.B) {
+			vms := serverList(s)
+			for range b.N {
+				before := heapBytes()
+				state := newState(s)
+				state.Apply(1, control.VMListRead{VMs: vms})
+				first := published(state.RunSystems(1))
+				tables := heapBytes()
+				state.Apply(2, control.PresetOffered{Version: version(2), Source: "store"})
+				second := published(state.RunSystems(2))
+				both := heapBytes()
+				b.ReportMetric(float64(tables-before)/float64(s.servers), "B/server")
+				b.ReportMetric(float64(both-tables)/float64(s.servers), "snapshot-B/server")
+				runtime.KeepAlive([]any{state, first, second})
+			}
+			runtime.KeepAlive(vms)
+		})
+	}
+}
+
+// BenchmarkCapacityChoose measures one choice of a server of one service.
+func BenchmarkCapacityChoose(b *testing.B) {
+	for _, servers := range []int{10, 100, 910} {
+		s := size{servers: servers, services: 1}
+		b.Run(s.String(), func(b *testing.B) {
+			view := chooseView(s)
+			pick := routing.Pick{Rand: rand.New(rand.NewPCG(1, 2)), Now: int64(time.Second)}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				view.Choose(pick)
+			}
+		})
+	}
+}
+
+func chooseView(s size) *routing.ServiceView {
+	state := newState(s)
+	state.Apply(1, control.VMListRead{VMs: serverList(s)})
+	return published(state.RunSystems(1)).Services[serviceName(0)]
+}
+
+// Guards the choice of a server against allocations, which would grow with the
+// calls per second.
+func TestChooseAllocatesNothing(t *testing.T) {
+	view := chooseView(size{servers: 910, services: 1})
+	pick := routing.Pick{Rand: rand.New(rand.NewPCG(1, 2)), Now: int64(time.Second)}
+	assert.Equal(t, testing.AllocsPerRun(1000, func() { view.Choose(pick) }), 0.0)
+}
+
+// Guards the fixture: the last size must be the size to design for, and traffic
+// must find servers of each service in both regions.
+func TestFixtureHasDesignSize(t *testing.T) {
+	s := sizes[len(sizes)-1]
+	assert.Equal(t, s, size{servers: 910, services: 47})
+	state := newState(s)
+	state.Apply(1, control.VMListRead{VMs: serverList(s)})
+	snapshot := published(state.RunSystems(1))
+	total := 0
+	for _, view := range snapshot.Services {
+		assert.Assert(t, len(view.Local) > 0 && len(view.Remote) > 0, view.Name)
+		total += len(view.Servers)
+	}
+	assert.Equal(t, total, s.servers)
+}
--- /dev/null
+++ b/pkg/capacity/exchange_test.go
@@ -0,0 +1,280 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"balsamhill/pkg/membership"
+	"balsamhill/pkg/peer"
+	"balsamhill/pkg/peer/peerpb"
+	"balsamhill/pkg/platform"
+	"balsamhill/pkg/routing"
+)
+
+// fleet is a set of running exchanges that know each other from the VM list.
+type fleet struct {
+	exchanges []*peer.Exchange
+	endpoints []*endpoint
+	stop      func()
+}
+
+func peerAddress(i int) string {
+	return fmt.Sprintf("10.30.%d.%d:8082", i/250, i%250+1)
+}
+
+// startFleet runs n gateways, half of them in each region. It returns once each
+// has a session with all others.
+func startFleet(tb testing.TB, n int, handler peer.Handler) *fleet {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	f := &fleet{stop: func() { cancel(); running.Wait() }}
+	network := newNetwork()
+	var vms []platform.VM
+	for i := range n {
+		vms = append(vms, platform.VM{ID: gatewayID(i), Role: platform.RoleGateway, Region: regionOf(i),
+			Address: peerAddress(i), State: platform.VMLive})
+		f.endpoints = append(f.endpoints, network.listen(peerAddress(i), regionOf(i)))
+	}
+	for i := range n {
+		exchange := peer.New(peer.Config{
+			Self: membership.Gateway{ID: gatewayID(i), Incarnation: 1_780_000_000_000_000,
+				Region: regionOf(i), Peer: peerAddress(i)},
+			Network: f.endpoints[i],
+			Handler: handler,
+			Current: func() (uint64, []byte) { return 1000, []byte("{}") },
+			State:   func() membership.State { return membership.StateReady },
+			Seed:    uint64(i),
+		})
+		exchange.List(vms)
+		f.exchanges = append(f.exchanges, exchange)
+		running.Go(func() { exchange.Run(ctx) })
+	}
+	limit := time.Now().Add(20 * time.Second)
+	for !f.connected() {
+		if time.Now().After(limit) {
+			f.stop()
+			tb.Fatal("the gateways did not connect")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return f
+}
+
+func (f *fleet) connected() bool {
+	for _, exchange := range f.exchanges {
+		for _, status := range exchange.Status() {
+			if !status.Connected {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// sent returns the bytes and writes of all gateways towards a region.
+func (f *fleet) sent(choose func(*endpoint) *traffic) (bytes, writes float64) {
+	for _, e := range f.endpoints {
+		t := choose(e)
+		bytes += float64(t.bytes.Load())
+		writes += float64(t.writes.Load())
+	}
+	return bytes, writes
+}
+
+// sessions returns how many sessions were opened, counted at both ends, and how
+// many were closed because the peer was silent.
+func (f *fleet) sessions() (opened, silent uint64) {
+	for _, exchange := range f.exchanges {
+		opened += exchange.Counters().Opened.Load()
+		silent += exchange.Counters().Silent.Load()
+	}
+	return opened, silent
+}
+
+func near(e *endpoint) *traffic { return &e.near }
+func far(e *endpoint) *traffic  { return &e.far }
+
+// BenchmarkCapacityExchange runs fleets in which nothing happens and reports for
+// each gateway the bytes that it sends, before TLS, the processor time and the
+// memory. The longest run spans one interval of the heartbeats across the link.
+func BenchmarkCapacityExchange(b *testing.B) {
+	for _, run := range []struct {
+		gateways int
+		window   time.Duration
+	}{{12, 8 * time.Second}, {24, 3 * time.Second}, {48, membership.FarInterval + time.Second}} {
+		b.Run(fmt.Sprintf("gateways=%d", run.gateways), func(b *testing.B) {
+			for range b.N {
+				measureFleet(b, run.gateways, run.window)
+			}
+		})
+	}
+}
+
+func measureFleet(b *testing.B, n int, window time.Duration) {
+	heap, goroutines := heapBytes(), runtime.NumGoroutine()
+	f := startFleet(b, n, peer.Handler{})
+	defer f.stop()
+	// Sessions that were opened twice at the start end meanwhile.
+	time.Sleep(time.Second)
+	nearBytes, nearWrites := f.sent(near)
+	farBytes, farWrites := f.sent(far)
+	opened, silent := f.sessions()
+	used, began := processorTime(b), time.Now()
+	time.Sleep(window)
+	seconds := time.Since(began).Seconds()
+	used = processorTime(b) - used
+	nearBytes, nearWrites = minus(f, near, nearBytes, nearWrites)
+	farBytes, farWrites = minus(f, far, farBytes, farWrites)
+	openedAfter, silentAfter := f.sessions()
+	b.ReportMetric(float64(openedAfter-opened)/seconds, "opened/s")
+	b.ReportMetric(float64(silentAfter-silent)/seconds, "silent/s")
+	each := float64(n) * seconds
+	b.ReportMetric(100*used.Seconds()/each, "%core/gateway")
+	b.ReportMetric(nearBytes/each, "near-B/s/gateway")
+	b.ReportMetric(nearWrites/each, "near-writes/s/gateway")
+	if window >= membership.FarInterval {
+		b.ReportMetric(farBytes/each, "far-B/s/gateway")
+		b.ReportMetric(farWrites/each, "far-writes/s/gateway")
+	}
+	ends := float64(n * (n - 1))
+	b.ReportMetric(float64(heapBytes()-heap)/ends, "B/session")
+	b.ReportMetric(float64(runtime.NumGoroutine()-goroutines)/ends, "goroutines/session")
+}
+
+func minus(f *fleet, choose func(*endpoint) *traffic, bytes, writes float64) (float64, float64) {
+	nowBytes, nowWrites := f.sent(choose)
+	return nowBytes - bytes, nowWrites - writes
+}
+
+// loadModel drives the statistics of one gateway's servers in virtual time.
+type loadModel struct {
+	random  *rand.Rand
+	servers []*routing.Server
+	// rate is the calls per second of this gateway on each server.
+	rate    float64
+	started []int64
+}
+
+const (
+	designCalls = 73_000
+	// callTime is the mean time of a call in seconds, as in docs/MEASUREMENTS.md.
+	callTime      = 0.005
+	summaryRounds = 100
+	summaryPeriod = 0.25
+)
+
+// newLoadModel spreads the calls of the design size over the gateways and over
+// the servers of their own region.
+func newLoadModel(gateways int) *loadModel {
+	m := &loadModel{random: rand.New(rand.NewPCG(1, 2))}
+	for _, vm := range serverList(size{servers: 910, services: 47}) {
+		m.servers = append(m.servers, &routing.Server{ID: vm.ID, Region: vm.Region, Stats: &routing.Stats{}})
+	}
+	m.rate = designCalls / float64(gateways) / float64(len(m.servers)/2)
+	m.started = make([]int64, len(m.servers))
+	return m
+}
+
+// next moves on by one period and returns the view of all servers.
+func (m *loadModel) next(withLatency bool) []*peerpb.ServerLoad {
+	var loads []*peerpb.ServerLoad
+	for i, server := range m.servers {
+		if server.Region == homeRegion {
+			m.advance(i, server.Stats)
+		}
+		load := &peerpb.ServerLoad{ServerId: server.ID, InFlight: server.Stats.InFlight()}
+		if withLatency {
+			load.Latency = server.Stats.Latency()
+		}
+		loads = append(loads, load)
+	}
+	return loads
+}
+
+func (m *loadModel) advance(i int, stats *routing.Stats) {
+	for range m.started[i] {
+		stats.End()
+	}
+	for range m.poisson(m.rate * summaryPeriod) {
+		// Log-normal with sigma 1 and the mean callTime.
+		stats.Success(1, int64(callTime*1e9*math.Exp(m.random.NormFloat64()-0.5)))
+	}
+	m.started[i] = m.poisson(m.rate * callTime)
+	for range m.started[i] {
+		stats.Start()
+	}
+}
+
+func (m *loadModel) poisson(mean float64) int64 {
+	count, limit := int64(0), math.Exp(-mean)
+	for p := m.random.Float64(); p > limit; p *= m.random.Float64() {
+		count++
+	}
+	return count
+}
+
+// BenchmarkCapacitySummaries reports the bytes per second of server summaries to
+// one neighbour under the calls of the design size, with all values and with the
+// requests in flight only.
+func BenchmarkCapacitySummaries(b *testing.B) {
+	for _, gateways := range fleetSizes {
+		for _, withLatency := range []bool{true, false} {
+			b.Run(fmt.Sprintf("gateways=%d/latency=%v", gateways, withLatency), func(b *testing.B) {
+				for range b.N {
+					measureSummaries(b, gateways, withLatency)
+				}
+			})
+		}
+	}
+}
+
+func measureSummaries(b *testing.B, gateways int, withLatency bool) {
+	var entries, frames atomic.Int64
+	f := startFleet(b, 3, peer.Handler{Summary: func(_ string, loads []*peerpb.ServerLoad) {
+		entries.Add(int64(len(loads)))
+		frames.Add(1)
+	}})
+	defer f.stop()
+	model := newLoadModel(gateways)
+	// The first summary holds all servers; 20 rounds settle the averages.
+	share := func() {
+		before := frames.Load()
+		f.exchanges[0].ShareSummary(model.next(withLatency))
+		for wait := 0; frames.Load() == before && wait < 100; wait++ {
+			time.Sleep(100 * time.Microsecond)
+		}
+	}
+	for range 20 {
+		share()
+	}
+	bytes, listed, sent := f.endpoints[0].near.bytes.Load(), entries.Load(), frames.Load()
+	used := processorTime(b)
+	for range summaryRounds {
+		share()
+	}
+	used = processorTime(b) - used
+	seconds := summaryRounds * summaryPeriod
+	b.ReportMetric(float64(f.endpoints[0].near.bytes.Load()-bytes)/seconds, "B/s/neighbour")
+	b.ReportMetric(float64(entries.Load()-listed)/seconds, "entries/s/neighbour")
+	b.ReportMetric(float64(frames.Load()-sent)/seconds, "frames/s/neighbour")
+	b.ReportMetric(100*used.Seconds()/seconds, "%core/pair")
+}
+
+// Guards the measurement: a fleet of the benchmark connects in both regions and
+// its traffic is counted by region.
+func TestFleetConnects(t *testing.T) {
+	f := startFleet(t, 4, peer.Handler{})
+	defer f.stop()
+	for _, e := range f.endpoints {
+		assert.Assert(t, e.near.bytes.Load() > 0 && e.far.bytes.Load() > 0)
+	}
+}
