--- /dev/null
+++ b/pkg/capacity/gateway_test.go
@@ -0,0 +1,227 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"balsamhill/pkg/platform"
+)
+
+// gatewayCase is one whole gateway process among scripted peers.
+type gatewayCase struct {
+	size     size
+	gateways int
+	// entries is the number of servers in each summary of a neighbour, 0 for none.
+	entries int
+	probes  bool
+}
+
+func (c gatewayCase) String() string {
+	return fmt.Sprintf("%s/entries=%d/probes=%v", c.size.withGateways(c.gateways), c.entries, c.probes)
+}
+
+const (
+	// settleTime lets the sessions open and the first reads end.
+	settleTime = 2 * time.Second
+	idleWindow = 10 * time.Second
+)
+
+// BenchmarkCapacityGateway runs whole gateway processes without calls, all at the
+// same time, and reports what each takes. The entries are those that
+// BenchmarkCapacitySummaries measures for the calls of the design size.
+func BenchmarkCapacityGateway(b *testing.B) {
+	design := sizes[len(sizes)-1]
+	cases := []gatewayCase{
+		{size: sizes[0], gateways: 1}, {size: sizes[1], gateways: 1}, {size: design, gateways: 1},
+		{size: design, gateways: 12}, {size: design, gateways: 48}, {size: design, gateways: 150},
+		{size: design, gateways: 12, entries: 280}, {size: design, gateways: 48, entries: 114},
+		{size: design, gateways: 48, probes: true},
+	}
+	daemon := buildDaemon(b)
+	served := serve(b, serverList(design), http.HandlerFunc(answerCall))
+	figures := make([]map[string]float64, len(cases))
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	var group sync.WaitGroup
+	for i, c := range cases {
+		vms := serverList(c.size)
+		if c.probes {
+			vms = served
+		}
+		p := startCase(ctx, b, daemon, c, vms)
+		group.Go(func() { figures[i] = p.measureIdle(b) })
+	}
+	group.Wait()
+	for i, c := range cases {
+		b.Run(c.String(), func(b *testing.B) { report(b, figures[i]) })
+	}
+}
+
+func startCase(ctx context.Context, b *testing.B, daemon string, c gatewayCase, vms []platform.VM) *process {
+	probePath := ""
+	if c.probes {
+		probePath = "/load"
+	}
+	p := startProcess(b, daemon, c.size, vms, probePath, c.gateways)
+	peers := &scriptedPeers{address: p.peerAddress}
+	if c.entries > 0 {
+		peers.summary = summaryOf(b, c.entries)
+	}
+	peers.start(ctx, c.gateways)
+	return p
+}
+
+func (p *process) measureIdle(b *testing.B) map[string]float64 {
+	time.Sleep(settleTime)
+	p.platform.counted.take()
+	before, began := p.metrics(b), time.Now()
+	time.Sleep(idleWindow)
+	after, seconds := p.metrics(b), time.Since(began).Seconds()
+	calls, bytes := p.platform.counted.take()
+	rate := func(name string) float64 { return (after[name] - before[name]) / seconds }
+	answers := 0
+	for _, count := range bytes {
+		answers += count
+	}
+	return map[string]float64{
+		"%core":             100 * rate("process_cpu_seconds_total"),
+		"RSS-MB":            after["process_resident_memory_bytes"] / 1e6,
+		"goroutines":        after["go_goroutines"],
+		"list-B/s":          float64(bytes["/vms"]) / seconds,
+		"rows-B/s":          float64(bytes["/table/scan"]) / seconds,
+		"platform-B/s":      float64(answers) / seconds,
+		"reads/s":           float64(calls["/table/get"]+calls["/table/scan"]) / seconds,
+		"list-reads/s":      float64(calls["/vms"]) / seconds,
+		"writes/s":          float64(calls["/table/commit"]) / seconds,
+		"probes/s":          rate("balsamhill_probes_total"),
+		"silent-closes/s":   rate("balsamhill_peer_sessions_silent_total"),
+		"status-B":          float64(len(p.get(b, "/status"))),
+		"peers-connected":   after["balsamhill_peers_connected"],
+		"peer-B/s-in+out":   rate("balsamhill_peer_bytes_total"),
+		"adopted-presets":   after["balsamhill_preset_adoptions_total"],
+		"platform-errors/s": rate("balsamhill_platform_errors_total"),
+	}
+}
+
+// answerCall is a server that answers 1 KiB at once and reports its load.
+func answerCall(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	w.Header().Set("Endpoint-Load-Metrics", "TEXT named_metrics.in_flight=1, application_utilization=0.2")
+	_, _ = io.WriteString(w, callAnswer)
+}
+
+var callAnswer = strings.Repeat("x", 1<<10)
+
+const (
+	callers    = 64
+	callWindow = 3 * time.Second
+	// pairs is the number of calls that are sent directly and through the gateway
+	// in turn.
+	pairs = 2000
+)
+
+// BenchmarkCapacityCalls sends calls through one gateway process with the servers
+// of the design size and reports the processor time of the gateway for each call,
+// its memory, and the latency that it adds at light load.
+func BenchmarkCapacityCalls(b *testing.B) {
+	daemon := buildDaemon(b)
+	for _, s := range sizes {
+		vms := serve(b, serverList(s), http.HandlerFunc(answerCall))
+		p := startProcess(b, daemon, s, vms, "", 1)
+		time.Sleep(settleTime)
+		figures := p.measureCalls(b, s)
+		p.measureLatency(b, s, vms[0].Address, figures)
+		b.Run(s.String(), func(b *testing.B) { report(b, figures) })
+	}
+}
+
+func newCaller() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callers}}
+}
+
+// call sends one call and returns how long it took.
+func call(client *http.Client, url string) (time.Duration, error) {
+	began := time.Now()
+	response, err := client.Get(url)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	if err == nil && response.StatusCode != http.StatusOK {
+		err = fmt.Errorf("status %d", response.StatusCode)
+	}
+	return time.Since(began), err
+}
+
+func (p *process) measureCalls(b *testing.B, s size) map[string]float64 {
+	client := newCaller()
+	defer client.CloseIdleConnections()
+	idle := p.metrics(b)
+	var count, failed atomic.Int64
+	var group sync.WaitGroup
+	began := time.Now()
+	for range callers {
+		group.Go(func() {
+			for time.Since(began) < callWindow {
+				_, err := call(client, p.traffic+"/"+serviceName(rand.IntN(s.services))+"/x")
+				count.Add(1)
+				if err != nil {
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	group.Wait()
+	seconds := time.Since(began).Seconds()
+	busy := p.metrics(b)
+	used := busy["process_cpu_seconds_total"] - idle["process_cpu_seconds_total"]
+	return map[string]float64{
+		"calls/s":           float64(count.Load()) / seconds,
+		"failed":            float64(failed.Load()),
+		"µs-processor/call": used / float64(count.Load()) * 1e6,
+		"RSS-MB":            busy["process_resident_memory_bytes"] / 1e6,
+		"idle-RSS-MB":       idle["process_resident_memory_bytes"] / 1e6,
+		"goroutines":        busy["go_goroutines"],
+	}
+}
+
+func (p *process) measureLatency(b *testing.B, s size, server string, figures map[string]float64) {
+	client := newCaller()
+	defer client.CloseIdleConnections()
+	// The benchmark's own collector must not stop the world meanwhile.
+	runtime.GC()
+	var direct, through []time.Duration
+	for i := range pairs {
+		path := "/" + serviceName(i%s.services) + "/x"
+		took, err := call(client, "http://"+server+path)
+		assert.NilError(b, err)
+		direct = append(direct, took)
+		took, err = call(client, p.traffic+path)
+		assert.NilError(b, err)
+		through = append(through, took)
+	}
+	for _, quantile := range []int{50, 99} {
+		d, t := at(direct, quantile), at(through, quantile)
+		figures[fmt.Sprintf("direct-p%d-µs", quantile)] = d
+		figures[fmt.Sprintf("added-p%d-µs", quantile)] = t - d
+	}
+}
+
+// at returns a quantile in microseconds.
+func at(values []time.Duration, percent int) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	return float64(sorted[percent*(len(sorted)-1)/100].Microseconds())
+}
