--- a/pkg/capacity/exchange_test.go
+++ b/pkg/capacity/exchange_test.go
@@ -105,7 +105,8 @@
 
 // BenchmarkCapacityExchange runs fleets in which nothing happens and reports for
 // each gateway the bytes that it sends, before TLS, the processor time and the
-// memory. The longest run spans one interval of the heartbeats across the link.
+// memory, and the processor time of ending all sessions at once. The longest run
+// spans one interval of the heartbeats across the link.
 func BenchmarkCapacityExchange(b *testing.B) {
 	for _, run := range []struct {
 		gateways int
@@ -148,6 +149,9 @@
 	ends := float64(n * (n - 1))
 	b.ReportMetric(float64(heapBytes()-heap)/ends, "B/session")
 	b.ReportMetric(float64(runtime.NumGoroutine()-goroutines)/ends, "goroutines/session")
+	used = processorTime(b)
+	f.stop()
+	b.ReportMetric((processorTime(b)-used).Seconds()*1000/ends, "stop-ms-processor/session")
 }
 
 func minus(f *fleet, choose func(*endpoint) *traffic, bytes, writes float64) (float64, float64) {
