--- a/pkg/capacity/fixtures_test.go
+++ b/pkg/capacity/fixtures_test.go
@@ -111,3 +111,13 @@
 		b.ReportMetric(value, unit)
 	}
 }
+
+// repeat returns the mean time of a call in microseconds.
+func repeat(f func()) float64 {
+	const times = 500
+	began := time.Now()
+	for range times {
+		f()
+	}
+	return float64(time.Since(began).Nanoseconds()) / 1000 / times
+}
