--- /dev/null
+++ b/processtest/crash_test.go
@@ -0,0 +1,185 @@
+package processtest
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// metric returns the value of a metric without labels on a gateway, -1 if the
+// gateway does not answer.
+func (g *gatewayProcess) metric(name string) float64 {
+	_, body := get(g.admin + "/metrics")
+	for line := range strings.Lines(body) {
+		value, found := strings.CutPrefix(strings.TrimSpace(line), name+" ")
+		if !found {
+			continue
+		}
+		number, err := strconv.ParseFloat(value, 64)
+		if err == nil {
+			return number
+		}
+	}
+	return -1
+}
+
+// crashFleet is three gateways that know each other and servers that a request
+// can crash.
+type crashFleet struct {
+	*fleet
+	gateways []*gatewayProcess
+	servers  []*process
+}
+
+const (
+	crashGateways = 3
+	// crashServers is more than the largest bound, 2·G.
+	crashServers = 8
+)
+
+func startCrashFleet(t *testing.T) *crashFleet {
+	t.Helper()
+	c := &crashFleet{fleet: startFleet(t)}
+	for range crashServers {
+		c.servers = append(c.servers, c.startServer("booking-desk", "khomas", "-service-time", "50ms"))
+	}
+	for i := range crashGateways {
+		c.gateways = append(c.gateways, c.startGateway(fmt.Sprintf("gw-%d", i+1), "khomas"))
+	}
+	for _, g := range c.gateways {
+		c.waitForService(g, "booking-desk")
+		eventually(t, "sessions between all gateways", func() bool { return g.connected(t) == crashGateways-1 })
+	}
+	return c
+}
+
+// dead counts the servers that no longer answer.
+func (c *crashFleet) dead() int {
+	count := 0
+	for _, server := range c.servers {
+		status, _ := get("http://" + server.address(c.t) + "/standin/load")
+		if status == 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// sendCrash sends the request that crashes the server that runs it.
+func (c *crashFleet) sendCrash(g *gatewayProcess, method, key string) bookingAnswer {
+	request, err := http.NewRequest(method, g.traffic+"/booking-desk/crash", nil)
+	assert.NilError(c.t, err)
+	request.Header.Set("X-Standin-Crash", "1")
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return bookingAnswer{err: err}
+	}
+	defer response.Body.Close()
+	return bookingAnswer{status: response.StatusCode, outcome: response.Header.Get("Balsamhill-Outcome")}
+}
+
+// everywhere waits until all gateways show at least a value.
+func (c *crashFleet) everywhere(name string, least float64) {
+	c.t.Helper()
+	for _, g := range c.gateways {
+		eventually(c.t, name, func() bool { return g.metric(name) >= least })
+	}
+}
+
+// checkInnocent books through every gateway after the crashes.
+func (c *crashFleet) checkInnocent() {
+	c.t.Helper()
+	for i, g := range c.gateways {
+		key := fmt.Sprintf("innocent-%d", i)
+		eventually(c.t, "innocent booking", func() bool { return book(g.traffic, key).status == http.StatusOK })
+		assert.Equal(c.t, c.runs(key), int64(1))
+	}
+}
+
+// Guards the bound on the servers that one request takes down when its caller
+// sends it again through all gateways, each time after the suspicion of the last
+// crash arrived everywhere (d < s): at most 2.
+func TestCrashingRequestAfterSuspicionsArrived(t *testing.T) {
+	c := startCrashFleet(t)
+	for i := range 2 * crashGateways {
+		answer := c.sendCrash(c.gateways[i%crashGateways], http.MethodPost, "")
+		assert.NilError(t, answer.err)
+		assert.Assert(t, answer.status >= http.StatusInternalServerError, "%+v", answer)
+		dead := c.dead()
+		assert.Assert(t, dead >= 1 && dead <= 2, "%d servers are dead after %d sends", dead, i+1)
+		c.everywhere("balsamhill_suspected_requests", 1)
+		if dead == 2 {
+			c.everywhere("balsamhill_blocked_requests", 1)
+		}
+	}
+	assert.Equal(t, c.dead(), 2)
+	c.checkInnocent()
+}
+
+// Guards the bound when the caller does not wait between sends: 2·G whatever the
+// delay between peers. A fetch is also retried by the gateways themselves.
+func TestCrashingRequestResentAtOnce(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		t.Run(method, func(t *testing.T) {
+			c := startCrashFleet(t)
+			for i := range 4 * crashGateways {
+				answer := c.sendCrash(c.gateways[i%crashGateways], method, "")
+				assert.NilError(t, answer.err)
+			}
+			dead := c.dead()
+			assert.Assert(t, dead >= 1 && dead <= 2*crashGateways, "%d servers are dead", dead)
+			t.Logf("%d of %d servers are dead, bound %d", dead, crashServers, 2*crashGateways)
+			c.checkInnocent()
+		})
+	}
+}
+
+// Guards a booking with a key that crashes its server: it runs once, so it takes
+// down one server however often it is sent again, and is never said not to have run.
+func TestCrashingBookingWithKey(t *testing.T) {
+	c := startCrashFleet(t)
+	for i := range 2 * crashGateways {
+		answer := c.sendCrash(c.gateways[i%crashGateways], http.MethodPost, "crash-key")
+		assert.NilError(t, answer.err)
+		assert.Equal(t, answer.outcome, "unknown", "send %d: %+v", i+1, answer)
+	}
+	assert.Equal(t, c.dead(), 1)
+	assert.Equal(t, c.runs("crash-key"), int64(1))
+	c.checkInnocent()
+}
+
+// Guards innocent requests that were in flight on a dying server against being
+// blocked with the request that killed it.
+func TestInnocentInFlightAtCrash(t *testing.T) {
+	f := startFleet(t)
+	c := &crashFleet{fleet: f}
+	for range 2 {
+		c.servers = append(c.servers, f.startServer("booking-desk", "khomas", "-service-time", "1s", "-slots", "8"))
+	}
+	g := f.startGateway("gw-1", "khomas")
+	f.waitForService(g, "booking-desk")
+	const innocents = 6
+	var group sync.WaitGroup
+	for i := range innocents {
+		group.Go(func() { _, _ = get(fmt.Sprintf("%s/booking-desk/innocent-%d", g.traffic, i)) })
+	}
+	eventually(t, "innocent requests in flight", func() bool { return g.inFlight() == innocents })
+	c.sendCrash(g, http.MethodPost, "")
+	group.Wait()
+	assert.Equal(t, c.dead(), 1)
+	for i := range innocents {
+		eventually(t, "innocent request answered", func() bool {
+			status, _ := get(fmt.Sprintf("%s/booking-desk/innocent-%d", g.traffic, i))
+			return status == http.StatusOK
+		})
+	}
+	assert.Equal(t, g.metric("balsamhill_blocked_requests"), float64(0))
+}
--- a/processtest/process_test.go
+++ b/processtest/process_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -128,6 +129,8 @@
 	t        *testing.T
 	platform *process
 	url      string
+	// noticeMillis is shutdown.noticeMillis of gateways; 0 means 100.
+	noticeMillis int
 }
 
 func startFleet(t *testing.T) *fleet {
@@ -178,7 +181,7 @@
 	replace("http://127.0.0.1:9000", f.url)
 	replace(`"gw-khomas-1"`, `"`+id+`"`)
 	replace(`"region": "khomas"`, `"region": "`+region+`"`)
-	replace(`"noticeMillis": 10000`, `"noticeMillis": 100`)
+	replace(`"noticeMillis": 10000`, fmt.Sprintf(`"noticeMillis": %d`, cmp.Or(f.noticeMillis, 100)))
 	path := filepath.Join(f.t.TempDir(), id+".jsonc")
 	assert.NilError(f.t, os.WriteFile(path, []byte(text), 0o600))
 	p := start(f.t, "balsamhilld", "serve", "-config", path)
--- /dev/null
+++ b/processtest/rolling_test.go
@@ -0,0 +1,148 @@
+package processtest
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// balancer is what stands in front of the gateways: it names one that is ready.
+type balancer struct {
+	mu       sync.Mutex
+	gateways []*gatewayProcess
+	next     int
+}
+
+func (b *balancer) replace(old, fresh *gatewayProcess) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i, g := range b.gateways {
+		if g == old {
+			b.gateways[i] = fresh
+		}
+	}
+}
+
+func (b *balancer) pick() *gatewayProcess {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.next++
+	return b.gateways[b.next%len(b.gateways)]
+}
+
+// rollingCaller sends calls one after the other. It sends a call again only if the
+// connection was refused, so that every other failure shows.
+type rollingCaller struct {
+	id       int
+	balancer *balancer
+	client   *http.Client
+	answered int
+	refused  int
+	failure  error
+}
+
+func (c *rollingCaller) run(stop *atomic.Bool) {
+	for i := 0; !stop.Load() && c.failure == nil; i++ {
+		path := fmt.Sprintf("/lesson-library/caller-%d-call-%d", c.id, i)
+		c.failure = c.call(path)
+	}
+}
+
+func (c *rollingCaller) call(path string) error {
+	for {
+		response, err := c.client.Get(c.balancer.pick().traffic + path)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			c.refused++
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		if err != nil {
+			return err
+		}
+		var answer struct {
+			Path string `json:"path"`
+		}
+		err = json.Unmarshal(body, &answer)
+		if err != nil || response.StatusCode != http.StatusOK || answer.Path != path {
+			return fmt.Errorf("%s: status %d, body %q", path, response.StatusCode, body)
+		}
+		c.answered++
+		return nil
+	}
+}
+
+// Guards the replacement of all gateways under load: no answer is lost, cut or
+// another caller's, and the preset in force stays so on every new gateway.
+func TestRollingReplacement(t *testing.T) {
+	f := startFleet(t)
+	f.noticeMillis = 3000
+	for range 3 {
+		f.startServer("lesson-library", "khomas")
+	}
+	front := &balancer{}
+	for i := range 3 {
+		front.gateways = append(front.gateways, f.startGateway(fmt.Sprintf("gw-%d", i+1), "khomas"))
+	}
+	for _, g := range front.gateways {
+		f.waitForService(g, "lesson-library")
+	}
+	f.tool(0, "preset", "use", "peak")
+	wantName, wantRevision := front.gateways[0].presetOf()
+	assert.Equal(t, wantName, "peak")
+
+	var stop atomic.Bool
+	var group sync.WaitGroup
+	callers := make([]*rollingCaller, 6)
+	for i := range callers {
+		// Connections are not kept, so that each call finds out about its gateway;
+		// every second caller keeps them, as programs do.
+		transport := &http.Transport{DisableKeepAlives: i%2 == 0}
+		t.Cleanup(transport.CloseIdleConnections)
+		callers[i] = &rollingCaller{id: i, balancer: front, client: &http.Client{Transport: transport}}
+		group.Go(func() { callers[i].run(&stop) })
+	}
+	for i, old := range append([]*gatewayProcess(nil), front.gateways...) {
+		fresh := f.startGateway(fmt.Sprintf("gw-new-%d", i+1), "khomas")
+		f.waitForService(fresh, "lesson-library")
+		name, revision := fresh.presetOf()
+		assert.Equal(t, name, wantName)
+		assert.Equal(t, revision, wantRevision)
+		assert.NilError(t, old.command.Process.Signal(syscall.SIGTERM))
+		// The balancer in front looks at readiness, as the platform's does. A
+		// connection that arrives while the listener closes would be reset by the
+		// kernel; the notice gives the balancer time to send no more.
+		eventually(t, "gateway not ready", func() bool {
+			status, _ := get(old.admin + "/readyz")
+			return status == http.StatusServiceUnavailable
+		})
+		front.replace(old, fresh)
+		assert.NilError(t, old.command.Wait())
+	}
+	stop.Store(true)
+	group.Wait()
+	answered, refused := 0, 0
+	for _, c := range callers {
+		assert.NilError(t, c.failure, "caller %d", c.id)
+		answered += c.answered
+		refused += c.refused
+	}
+	t.Logf("%d calls answered, %d connections refused", answered, refused)
+	assert.Assert(t, answered > 0)
+	for _, g := range front.gateways {
+		name, revision := g.presetOf()
+		assert.Equal(t, name, wantName)
+		assert.Equal(t, revision, wantRevision)
+	}
+}
