--- /dev/null
+++ b/pkg/membership/fuzz_test.go
@@ -0,0 +1,37 @@
+package membership
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// FuzzRow guards the view of the live gateways against rows of any content: the
+// own gateway never becomes a member, and no row makes a gateway forget one that
+// it hears.
+func FuzzRow(f *testing.F) {
+	f.Add([]byte(`{"id":"gw-2","incarnation":5,"region":"khomas","peer":"127.0.0.1:1","state":"ready"}`))
+	f.Add([]byte(`{"id":"self","incarnation":9}`))
+	f.Add([]byte(`{"id":"heard","incarnation":1,"writtenAt":"9999-12-31T23:59:59Z"}`))
+	f.Add([]byte(`{}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var row Row
+		if json.Unmarshal(data, &row) != nil || row.ID == "" {
+			return
+		}
+		view := NewView(Gateway{ID: "self", Incarnation: 1, Region: "khomas"})
+		view.Heard(1, Gateway{ID: "heard", Incarnation: 2, Region: "khomas"})
+		view.ApplyRows(2, time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), []Row{row})
+		view.Expire(3)
+		heard := false
+		for _, g := range view.Known() {
+			assert.Assert(t, g.ID != "self")
+			heard = heard || g.ID == "heard"
+		}
+		assert.Assert(t, heard)
+		ids, _ := view.MayHoldCalls()
+		assert.Assert(t, len(ids) >= 1)
+	})
+}
--- a/pkg/platform/httpplatform/client.go
+++ b/pkg/platform/httpplatform/client.go
@@ -99,6 +99,9 @@
 		return platform.CommitResult{Status: platform.CommitNotApplied, Err: err}
 	case err != nil:
 		return platform.CommitResult{Status: platform.CommitUnknown, Err: err}
+	case status == http.StatusOK && answer.Version == 0:
+		// Not an answer of the store: each commit has a sequence number.
+		return platform.CommitResult{Status: platform.CommitUnknown, Err: statusError(status)}
 	case status == http.StatusOK:
 		return platform.CommitResult{Status: platform.CommitApplied, Version: answer.Version, Time: answer.Time}
 	case status == http.StatusConflict:
--- /dev/null
+++ b/pkg/preset/fuzz_test.go
@@ -0,0 +1,45 @@
+package preset
+
+import (
+	"bytes"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// FuzzSplitBase guards the check for other operators' edits: a line that WithBase
+// wrote is found again, a damaged one is refused, and the document is not changed.
+func FuzzSplitBase(f *testing.F) {
+	f.Add([]byte("// balsamhill preset peak at revision 7; keep\n{}"))
+	f.Add([]byte("// balsamhill preset peak at revision 99999999999999999999\n{}"))
+	f.Add([]byte("\xef\xbb\xbf// balsamhill preset \r\n{}"))
+	f.Add([]byte("{}"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		base, document, err := SplitBase(text)
+		if err != nil {
+			assert.ErrorIs(t, err, ErrInvalid)
+			assert.Assert(t, base == nil && document == nil)
+			return
+		}
+		assert.Assert(t, bytes.HasSuffix(text, document))
+		if base == nil {
+			assert.Assert(t, !bytes.HasPrefix(document, []byte(basePrefix)))
+			return
+		}
+		again, rest, err := SplitBase(WithBase(*base, document))
+		assert.NilError(t, err)
+		assert.Equal(t, *again, *base)
+		assert.Assert(t, bytes.Equal(rest, document))
+	})
+}
+
+// FuzzDiff guards the display of differences against documents of any content: it
+// never fails, and a document does not differ from itself.
+func FuzzDiff(f *testing.F) {
+	f.Add([]byte(`{"a":[1,{"b":null}],}`), []byte(`{"a":[]}`))
+	f.Add([]byte("{"), []byte("// x\n"))
+	f.Fuzz(func(t *testing.T, from, to []byte) {
+		_ = Diff(from, to)
+		assert.Equal(t, len(Diff(from, from)), 0)
+	})
+}
--- /dev/null
+++ b/pkg/presetstore/fuzz_test.go
@@ -0,0 +1,34 @@
+package presetstore
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"balsamhill/pkg/platform"
+	"balsamhill/pkg/preset"
+)
+
+// FuzzInForceRows guards gateways against stored rows of any content: they are
+// refused, or the version holds a valid preset and the head's revision.
+func FuzzInForceRows(f *testing.F) {
+	head := []byte(`{"revision":9,"name":"peak","inForceRevision":7}`)
+	f.Add(head, []byte(`{"name":"peak","revision":7,"document":"{\"name\":\"peak\",\"kind\":\"peak\"}"}`))
+	f.Add(head, []byte(`{"document":"{"}`))
+	f.Add([]byte(`{"revision":-1}`), []byte(`null`))
+	f.Fuzz(func(t *testing.T, headValue, documentValue []byte) {
+		rows := []platform.Row{{Key: headKey, Value: headValue}, {Key: documentPrefix + "peak", Value: documentValue}}
+		decoded, stored, err := decodeInForce(rows, "peak")
+		if err != nil {
+			assert.ErrorIs(t, err, platform.ErrProtocol)
+			return
+		}
+		got, err := version(decoded, stored)
+		if err != nil {
+			return
+		}
+		assert.Equal(t, got.Revision, decoded.InForceRevision)
+		_, err = preset.Parse(got.Document)
+		assert.NilError(t, err)
+	})
+}
--- a/processtest/keyed_test.go
+++ b/processtest/keyed_test.go
@@ -123,7 +123,28 @@
 	first, second := f.startGateway("gw-1", "khomas"), f.startGateway("gw-2", "khomas")
 	f.waitForService(first, "booking-desk")
 	f.waitForService(second, "booking-desk")
+	f.pauseDuringBooking(first, second)
+}
+
+// Guards the same where both gateways have a session: the one that was paused asks
+// the other before it says not-run.
+func TestPausedGatewayAsksPeer(t *testing.T) {
+	f := startFleet(t)
+	f.startServer("booking-desk", "khomas", "-service-time", "300ms")
+	first, second := f.startGateway("gw-1", "khomas"), f.startGateway("gw-2", "khomas")
+	f.waitForService(first, "booking-desk")
+	f.waitForService(second, "booking-desk")
+	eventually(t, "session between the gateways", func() bool {
+		return first.connected(t) == 1 && second.connected(t) == 1
+	})
+	f.pauseDuringBooking(first, second)
+}
 
+// pauseDuringBooking stops the first gateway with a booking in flight, sends it
+// again through the second and continues the first.
+func (f *fleet) pauseDuringBooking(first, second *gatewayProcess) {
+	t := f.t
+	t.Helper()
 	done := make(chan bookingAnswer, 1)
 	go func() { done <- book(first.traffic, "key-1") }()
 	eventually(t, "booking in flight", func() bool { return first.inFlight() == 1 })
