Keep recorded answers out of the claim feed and feed keys only

Cause: every gateway reads the change feed of claim rows each second, also across the paid link, and the rows carried answers of up to 64 KiB. Passes that remove old rows read the same rows across the link.

Change: an answer has a row of its own, claim-answer/..., written in the transaction that sets the claim row to done and removed together with it; a replay reads both rows in one consistent read. The feed asks for row keys without values (platform.KeysOnly). Only gateways in the store's region remove old rows. A recorded answer that cannot be read within the claim's time limit gives unknown.

--- a/pkg/claim/decide.go
+++ b/pkg/claim/decide.go
@@ -45,6 +45,9 @@
 	StepReadBack
 	// StepWait means that another claim holds the key.
 	StepWait
+	// StepReadAnswer means that the key ran and that the claim row and its answer
+	// row must be read for the replay; see ConcludeReplay.
+	StepReadAnswer
 	// StepAnswer means that the call is answered with Next.Decision.
 	StepAnswer
 	// StepRefuse means that the store wrote nothing and the call is refused.
@@ -67,6 +70,7 @@
 	ReasonUnknownRun   = "an earlier send of this idempotency key may have run"
 	ReasonUnreadable   = "the claim of this idempotency key cannot be read"
 	ReasonInProgress   = "another send of this idempotency key is in progress"
+	ReasonAnswerUnread = "the call ran, but its recorded answer cannot be read now"
 	ReasonStoreFailed  = "the idempotency key could not be claimed in time"
 	ReasonTooManyCalls = "too many calls wait for a claim"
 )
@@ -162,15 +166,39 @@
 	case StateClaimed:
 		return Next{Step: StepWait}
 	case StateDone:
-		if row.Answer == nil {
+		if !row.HasAnswer {
 			return Next{Step: StepAnswer, Decision: Decision{Kind: Ran}}
 		}
-		return Next{Step: StepAnswer, Decision: Decision{Kind: Replay, Answer: row.Answer}}
+		return Next{Step: StepReadAnswer}
 	default:
 		return refuseStep(ReasonUnknownRun)
 	}
 }
 
+// ConcludeReplay returns what follows from one consistent read of the claim row
+// and its answer row. The claim row may have changed since StepReadAnswer.
+func ConcludeReplay(p Pending, rows []platform.Row) Next {
+	found := byKey(rows)
+	next := Conclude(p, found[p.RowKey])
+	if next.Step != StepReadAnswer {
+		return next
+	}
+	stored, ok := found[AnswerKey(p.RowKey)]
+	if !ok {
+		return Next{Step: StepAnswer, Decision: Decision{Kind: Ran}}
+	}
+	owner, answer, err := DecodeAnswer(stored.Value)
+	if err != nil {
+		return refuseStep(ReasonUnreadable)
+	}
+	row, err := DecodeRow(found[p.RowKey].Value)
+	if err != nil || row.Owner != owner {
+		// The answer is that of an earlier claim of the key.
+		return Next{Step: StepAnswer, Decision: Decision{Kind: Ran}}
+	}
+	return Next{Step: StepAnswer, Decision: Decision{Kind: Replay, Answer: answer}}
+}
+
 func refuseStep(reason string) Next {
 	return Next{Step: StepAnswer, Decision: Decision{Kind: Refuse, Reason: reason}}
 }
--- a/pkg/claim/digest.go
+++ b/pkg/claim/digest.go
@@ -17,10 +17,10 @@
 	digestFalsePositives = 1e-4
 )
 
-// Digest is a Bloom filter of the keys whose rows are claimed, done or unknown,
-// fed from the change feed. A released row proves that nothing ran up to its
-// version and is left out. A filter cannot forget, so it is rebuilt from a full
-// read from time to time while the former one stays in use. The digest is not
+// Digest is a Bloom filter of the keys of claim rows, fed from the change feed.
+// The feed carries keys only, so keys whose rows are released are in the digest
+// too. A filter cannot forget, so it is rebuilt from a full read from time to time
+// while the former one stays in use. The digest is not
 // safe for concurrent use.
 type Digest struct {
 	keys     uint
@@ -65,18 +65,13 @@
 	var ids []ID
 	for _, stored := range rows {
 		id, ok := IDOfRow(stored.Key)
-		if ok && !stored.Deleted && !isReleased(stored.Value) {
+		if ok && !stored.Deleted {
 			ids = append(ids, id)
 		}
 	}
 	return ids
 }
 
-func isReleased(value []byte) bool {
-	row, err := DecodeRow(value)
-	return err == nil && row.State == StateReleased
-}
-
 // Fed adds what one read of the feed from Position returned.
 func (d *Digest) Fed(ids []ID, next uint64, more bool) {
 	for _, id := range ids {
--- a/pkg/claim/resolve.go
+++ b/pkg/claim/resolve.go
@@ -57,7 +57,8 @@
 }
 
 // ResolutionTxn returns the transaction that writes a batch of resolutions. The
-// batch holds no row key twice.
+// batch holds no row key twice. The answer rows share the check of their claim
+// rows, so that an answer is stored if and only if its claim is resolved.
 func ResolutionTxn(batch []Resolution, storeTime time.Time) platform.Txn {
 	var txn platform.Txn
 	for _, r := range batch {
@@ -66,11 +67,32 @@
 			KeyHash:     r.KeyHash,
 			Owner:       r.Owner,
 			Fingerprint: r.Fingerprint,
-			Answer:      r.Answer,
+			HasAnswer:   r.Answer != nil,
 			ResolvedAt:  storeTime,
 		}
 		txn.Checks = append(txn.Checks, platform.Check{Key: r.RowKey, Version: r.Expect})
 		txn.Writes = append(txn.Writes, platform.Write{Key: r.RowKey, Value: row.Encode()})
+		if r.Answer != nil {
+			txn.Writes = append(txn.Writes, platform.Write{Key: AnswerKey(r.RowKey), Value: EncodeAnswer(r.Owner, r.Answer)})
+		}
+	}
+	return txn
+}
+
+// RemovalTxn returns the transaction that removes the rows past their retention,
+// together with their answers. It has no writes if there are none.
+func RemovalTxn(rows []platform.Row, storeTime time.Time, ownerGone func(Row) bool) platform.Txn {
+	var txn platform.Txn
+	for _, stored := range rows {
+		row, err := DecodeRow(stored.Value)
+		if err != nil || !MayRemove(row, storeTime, ownerGone(row)) {
+			continue
+		}
+		txn.Checks = append(txn.Checks, platform.Check{Key: stored.Key, Version: stored.Version})
+		txn.Writes = append(txn.Writes, platform.Write{Key: stored.Key, Delete: true})
+		if row.HasAnswer {
+			txn.Writes = append(txn.Writes, platform.Write{Key: AnswerKey(stored.Key), Delete: true})
+		}
 	}
 	return txn
 }
--- a/pkg/claim/row.go
+++ b/pkg/claim/row.go
@@ -4,13 +4,20 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
 )
 
-// RowPrefix is the prefix of all claim rows in the table service.
-const RowPrefix = "claim/"
+const (
+	// RowPrefix is the prefix of all claim rows in the table service.
+	RowPrefix = "claim/"
+	// AnswerPrefix is the prefix of recorded answers. They have rows of their own,
+	// because every gateway reads claim rows again and again, also across the
+	// link, and needs an answer only for a replay.
+	AnswerPrefix = "claim-answer/"
+)
 
 // ID identifies a key of a service inside the process. It is a truncated
 // SHA-256, so that callers cannot construct two keys with the same ID.
@@ -43,27 +50,31 @@
 	KeyHash     string
 	Owner       Owner
 	Fingerprint uint64
-	// Answer is set only in StateDone, and only if the answer was recorded.
-	Answer *Answer
+	// HasAnswer is set only in StateDone, and only if the answer was recorded in
+	// the answer row.
+	HasAnswer bool
 	// ClaimedAt and ResolvedAt are estimates of the store's clock. ResolvedAt is
 	// zero in StateClaimed.
 	ClaimedAt  time.Time
 	ResolvedAt time.Time
 }
 
-// wireRow is the stored form of a Row. Header values are bytes because they may
-// hold bytes that are not UTF-8, which a JSON string would not preserve.
+// wireRow is the stored form of a Row.
 type wireRow struct {
-	State       State       `json:"state"`
-	KeyHash     string      `json:"keyHash"`
-	Owner       Owner       `json:"owner"`
-	Fingerprint uint64      `json:"fingerprint"`
-	Answer      *wireAnswer `json:"answer,omitempty"`
-	ClaimedAt   time.Time   `json:"claimedAt,omitzero"`
-	ResolvedAt  time.Time   `json:"resolvedAt,omitzero"`
+	State       State     `json:"state"`
+	KeyHash     string    `json:"keyHash"`
+	Owner       Owner     `json:"owner"`
+	Fingerprint uint64    `json:"fingerprint"`
+	HasAnswer   bool      `json:"hasAnswer,omitempty"`
+	ClaimedAt   time.Time `json:"claimedAt,omitzero"`
+	ResolvedAt  time.Time `json:"resolvedAt,omitzero"`
 }
 
+// wireAnswer is the stored form of an answer row. Header values are bytes because
+// they may hold bytes that are not UTF-8, which a JSON string would not preserve.
 type wireAnswer struct {
+	// Owner is that of the claim row to which the answer belongs.
+	Owner  Owner               `json:"owner"`
 	Status int                 `json:"status"`
 	Header map[string][][]byte `json:"header,omitempty"`
 	Body   []byte              `json:"body,omitempty"`
@@ -100,6 +111,11 @@
 	return RowPrefix + service + "/" + hex.EncodeToString(id[:])
 }
 
+// AnswerKey returns the key of the answer row that belongs to a claim row.
+func AnswerKey(rowKey string) string {
+	return AnswerPrefix + strings.TrimPrefix(rowKey, RowPrefix)
+}
+
 // KeyHash returns the whole hash of a key of a service for Row.KeyHash.
 func KeyHash(service, key string) string {
 	sum := hashOf(service, key)
@@ -108,18 +124,7 @@
 
 // Encode returns the stored form.
 func (r Row) Encode() []byte {
-	wire := wireRow{
-		State:       r.State,
-		KeyHash:     r.KeyHash,
-		Owner:       r.Owner,
-		Fingerprint: r.Fingerprint,
-		ClaimedAt:   r.ClaimedAt,
-		ResolvedAt:  r.ResolvedAt,
-	}
-	if r.Answer != nil {
-		wire.Answer = encodeAnswer(r.Answer)
-	}
-	data, err := json.Marshal(wire)
+	data, err := json.Marshal(wireRow(r))
 	if err != nil {
 		// Only a year outside of 0 to 9999 fails to encode, and times come from
 		// answers that were decoded from the same format.
@@ -141,42 +146,43 @@
 	default:
 		return Row{}, eris.Errorf("claim row has unknown state %q", wire.State)
 	}
-	if wire.Answer != nil && wire.State != StateDone {
+	if wire.HasAnswer && wire.State != StateDone {
 		return Row{}, eris.Errorf("claim row in state %q has an answer", wire.State)
 	}
 	if wire.Owner.ClaimID == "" {
 		return Row{}, eris.New("claim row has no owner")
 	}
-	row := Row{
-		State:       wire.State,
-		KeyHash:     wire.KeyHash,
-		Owner:       wire.Owner,
-		Fingerprint: wire.Fingerprint,
-		ClaimedAt:   wire.ClaimedAt,
-		ResolvedAt:  wire.ResolvedAt,
-	}
-	if wire.Answer != nil {
-		row.Answer = decodeAnswer(wire.Answer)
-	}
-	return row, nil
+	return Row(wire), nil
 }
 
-func encodeAnswer(answer *Answer) *wireAnswer {
-	wire := &wireAnswer{Status: answer.Status, Body: answer.Body, Header: make(map[string][][]byte)}
+// EncodeAnswer returns the stored form of the answer of a claim.
+func EncodeAnswer(owner Owner, answer *Answer) []byte {
+	wire := wireAnswer{Owner: owner, Status: answer.Status, Body: answer.Body, Header: make(map[string][][]byte)}
 	for name, values := range answer.Header {
 		for _, value := range values {
 			wire.Header[name] = append(wire.Header[name], []byte(value))
 		}
 	}
-	return wire
+	data, err := json.Marshal(wire)
+	if err != nil {
+		// Strings, numbers and bytes always encode.
+		panic(err)
+	}
+	return data
 }
 
-func decodeAnswer(wire *wireAnswer) *Answer {
+// DecodeAnswer decodes the stored form of an answer and of the claim that wrote it.
+func DecodeAnswer(data []byte) (Owner, *Answer, error) {
+	var wire wireAnswer
+	err := json.Unmarshal(data, &wire)
+	if err != nil {
+		return Owner{}, nil, eris.Wrap(err, "decode answer row")
+	}
 	answer := &Answer{Status: wire.Status, Body: wire.Body, Header: make(map[string][]string)}
 	for name, values := range wire.Header {
 		for _, value := range values {
 			answer.Header[name] = append(answer.Header[name], string(value))
 		}
 	}
-	return answer
+	return wire.Owner, answer, nil
 }
--- a/pkg/claimstore/claims.go
+++ b/pkg/claimstore/claims.go
@@ -303,7 +303,7 @@
 			s.withdraw(resolution)
 		}
 		return
-	case claim.StepWait, claim.StepAnswer:
+	case claim.StepWait, claim.StepAnswer, claim.StepReadAnswer:
 		// The row belongs to another claim, so a lost write of this one can no
 		// longer pass its version check.
 		item.unsettled = false
@@ -358,6 +358,26 @@
 	}
 }
 
+// readAnswer reads the recorded answer of a key that ran. It gives up after the
+// time limit of a claim.
+func (s *Store) readAnswer(ctx context.Context, pending claim.Pending) claim.Next {
+	ctx, cancel := context.WithTimeout(ctx, s.config.ClaimTimeout)
+	defer cancel()
+	for {
+		result, err := s.get(ctx, s.config.ClaimTimeout, pending.RowKey, claim.AnswerKey(pending.RowKey))
+		if err == nil {
+			return claim.ConcludeReplay(pending, result.Rows)
+		}
+		s.counters.answerReadErrors.Inc()
+		if !sleep(ctx, pollFirst) {
+			return claim.Next{
+				Step:     claim.StepAnswer,
+				Decision: claim.Decision{Kind: claim.Refuse, Reason: claim.ReasonAnswerUnread},
+			}
+		}
+	}
+}
+
 func (s *Store) commit(ctx context.Context, txn platform.Txn, limit time.Duration) platform.CommitResult {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
--- a/pkg/claimstore/feed.go
+++ b/pkg/claimstore/feed.go
@@ -11,9 +11,9 @@
 const (
 	feedInterval = time.Second
 	feedTimeout  = time.Second
-	// feedPage bounds one read of the change feed, which carries whole rows with
-	// answers of up to 64 KiB.
-	feedPage = 200
+	// feedPage bounds one read of the change feed, which carries about 76 bytes
+	// for each key.
+	feedPage = 500
 	// rebuildInterval is how often the digest is rebuilt so that it forgets
 	// removed rows.
 	rebuildInterval = 24 * time.Hour
@@ -70,7 +70,7 @@
 func (s *Store) changes(ctx context.Context, position uint64) (platform.ReadResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, feedTimeout)
 	defer cancel()
-	result, err := s.config.Table.Changes(ctx, claim.RowPrefix, position, feedPage)
+	result, err := s.config.Table.Changes(ctx, claim.RowPrefix, position, feedPage, platform.KeysOnly)
 	if err == nil {
 		s.clock.observe(s.config.Now(), result.Time)
 	}
@@ -126,15 +126,7 @@
 // removeFrom removes the expired rows of one page and reports whether the pass
 // may go on.
 func (s *Store) removeFrom(ctx context.Context, page platform.ReadResult) bool {
-	var txn platform.Txn
-	for _, stored := range page.Rows {
-		row, err := claim.DecodeRow(stored.Value)
-		if err != nil || !claim.MayRemove(row, page.Time, s.ownerGone(row)) {
-			continue
-		}
-		txn.Checks = append(txn.Checks, platform.Check{Key: stored.Key, Version: stored.Version})
-		txn.Writes = append(txn.Writes, platform.Write{Key: stored.Key, Delete: true})
-	}
+	txn := claim.RemovalTxn(page.Rows, page.Time, s.ownerGone)
 	if len(txn.Writes) == 0 {
 		return true
 	}
@@ -142,7 +134,7 @@
 	if result.Status != platform.CommitApplied {
 		return false
 	}
-	s.counters.rowsRemoved.Add(len(txn.Writes))
+	s.counters.rowsRemoved.Add(len(txn.Checks))
 	return true
 }
 
--- a/pkg/claimstore/metrics.go
+++ b/pkg/claimstore/metrics.go
@@ -30,6 +30,7 @@
 	resultsSuperseded *metrics.Counter
 	resultsDropped    *metrics.Counter
 	answersDropped    *metrics.Counter
+	answerReadErrors  *metrics.Counter
 	feedReads         *metrics.Counter
 	feedErrors        *metrics.Counter
 	rowsRemoved       *metrics.Counter
@@ -80,6 +81,7 @@
 		resultsSuperseded: set.NewCounter("balsamhill_claim_results_superseded_total"),
 		resultsDropped:    set.NewCounter("balsamhill_claim_results_dropped_total"),
 		answersDropped:    set.NewCounter("balsamhill_claim_answers_dropped_total"),
+		answerReadErrors:  set.NewCounter("balsamhill_claim_answer_read_errors_total"),
 		feedReads:         set.NewCounter("balsamhill_claim_feed_reads_total"),
 		feedErrors:        set.NewCounter("balsamhill_claim_feed_errors_total"),
 		rowsRemoved:       set.NewCounter("balsamhill_claim_rows_removed_total"),
--- a/pkg/claimstore/store.go
+++ b/pkg/claimstore/store.go
@@ -61,6 +61,9 @@
 	// the gateway rows and the VM list for claim.Retention. Without it, claimed
 	// rows are never removed.
 	OwnerGone func(owner claim.Incarnation) bool
+	// NoRemoval leaves the removal of old rows to other gateways. It is set where
+	// reading all rows would cross the link between the regions.
+	NoRemoval bool
 	// DigestKeys is the number of keys that the filters are sized for, 0 for
 	// claim.DigestKeys.
 	DigestKeys uint
@@ -114,7 +117,11 @@
 // Run performs the I/O until ctx ends. Before that, Drain should have returned,
 // since results that are not written leave their keys unresolved.
 func (s *Store) Run(ctx context.Context) {
-	for _, loop := range []func(context.Context){s.runClaims, s.runResults, s.runFeed, s.runRemoval} {
+	loops := []func(context.Context){s.runClaims, s.runResults, s.runFeed}
+	if !s.config.NoRemoval {
+		loops = append(loops, s.runRemoval)
+	}
+	for _, loop := range loops {
 		s.running.Go(func() { loop(ctx) })
 	}
 	s.running.Wait()
@@ -144,20 +151,27 @@
 	expect := uint64(0)
 	for {
 		item := s.tryClaim(ctx, call, expect)
-		switch item.next.Step {
-		case claim.StepOwned:
+		if item.next.Step == claim.StepOwned {
 			s.withLock(func() { s.ledger.Own(id, item.pending.Owner.ClaimID) })
 			return claim.Decision{Kind: claim.Dispatch, Ticket: ticketOf(item)}
-		case claim.StepAnswer:
-			return item.next.Decision
-		case claim.StepWait:
-			next := s.awaitResolution(ctx, item.pending)
-			if next.Step != claim.StepRetry {
-				return next.Decision
+		}
+		next := item.next
+		for next.Step == claim.StepWait || next.Step == claim.StepReadAnswer {
+			if next.Step == claim.StepWait {
+				next = s.awaitResolution(ctx, item.pending)
+			} else {
+				next = s.readAnswer(ctx, item.pending)
 			}
+		}
+		switch next.Step {
+		case claim.StepAnswer:
+			return next.Decision
+		case claim.StepRetry:
 			expect = next.Expect
+		case claim.StepRefuse:
+			return claim.Decision{Kind: claim.Refuse, NotRun: true, Reason: next.Decision.Reason}
 		default:
-			return claim.Decision{Kind: claim.Refuse, NotRun: true, Reason: item.next.Decision.Reason}
+			return claim.Decision{Kind: claim.Refuse, Reason: claim.ReasonUnknownRun}
 		}
 	}
 }
--- a/pkg/gateway/claims.go
+++ b/pkg/gateway/claims.go
@@ -44,6 +44,7 @@
 		Metrics:      g.metrics,
 		FeedRead:     g.peers.feedRead,
 		OwnerGone:    c.ownerGone,
+		NoRemoval:    !g.inStoreRegion(),
 	})
 	return c
 }
@@ -55,7 +56,10 @@
 	defer stop()
 	var running sync.WaitGroup
 	running.Go(func() { c.store.Run(background) })
-	running.Go(func() { every(ctx, ownerInterval, nil, c.observeOwners) })
+	if c.gateway.inStoreRegion() {
+		// Elsewhere no rows are removed.
+		running.Go(func() { every(ctx, ownerInterval, nil, c.observeOwners) })
+	}
 	<-ctx.Done()
 	limited, cancel := context.WithTimeout(background, drainLimit)
 	defer cancel()
--- a/pkg/platform/httpplatform/client.go
+++ b/pkg/platform/httpplatform/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -69,12 +70,15 @@
 }
 
 // Changes implements platform.Table.
-func (c *Client) Changes(ctx context.Context, prefix string, after uint64, limit int) (platform.ReadResult, error) {
+func (c *Client) Changes(ctx context.Context, prefix string, after uint64, limit int, options ...platform.ChangesOption) (platform.ReadResult, error) {
 	query := url.Values{
 		"prefix": {prefix},
 		"after":  {strconv.FormatUint(after, 10)},
 		"limit":  {strconv.Itoa(limit)},
 	}
+	if slices.Contains(options, platform.KeysOnly) {
+		query.Set("keys", "1")
+	}
 	return c.read(ctx, http.MethodGet, "/table/changes?"+query.Encode(), nil)
 }
 
--- a/pkg/platform/memtable/memtable.go
+++ b/pkg/platform/memtable/memtable.go
@@ -94,6 +94,13 @@
 	return rows, t.version, false
 }
 
+// DropValues removes the values of rows that Changes returned.
+func DropValues(rows []platform.Row) {
+	for i := range rows {
+		rows[i].Value = nil
+	}
+}
+
 // Commit applies a transaction and returns its version, or the current state of
 // the rows whose checks failed.
 func (t *Table) Commit(txn platform.Txn) (version uint64, conflicts []platform.Row) {
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -12,7 +12,7 @@
 // Row is one row of the table service.
 type Row struct {
 	Key   string `json:"key"`
-	Value []byte `json:"value"`
+	Value []byte `json:"value,omitempty"`
 	// Version is the commit sequence number of the transaction that last wrote
 	// the row. It is 0 for a row that does not exist.
 	Version uint64 `json:"version"`
@@ -96,6 +96,12 @@
 	Time time.Time
 }
 
+// ChangesOption changes what Table.Changes returns.
+type ChangesOption int
+
+// KeysOnly leaves out the values of the rows.
+const KeysOnly ChangesOption = 1
+
 // Table is the transactional table service. A returned error means that
 // nothing was learned; errors wrap ErrUnavailable if a retry may succeed.
 type Table interface {
@@ -107,7 +113,7 @@
 	// Changes returns up to limit rows with the prefix whose version is greater
 	// than after, in commit order, tombstones included. Only the latest version
 	// of each row is returned.
-	Changes(ctx context.Context, prefix string, after uint64, limit int) (ReadResult, error)
+	Changes(ctx context.Context, prefix string, after uint64, limit int, options ...ChangesOption) (ReadResult, error)
 	// Commit applies a transaction. It never returns without a status.
 	Commit(ctx context.Context, txn Txn) CommitResult
 }
--- a/pkg/platform/platformtest/table.go
+++ b/pkg/platform/platformtest/table.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -133,9 +134,12 @@
 }
 
 // Changes implements platform.Table.
-func (t *Table) Changes(ctx context.Context, prefix string, after uint64, limit int) (platform.ReadResult, error) {
+func (t *Table) Changes(ctx context.Context, prefix string, after uint64, limit int, options ...platform.ChangesOption) (platform.ReadResult, error) {
 	return t.read(ctx, "Changes", func() platform.ReadResult {
 		rows, next, more := t.table.Changes(prefix, after, limit)
+		if slices.Contains(options, platform.KeysOnly) {
+			memtable.DropValues(rows)
+		}
 		return platform.ReadResult{Rows: rows, Next: next, More: more}
 	})
 }
--- a/pkg/platform/standin/handler.go
+++ b/pkg/platform/standin/handler.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"balsamhill/pkg/platform"
+	"balsamhill/pkg/platform/memtable"
 )
 
 const (
@@ -120,6 +121,9 @@
 		return
 	}
 	rows, next, more := s.store.changes(query.Get("prefix"), after, limitOf(r))
+	if query.Has("keys") {
+		memtable.DropValues(rows)
+	}
 	answer(w, http.StatusOK, platform.ReadResponse{Rows: rows, Next: next, More: more, Time: time.Now()})
 }
 
--- a/pkg/platform/standin/standin_test.go
+++ b/pkg/platform/standin/standin_test.go
@@ -40,6 +40,22 @@
 
 // Guards against a stand-in whose lost answers do not take effect, are reported
 // as certain by the client, or are used up by commits that conflict.
+// TestChangesWithKeysOnly guards against a feed of keys that carries values, loses
+// rows, or removes the values from the table.
+func TestChangesWithKeysOnly(t *testing.T) {
+	_, client := startPlatform(t)
+	client.Commit(t.Context(), platform.Txn{Writes: []platform.Write{
+		{Key: "a", Value: []byte("value of a")}, {Key: "b", Value: []byte("value of b")},
+	}})
+	client.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: "b", Delete: true}}})
+	feed, err := client.Changes(t.Context(), "", 0, 10, platform.KeysOnly)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, feed.Rows, []platform.Row{{Key: "a", Version: 1}, {Key: "b", Version: 2, Deleted: true}})
+	whole, err := client.Changes(t.Context(), "", 0, 10)
+	assert.NilError(t, err)
+	assert.Equal(t, string(whole.Rows[0].Value), "value of a")
+}
+
 func TestLostCommitAnswer(t *testing.T) {
 	server, client := startPlatform(t)
 	assert.Equal(t, client.Commit(t.Context(), create("old")).Status, platform.CommitApplied)
