Read the row of a digest hit, answer queries after a restart or pause safely

Cause: (1) A false positive of the digest or a released key turned not-run into unknown although the store was reachable. (2) Finish asked the peers without a context. (3) A restarted gateway answered key queries under its name without knowing what its former incarnation had claimed, and a gateway resumed after hours answered and said not-run from an old feed. (4) The request's fingerprint depended on whether the body was buffered, so a resend framed differently got 422; a chunked body of 64 KiB + 1 byte was hashed while the same body with Content-Length was not.

Change: VerifyNotRun reads the claim row of a digest hit after the peers have answered, 100 ms in all. proxy.Claims.Finish takes a context. HasAttempt says "may have" until the first complete feed read, for keys which that read showed, and after a pause until the feed was read again. The fingerprint tells a hashed body, a large body and a body that was not seen apart; the last matches any. The stateful test has sends that are refused before their claim.

--- a/pkg/claim/decide.go
+++ b/pkg/claim/decide.go
@@ -159,7 +159,7 @@
 	if row.State == StateReleased {
 		return Next{Step: StepRetry, Expect: stored.Version}
 	}
-	if row.Fingerprint != p.Call.Fingerprint {
+	if !SameRequest(row.Fingerprint, p.Call.Fingerprint) {
 		return Next{Step: StepAnswer, Decision: Decision{Kind: Mismatch, Reason: "the idempotency key was used for another request"}}
 	}
 	switch row.State {
--- a/pkg/claim/digest.go
+++ b/pkg/claim/digest.go
@@ -27,6 +27,8 @@
 	current  *bloom.BloomFilter
 	position uint64
 	complete bool
+	// inherited holds the keys of the first full read, nil before its end.
+	inherited *bloom.BloomFilter
 	// next is the filter under construction, nil if there is none.
 	next         *bloom.BloomFilter
 	nextPosition uint64
@@ -79,7 +81,10 @@
 	}
 	if d.next == nil {
 		d.position = next
-		d.complete = d.complete || !more
+		if !d.complete && !more {
+			d.complete = true
+			d.inherited = d.current.Copy()
+		}
 		return
 	}
 	d.nextPosition = next
@@ -104,6 +109,12 @@
 	return d.complete
 }
 
+// MayInherit reports whether a former incarnation of this gateway may have claimed
+// the key: the first full read has not ended, or it showed the key.
+func (d *Digest) MayInherit(id ID) bool {
+	return !d.complete || d.inherited.Test(id[:])
+}
+
 // Has reports whether the key may be claimed.
 func (d *Digest) Has(id ID) bool {
 	return d.current.Test(id[:])
@@ -146,6 +157,9 @@
 	// DigestComplete and InDigest describe the digest of claimed keys.
 	DigestComplete bool
 	InDigest       bool
+	// RowClear says that the claim row, read after the peers answered, shows that
+	// the key is not claimed. It clears a false positive or a released key.
+	RowClear bool
 	// PeersAnswered says that each gateway that may hold an attempt answered that
 	// it has none.
 	PeersAnswered bool
@@ -154,5 +168,16 @@
 // MaySayNotRun reports whether the evidence proves that the call did not run and
 // cannot run any more.
 func MaySayNotRun(e Evidence) bool {
-	return !e.OtherAttempts && e.DigestComplete && !e.InDigest && e.PeersAnswered
+	return !e.OtherAttempts && e.DigestComplete && (!e.InDigest || e.RowClear) && e.PeersAnswered
+}
+
+// RowIsClear reports whether a read of the claim row shows that the key is not
+// claimed: the row is absent or released.
+func RowIsClear(call Call, rows []platform.Row) bool {
+	stored, ok := byKey(rows)[RowKey(call.Service, call.Key)]
+	if !ok {
+		return true
+	}
+	row, err := DecodeRow(stored.Value)
+	return err == nil && row.State == StateReleased && row.KeyHash == KeyHash(call.Service, call.Key)
 }
--- a/pkg/claim/types.go
+++ b/pkg/claim/types.go
@@ -8,8 +8,8 @@
 	Service string
 	// Key is the value of the Idempotency-Key header.
 	Key string
-	// Fingerprint is a hash of what must not differ between sends of one key:
-	// the method, the path with its query, and the body if it was buffered.
+	// Fingerprint is a hash of what must not differ between sends of one key; see
+	// NewFingerprint and SameRequest.
 	Fingerprint uint64
 	// Arrived is in nanoseconds on the gateway's monotonic clock.
 	Arrived int64
--- a/pkg/claimstore/feed.go
+++ b/pkg/claimstore/feed.go
@@ -35,6 +35,7 @@
 			s.withLock(s.digest.Rebuild)
 			rebuildAt = s.config.Now() + int64(s.jitter(rebuildInterval))
 		}
+		s.tick()
 		if !s.claims.underPressure() {
 			s.readFeed(ctx)
 		}
@@ -46,8 +47,10 @@
 
 // readFeed reads the change feed up to its end.
 func (s *Store) readFeed(ctx context.Context) {
+	begin := s.tick()
 	started := s.config.Now()
 	for {
+		s.tick()
 		position := uint64(0)
 		s.withLock(func() { position = s.digest.Position() })
 		result, err := s.changes(ctx, position)
@@ -61,12 +64,23 @@
 			break
 		}
 	}
+	s.tick()
+	s.withLock(func() { s.pauses.Caught(begin) })
 	s.counters.feedReads.Inc()
 	if s.config.FeedRead != nil {
 		s.config.FeedRead(started)
 	}
 }
 
+// tick notes that the process runs and returns what PauseWatch.Begin does.
+func (s *Store) tick() (begin int) {
+	s.withLock(func() {
+		s.pauses.Tick(s.config.Now(), wall())
+		begin = s.pauses.Begin()
+	})
+	return begin
+}
+
 func (s *Store) changes(ctx context.Context, position uint64) (platform.ReadResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, feedTimeout)
 	defer cancel()
--- a/pkg/claimstore/fleet_test.go
+++ b/pkg/claimstore/fleet_test.go
@@ -33,7 +33,9 @@
 	Gateway int
 	Key     int
 	Timeout time.Duration
-	End     serverEnd
+	// Shed says that the gateway refuses the send before it claims the key.
+	Shed bool
+	End  serverEnd
 	// Takes is how long the server works on the call.
 	Takes time.Duration
 }
@@ -331,7 +333,12 @@
 	r := run{sendID: f.oracle.sends, arrived: time.Now()}
 	f.oracle.mu.Unlock()
 	call := claim.Call{Service: service, Key: fmt.Sprint(s.Key), Fingerprint: uint64(s.Key), Arrived: f.now()}
-	decision := g.store.Claim(ctx, call)
+	decision := claim.Decision{Kind: claim.Refuse}
+	if s.Shed {
+		decision.NotRun = g.store.VerifyNotRun(ctx, call)
+	} else {
+		decision = g.store.Claim(ctx, call)
+	}
 	notRun := decision.Kind == claim.Refuse && decision.NotRun
 	if decision.Kind == claim.Dispatch {
 		notRun = f.dispatch(g, s, r, decision.Ticket)
@@ -390,7 +397,7 @@
 		f.oracle.finished[s.Key] = s.End
 		f.oracle.mu.Unlock()
 	}
-	return g.store.Finish(ticket, result)
+	return g.store.Finish(context.Background(), ticket, result)
 }
 
 // runOnServer returns what the gateway learns of the call.
@@ -427,6 +434,7 @@
 		Gateway: rng.IntN(gateways),
 		Key:     rng.IntN(keys),
 		Timeout: timeouts[rng.IntN(len(timeouts))],
+		Shed:    rng.IntN(6) == 0,
 		End:     end,
 		Takes:   takes[rng.IntN(len(takes))],
 	}
--- a/pkg/claimstore/metrics.go
+++ b/pkg/claimstore/metrics.go
@@ -26,6 +26,7 @@
 	verifiedNotRun    *metrics.Counter
 	verifiedUnknown   *metrics.Counter
 	verifyQueueFull   *metrics.Counter
+	digestHitsCleared *metrics.Counter
 	resultsWritten    *metrics.Counter
 	resultsSuperseded *metrics.Counter
 	resultsDropped    *metrics.Counter
@@ -77,6 +78,7 @@
 		verifiedNotRun:    set.NewCounter(`balsamhill_not_run_verifications_total{outcome="not_run"}`),
 		verifiedUnknown:   set.NewCounter(`balsamhill_not_run_verifications_total{outcome="unknown"}`),
 		verifyQueueFull:   set.NewCounter("balsamhill_not_run_verification_queue_full_total"),
+		digestHitsCleared: set.NewCounter("balsamhill_claim_digest_hits_cleared_total"),
 		resultsWritten:    set.NewCounter("balsamhill_claim_results_written_total"),
 		resultsSuperseded: set.NewCounter("balsamhill_claim_results_superseded_total"),
 		resultsDropped:    set.NewCounter("balsamhill_claim_results_dropped_total"),
--- a/pkg/claimstore/promises_test.go
+++ b/pkg/claimstore/promises_test.go
@@ -163,7 +163,7 @@
 // a call that ran or can still run; (c) after the faults, a resend gets the
 // recorded answer or "ran", and a key that did not run is free.
 func TestPromises(t *testing.T) {
-	var sends, runs, verdicts, replays, unknowns int
+	var sends, runs, verdicts, replays, unknowns, cleared int
 	rapid.Check(t, func(rt *rapid.T) {
 		s := drawScenario(rt)
 		var problems []string
@@ -183,6 +183,9 @@
 			sends += f.oracle.sends
 			replays += f.oracle.replays
 			unknowns += f.oracle.unknowns
+			for _, g := range f.all() {
+				cleared += int(g.store.counters.digestHitsCleared.Get())
+			}
 			for _, r := range f.oracle.runs {
 				runs += len(r)
 			}
@@ -194,7 +197,8 @@
 			rt.Fatalf("%s", strings.Join(problems, "\n"))
 		}
 	})
-	t.Logf("%d sends, %d runs, %d not-run verdicts, %d replays, %d refusals", sends, runs, verdicts, replays, unknowns)
+	t.Logf("%d sends, %d runs, %d not-run verdicts, %d replays, %d refusals, %d digest hits cleared",
+		sends, runs, verdicts, replays, unknowns, cleared)
 	// A store that refuses everything would keep the promises.
 	assert.Assert(t, runs > 0 && verdicts > 0 && replays > 0)
 }
--- a/pkg/claimstore/store.go
+++ b/pkg/claimstore/store.go
@@ -78,10 +78,11 @@
 
 	clock storeClock
 
-	mu      sync.Mutex // guards ledger, digest, history
+	mu      sync.Mutex // guards ledger, digest, history, pauses
 	ledger  *claim.Ledger
 	digest  *claim.Digest
 	history *claim.History
+	pauses  claim.PauseWatch
 
 	randMu sync.Mutex
 	rand   *rand.Rand
@@ -201,7 +202,7 @@
 // Finish implements proxy.Claims. For ResultReleased it asks the peers before it
 // returns, which takes up to 100 ms: the row proves that the call did not run, but
 // a send that waits on another gateway could still claim the released key.
-func (s *Store) Finish(ticket claim.Ticket, result claim.Result) bool {
+func (s *Store) Finish(ctx context.Context, ticket claim.Ticket, result claim.Result) bool {
 	id := claim.IDOf(ticket.Service, ticket.Key)
 	held, others := false, false
 	s.withLock(func() {
@@ -216,15 +217,15 @@
 	}
 	notRun := false
 	if result.Kind == claim.ResultReleased && !others {
-		notRun = s.verifyReleased(ticket, id)
+		notRun = s.verifyReleased(ctx, ticket, id)
 	}
 	s.counters.finished(result.Kind)
 	s.results.add(claim.NewResolution(ticket, s.owner(ticket.ClaimID), result), s.counters)
 	return notRun
 }
 
-func (s *Store) verifyReleased(ticket claim.Ticket, id claim.ID) bool {
-	if !s.queryPeers(context.Background(), ticket.Service, ticket.Key) {
+func (s *Store) verifyReleased(ctx context.Context, ticket claim.Ticket, id claim.ID) bool {
+	if !s.queryPeers(ctx, ticket.Service, ticket.Key) {
 		return false
 	}
 	others := false
@@ -235,18 +236,25 @@
 // VerifyNotRun implements proxy.Claims. The call must not be in the ledger.
 func (s *Store) VerifyNotRun(ctx context.Context, call claim.Call) bool {
 	id := claim.IDOf(call.Service, call.Key)
-	// The digest is read before the peers are asked: what was claimed before the
-	// digest's last feed read is in the digest, and what was claimed later is
-	// known to a gateway that was alive at that read.
+	ctx, cancel := context.WithTimeout(ctx, verifyLimit)
+	defer cancel()
+	// What was claimed before the digest's last feed read is in the digest, and
+	// what was claimed later is known to a gateway that was alive at that read.
+	// The row is read after the peers were asked: a gateway that claimed the key
+	// and then died is not asked once a later feed read has seen its claim, and a
+	// row that was read before the claim would hide it.
 	evidence := s.evidence(id)
-	evidence.PeersAnswered = true
-	if !claim.MaySayNotRun(evidence) {
+	if evidence.OtherAttempts || !evidence.DigestComplete {
 		s.counters.verifiedUnknown.Inc()
 		return false
 	}
-	answered := s.queryPeers(ctx, call.Service, call.Key)
-	evidence = s.evidence(id)
-	evidence.PeersAnswered = answered
+	if evidence.PeersAnswered = s.queryPeers(ctx, call.Service, call.Key); evidence.PeersAnswered {
+		evidence = s.evidence(id)
+		evidence.PeersAnswered = true
+		evidence.RowClear = evidence.InDigest && s.rowIsClear(ctx, call)
+		// The row was read without the lock.
+		evidence.OtherAttempts = s.evidence(id).OtherAttempts
+	}
 	if !claim.MaySayNotRun(evidence) {
 		s.counters.verifiedUnknown.Inc()
 		return false
@@ -255,11 +263,23 @@
 	return true
 }
 
+// rowIsClear reads the claim row and reports whether it shows that the key is not
+// claimed. It needs one round trip within what is left of the verification's time.
+func (s *Store) rowIsClear(ctx context.Context, call claim.Call) bool {
+	key := claim.RowKey(call.Service, call.Key)
+	result, err := s.get(ctx, verifyLimit, key)
+	if err != nil || !claim.RowIsClear(call, result.Rows) {
+		return false
+	}
+	s.counters.digestHitsCleared.Inc()
+	return true
+}
+
 func (s *Store) evidence(id claim.ID) claim.Evidence {
 	var e claim.Evidence
 	s.withLock(func() {
 		e.OtherAttempts = s.ledger.Has(id) || s.history.Has(id)
-		e.DigestComplete = s.digest.Complete()
+		e.DigestComplete = s.digest.Complete() && !s.pauses.Paused(s.config.Now(), wall())
 		e.InDigest = s.digest.Has(id)
 	})
 	return e
@@ -282,10 +302,16 @@
 
 // HasAttempt answers the key query of a peer: it reports whether this gateway
 // holds an attempt of the key or may have dispatched one within the retention.
+// Peers address a gateway by its name, so it also answers for its former
+// incarnations, whose claims it knows once it has read the feed. After a pause it
+// answers that there may be an attempt until it has read the feed again.
 func (s *Store) HasAttempt(service, key string) bool {
 	id := claim.IDOf(service, key)
-	has := false
-	s.withLock(func() { has = s.ledger.Has(id) || s.history.Has(id) })
+	has := true
+	s.withLock(func() {
+		has = s.ledger.Has(id) || s.history.Has(id) || s.digest.MayInherit(id) ||
+			s.pauses.Paused(s.config.Now(), wall())
+	})
 	return has
 }
 
@@ -303,6 +329,12 @@
 	return fmt.Sprintf("%s/%d/%d", s.config.Gateway, s.config.Incarnation, s.claimSeq.Add(1))
 }
 
+// wall returns the wall clock, which goes on while the monotonic clock of a
+// suspended VM stands still.
+func wall() time.Time {
+	return time.Now().Round(0)
+}
+
 // jitter returns a duration between half of d and d.
 func (s *Store) jitter(d time.Duration) time.Duration {
 	s.randMu.Lock()
--- a/pkg/claimstore/store_test.go
+++ b/pkg/claimstore/store_test.go
@@ -61,7 +61,7 @@
 		held := f.claim(1, "held", time.Second)
 		assert.Equal(t, held.Kind, claim.Dispatch)
 		assert.Assert(t, !f.claim(0, "held", time.Second).NotRun)
-		f.gateway(1).store.Finish(held.Ticket, claim.Result{Kind: claim.ResultDone, Answer: answerOf(1)})
+		f.gateway(1).store.Finish(context.Background(), held.Ticket, claim.Result{Kind: claim.ResultDone, Answer: answerOf(1)})
 		assert.Assert(t, !f.claim(0, "held", time.Second).NotRun, "the peer forgot that it ran the key")
 
 		f.gateway(1).pause()
@@ -80,6 +80,7 @@
 func TestIncompleteDigestForbidsNotRun(t *testing.T) {
 	config := newFleetConfig()
 	config.Peers = agreeing{}
+	config.Table = &link{table: newFakeTable(1), gate: func() {}, faults: faults{Down: 100}}
 	store := New(config)
 	assert.Assert(t, !store.VerifyNotRun(t.Context(), callOf("k")))
 	store.digest.Fed(nil, 1, false)
@@ -101,10 +102,10 @@
 		assert.Equal(t, second.Kind, claim.Refuse)
 		assert.Assert(t, !second.NotRun)
 		assert.Assert(t, !store.VerifyNotRun(t.Context(), callOf("k")))
-		assert.Assert(t, store.Finish(first.Ticket, claim.Result{Kind: claim.ResultReleased}))
+		assert.Assert(t, store.Finish(context.Background(), first.Ticket, claim.Result{Kind: claim.ResultReleased}))
 		assert.Assert(t, !store.HasAttempt(service, "k"))
 		assert.Assert(t, !store.MayDispatch(first.Ticket), "dispatched after the end")
-		assert.Assert(t, !store.Finish(first.Ticket, claim.Result{Kind: claim.ResultReleased}))
+		assert.Assert(t, !store.Finish(context.Background(), first.Ticket, claim.Result{Kind: claim.ResultReleased}))
 	})
 }
 
@@ -116,7 +117,7 @@
 		waiter := make(chan claim.Decision, 1)
 		go func() { waiter <- f.claim(1, "k", 10*time.Second) }()
 		time.Sleep(300 * time.Millisecond)
-		assert.Assert(t, !f.gateway(0).store.Finish(first.Ticket, claim.Result{Kind: claim.ResultReleased}))
+		assert.Assert(t, !f.gateway(0).store.Finish(context.Background(), first.Ticket, claim.Result{Kind: claim.ResultReleased}))
 		assert.Equal(t, (<-waiter).Kind, claim.Dispatch)
 	})
 }
@@ -139,7 +140,7 @@
 		f.gateway(0).link.set(faults{Lost: 100})
 		decision := f.claim(0, "k", time.Second)
 		assert.Equal(t, decision.Kind, claim.Dispatch)
-		f.gateway(0).store.Finish(decision.Ticket, claim.Result{Kind: claim.ResultDone, Answer: answerOf(1)})
+		f.gateway(0).store.Finish(context.Background(), decision.Ticket, claim.Result{Kind: claim.ResultDone, Answer: answerOf(1)})
 		f.gateway(0).link.set(faults{})
 		again := f.claim(0, "k", 10*time.Second)
 		assert.Equal(t, again.Kind, claim.Replay)
@@ -166,7 +167,7 @@
 	inFleet(t, 2, func(t *testing.T, f *fleet) {
 		first := f.claim(0, "k", time.Second)
 		f.gateway(0).link.set(faults{Lost: 100})
-		f.gateway(0).store.Finish(first.Ticket, claim.Result{Kind: claim.ResultReleased})
+		f.gateway(0).store.Finish(context.Background(), first.Ticket, claim.Result{Kind: claim.ResultReleased})
 		time.Sleep(50 * time.Millisecond)
 		assert.Equal(t, f.row(t, "k").State, claim.StateReleased)
 		second := f.claim(1, "k", time.Second)
@@ -187,7 +188,7 @@
 		for i := range 30 {
 			decision := f.claim(0, fmt.Sprint(i), time.Duration(i+1)*2*time.Millisecond)
 			if decision.Kind == claim.Dispatch {
-				f.gateway(0).store.Finish(decision.Ticket, claim.Result{Kind: claim.ResultReleased})
+				f.gateway(0).store.Finish(context.Background(), decision.Ticket, claim.Result{Kind: claim.ResultReleased})
 			}
 		}
 		time.Sleep(time.Minute)
@@ -212,7 +213,7 @@
 func TestRetentionRemovesRows(t *testing.T) {
 	inFleet(t, 2, func(t *testing.T, f *fleet) {
 		done := f.claim(0, "done", time.Second)
-		f.gateway(0).store.Finish(done.Ticket, claim.Result{Kind: claim.ResultDone, Answer: answerOf(1)})
+		f.gateway(0).store.Finish(context.Background(), done.Ticket, claim.Result{Kind: claim.ResultDone, Answer: answerOf(1)})
 		assert.Equal(t, f.claim(0, "open", time.Second).Kind, claim.Dispatch)
 		assert.Assert(t, f.gateway(0).store.Drain(t.Context()))
 		f.backdate(t, "done", claim.Retention-time.Hour)
@@ -289,7 +290,7 @@
 		}
 		f.gateway(0).link.set(faults{Reject: claim.RowKey(service, "2")})
 		for _, ticket := range tickets {
-			store.Finish(ticket, claim.Result{Kind: claim.ResultDone})
+			store.Finish(context.Background(), ticket, claim.Result{Kind: claim.ResultDone})
 		}
 		assert.Assert(t, store.Drain(t.Context()))
 		for i := range tickets {
--- a/pkg/proxy/body.go
+++ b/pkg/proxy/body.go
@@ -47,6 +47,8 @@
 	idle    time.Duration
 	// buffered is the whole body if it was read in advance, else nil.
 	buffered []byte
+	// overflowed says that the body was read in advance up to the limit and is larger.
+	overflowed bool
 	// prefix was read from the source and is delivered first.
 	prefix []byte
 
@@ -340,6 +342,7 @@
 	case whole:
 		b.buffered = data
 	default:
+		b.overflowed = true
 		b.mu.Lock()
 		b.prefix = data
 		b.consumed = false
--- a/pkg/proxy/harness_test.go
+++ b/pkg/proxy/harness_test.go
@@ -218,7 +218,7 @@
 	return f.mayDispatch
 }
 
-func (f *fakeClaims) Finish(_ claim.Ticket, result claim.Result) bool {
+func (f *fakeClaims) Finish(_ context.Context, _ claim.Ticket, result claim.Result) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.results = append(f.results, result)
--- a/pkg/proxy/keyed.go
+++ b/pkg/proxy/keyed.go
@@ -24,16 +24,27 @@
 	return c.claimCall
 }
 
-// requestFingerprint hashes the method, the path with its query, and the body
-// if it was buffered.
+// requestFingerprint hashes the method, the path with its query, and the body as
+// far as it is known. The same request must match itself however its body is
+// framed, because a resend through another proxy may be framed differently.
 func (c *call) requestFingerprint() uint64 {
 	digest := xxhash.New()
 	writeField(digest, c.r.Method)
 	writeField(digest, c.r.URL.RequestURI())
-	if c.body.buffered != nil {
-		_, _ = digest.Write(c.body.buffered)
+	return claim.NewFingerprint(digest.Sum64(), c.body.fingerprint())
+}
+
+// fingerprint returns what is known of the body before the call is claimed.
+func (b *callerBody) fingerprint() claim.BodyPart {
+	switch {
+	// The read that ends a body of unknown length may bring the byte beyond the limit.
+	case b.overflowed || b.c.r.ContentLength > maxBufferedBody || len(b.buffered) > maxBufferedBody:
+		return claim.BodyLarge
+	case !b.present || b.buffered != nil:
+		return claim.BodyOfHash(xxhash.Sum64(b.buffered))
+	default:
+		return claim.BodyNotSeen
 	}
-	return digest.Sum64()
 }
 
 // writeField separates fields, so that moving a byte from one to the next
@@ -120,7 +131,7 @@
 		return false
 	}
 	c.finished = true
-	return c.proxy.config.Claims.Finish(*c.ticket, result)
+	return c.proxy.config.Claims.Finish(c.r.Context(), *c.ticket, result)
 }
 
 const (
