--- a/pkg/claimstore/feed.go
+++ b/pkg/claimstore/feed.go
@@ -11,9 +11,9 @@
 const (
 	feedInterval = time.Second
 	feedTimeout  = time.Second
-	// feedPage bounds one read of the change feed, which carries whole rows with
-	// answers of up to 64 KiB.
-	feedPage = 200
+	// feedPage bounds one read of the change feed, which carries about 76 bytes
+	// for each key.
+	feedPage = 500
 	// rebuildInterval is how often the digest is rebuilt so that it forgets
 	// removed rows.
 	rebuildInterval = 24 * time.Hour
@@ -35,6 +35,7 @@
 			s.withLock(s.digest.Rebuild)
 			rebuildAt = s.config.Now() + int64(s.jitter(rebuildInterval))
 		}
+		s.tick()
 		if !s.claims.underPressure() {
 			s.readFeed(ctx)
 		}
@@ -46,8 +47,10 @@
 
 // readFeed reads the change feed up to its end.
 func (s *Store) readFeed(ctx context.Context) {
+	begin := s.tick()
 	started := s.config.Now()
 	for {
+		s.tick()
 		position := uint64(0)
 		s.withLock(func() { position = s.digest.Position() })
 		result, err := s.changes(ctx, position)
@@ -61,16 +64,27 @@
 			break
 		}
 	}
+	s.tick()
+	s.withLock(func() { s.pauses.Caught(begin) })
 	s.counters.feedReads.Inc()
 	if s.config.FeedRead != nil {
 		s.config.FeedRead(started)
 	}
 }
 
+// tick notes that the process runs and returns what PauseWatch.Begin does.
+func (s *Store) tick() (begin int) {
+	s.withLock(func() {
+		s.pauses.Tick(s.config.Now(), wall())
+		begin = s.pauses.Begin()
+	})
+	return begin
+}
+
 func (s *Store) changes(ctx context.Context, position uint64) (platform.ReadResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, feedTimeout)
 	defer cancel()
-	result, err := s.config.Table.Changes(ctx, claim.RowPrefix, position, feedPage)
+	result, err := s.config.Table.Changes(ctx, claim.RowPrefix, position, feedPage, platform.KeysOnly)
 	if err == nil {
 		s.clock.observe(s.config.Now(), result.Time)
 	}
@@ -126,15 +140,7 @@
 // removeFrom removes the expired rows of one page and reports whether the pass
 // may go on.
 func (s *Store) removeFrom(ctx context.Context, page platform.ReadResult) bool {
-	var txn platform.Txn
-	for _, stored := range page.Rows {
-		row, err := claim.DecodeRow(stored.Value)
-		if err != nil || !claim.MayRemove(row, page.Time, s.ownerGone(row)) {
-			continue
-		}
-		txn.Checks = append(txn.Checks, platform.Check{Key: stored.Key, Version: stored.Version})
-		txn.Writes = append(txn.Writes, platform.Write{Key: stored.Key, Delete: true})
-	}
+	txn := claim.RemovalTxn(page.Rows, page.Time, s.ownerGone)
 	if len(txn.Writes) == 0 {
 		return true
 	}
@@ -142,7 +148,7 @@
 	if result.Status != platform.CommitApplied {
 		return false
 	}
-	s.counters.rowsRemoved.Add(len(txn.Writes))
+	s.counters.rowsRemoved.Add(len(txn.Checks))
 	return true
 }
 
--- a/pkg/claimstore/metrics.go
+++ b/pkg/claimstore/metrics.go
@@ -26,10 +26,12 @@
 	verifiedNotRun    *metrics.Counter
 	verifiedUnknown   *metrics.Counter
 	verifyQueueFull   *metrics.Counter
+	digestHitsCleared *metrics.Counter
 	resultsWritten    *metrics.Counter
 	resultsSuperseded *metrics.Counter
 	resultsDropped    *metrics.Counter
 	answersDropped    *metrics.Counter
+	answerReadErrors  *metrics.Counter
 	feedReads         *metrics.Counter
 	feedErrors        *metrics.Counter
 	rowsRemoved       *metrics.Counter
@@ -76,10 +78,12 @@
 		verifiedNotRun:    set.NewCounter(`balsamhill_not_run_verifications_total{outcome="not_run"}`),
 		verifiedUnknown:   set.NewCounter(`balsamhill_not_run_verifications_total{outcome="unknown"}`),
 		verifyQueueFull:   set.NewCounter("balsamhill_not_run_verification_queue_full_total"),
+		digestHitsCleared: set.NewCounter("balsamhill_claim_digest_hits_cleared_total"),
 		resultsWritten:    set.NewCounter("balsamhill_claim_results_written_total"),
 		resultsSuperseded: set.NewCounter("balsamhill_claim_results_superseded_total"),
 		resultsDropped:    set.NewCounter("balsamhill_claim_results_dropped_total"),
 		answersDropped:    set.NewCounter("balsamhill_claim_answers_dropped_total"),
+		answerReadErrors:  set.NewCounter("balsamhill_claim_answer_read_errors_total"),
 		feedReads:         set.NewCounter("balsamhill_claim_feed_reads_total"),
 		feedErrors:        set.NewCounter("balsamhill_claim_feed_errors_total"),
 		rowsRemoved:       set.NewCounter("balsamhill_claim_rows_removed_total"),
--- a/pkg/claimstore/store.go
+++ b/pkg/claimstore/store.go
@@ -61,6 +61,9 @@
 	// the gateway rows and the VM list for claim.Retention. Without it, claimed
 	// rows are never removed.
 	OwnerGone func(owner claim.Incarnation) bool
+	// NoRemoval leaves the removal of old rows to other gateways. It is set where
+	// reading all rows would cross the link between the regions.
+	NoRemoval bool
 	// DigestKeys is the number of keys that the filters are sized for, 0 for
 	// claim.DigestKeys.
 	DigestKeys uint
@@ -75,10 +78,11 @@
 
 	clock storeClock
 
-	mu      sync.Mutex // guards ledger, digest, history
+	mu      sync.Mutex // guards ledger, digest, history, pauses
 	ledger  *claim.Ledger
 	digest  *claim.Digest
 	history *claim.History
+	pauses  claim.PauseWatch
 
 	randMu sync.Mutex
 	rand   *rand.Rand
@@ -114,7 +118,11 @@
 // Run performs the I/O until ctx ends. Before that, Drain should have returned,
 // since results that are not written leave their keys unresolved.
 func (s *Store) Run(ctx context.Context) {
-	for _, loop := range []func(context.Context){s.runClaims, s.runResults, s.runFeed, s.runRemoval} {
+	loops := []func(context.Context){s.runClaims, s.runResults, s.runFeed}
+	if !s.config.NoRemoval {
+		loops = append(loops, s.runRemoval)
+	}
+	for _, loop := range loops {
 		s.running.Go(func() { loop(ctx) })
 	}
 	s.running.Wait()
@@ -144,20 +152,27 @@
 	expect := uint64(0)
 	for {
 		item := s.tryClaim(ctx, call, expect)
-		switch item.next.Step {
-		case claim.StepOwned:
+		if item.next.Step == claim.StepOwned {
 			s.withLock(func() { s.ledger.Own(id, item.pending.Owner.ClaimID) })
 			return claim.Decision{Kind: claim.Dispatch, Ticket: ticketOf(item)}
-		case claim.StepAnswer:
-			return item.next.Decision
-		case claim.StepWait:
-			next := s.awaitResolution(ctx, item.pending)
-			if next.Step != claim.StepRetry {
-				return next.Decision
+		}
+		next := item.next
+		for next.Step == claim.StepWait || next.Step == claim.StepReadAnswer {
+			if next.Step == claim.StepWait {
+				next = s.awaitResolution(ctx, item.pending)
+			} else {
+				next = s.readAnswer(ctx, item.pending)
 			}
+		}
+		switch next.Step {
+		case claim.StepAnswer:
+			return next.Decision
+		case claim.StepRetry:
 			expect = next.Expect
+		case claim.StepRefuse:
+			return claim.Decision{Kind: claim.Refuse, NotRun: true, Reason: next.Decision.Reason}
 		default:
-			return claim.Decision{Kind: claim.Refuse, NotRun: true, Reason: item.next.Decision.Reason}
+			return claim.Decision{Kind: claim.Refuse, Reason: claim.ReasonUnknownRun}
 		}
 	}
 }
@@ -187,7 +202,7 @@
 // Finish implements proxy.Claims. For ResultReleased it asks the peers before it
 // returns, which takes up to 100 ms: the row proves that the call did not run, but
 // a send that waits on another gateway could still claim the released key.
-func (s *Store) Finish(ticket claim.Ticket, result claim.Result) bool {
+func (s *Store) Finish(ctx context.Context, ticket claim.Ticket, result claim.Result) bool {
 	id := claim.IDOf(ticket.Service, ticket.Key)
 	held, others := false, false
 	s.withLock(func() {
@@ -202,15 +217,15 @@
 	}
 	notRun := false
 	if result.Kind == claim.ResultReleased && !others {
-		notRun = s.verifyReleased(ticket, id)
+		notRun = s.verifyReleased(ctx, ticket, id)
 	}
 	s.counters.finished(result.Kind)
 	s.results.add(claim.NewResolution(ticket, s.owner(ticket.ClaimID), result), s.counters)
 	return notRun
 }
 
-func (s *Store) verifyReleased(ticket claim.Ticket, id claim.ID) bool {
-	if !s.queryPeers(context.Background(), ticket.Service, ticket.Key) {
+func (s *Store) verifyReleased(ctx context.Context, ticket claim.Ticket, id claim.ID) bool {
+	if !s.queryPeers(ctx, ticket.Service, ticket.Key) {
 		return false
 	}
 	others := false
@@ -221,18 +236,25 @@
 // VerifyNotRun implements proxy.Claims. The call must not be in the ledger.
 func (s *Store) VerifyNotRun(ctx context.Context, call claim.Call) bool {
 	id := claim.IDOf(call.Service, call.Key)
-	// The digest is read before the peers are asked: what was claimed before the
-	// digest's last feed read is in the digest, and what was claimed later is
-	// known to a gateway that was alive at that read.
+	ctx, cancel := context.WithTimeout(ctx, verifyLimit)
+	defer cancel()
+	// What was claimed before the digest's last feed read is in the digest, and
+	// what was claimed later is known to a gateway that was alive at that read.
+	// The row is read after the peers were asked: a gateway that claimed the key
+	// and then died is not asked once a later feed read has seen its claim, and a
+	// row that was read before the claim would hide it.
 	evidence := s.evidence(id)
-	evidence.PeersAnswered = true
-	if !claim.MaySayNotRun(evidence) {
+	if evidence.OtherAttempts || !evidence.DigestComplete {
 		s.counters.verifiedUnknown.Inc()
 		return false
 	}
-	answered := s.queryPeers(ctx, call.Service, call.Key)
-	evidence = s.evidence(id)
-	evidence.PeersAnswered = answered
+	if evidence.PeersAnswered = s.queryPeers(ctx, call.Service, call.Key); evidence.PeersAnswered {
+		evidence = s.evidence(id)
+		evidence.PeersAnswered = true
+		evidence.RowClear = evidence.InDigest && s.rowIsClear(ctx, call)
+		// The row was read without the lock.
+		evidence.OtherAttempts = s.evidence(id).OtherAttempts
+	}
 	if !claim.MaySayNotRun(evidence) {
 		s.counters.verifiedUnknown.Inc()
 		return false
@@ -241,11 +263,23 @@
 	return true
 }
 
+// rowIsClear reads the claim row and reports whether it shows that the key is not
+// claimed. It needs one round trip within what is left of the verification's time.
+func (s *Store) rowIsClear(ctx context.Context, call claim.Call) bool {
+	key := claim.RowKey(call.Service, call.Key)
+	result, err := s.get(ctx, verifyLimit, key)
+	if err != nil || !claim.RowIsClear(call, result.Rows) {
+		return false
+	}
+	s.counters.digestHitsCleared.Inc()
+	return true
+}
+
 func (s *Store) evidence(id claim.ID) claim.Evidence {
 	var e claim.Evidence
 	s.withLock(func() {
 		e.OtherAttempts = s.ledger.Has(id) || s.history.Has(id)
-		e.DigestComplete = s.digest.Complete()
+		e.DigestComplete = s.digest.Complete() && !s.pauses.Paused(s.config.Now(), wall())
 		e.InDigest = s.digest.Has(id)
 	})
 	return e
@@ -268,10 +302,16 @@
 
 // HasAttempt answers the key query of a peer: it reports whether this gateway
 // holds an attempt of the key or may have dispatched one within the retention.
+// Peers address a gateway by its name, so it also answers for its former
+// incarnations, whose claims it knows once it has read the feed. After a pause it
+// answers that there may be an attempt until it has read the feed again.
 func (s *Store) HasAttempt(service, key string) bool {
 	id := claim.IDOf(service, key)
-	has := false
-	s.withLock(func() { has = s.ledger.Has(id) || s.history.Has(id) })
+	has := true
+	s.withLock(func() {
+		has = s.ledger.Has(id) || s.history.Has(id) || s.digest.MayInherit(id) ||
+			s.pauses.Paused(s.config.Now(), wall())
+	})
 	return has
 }
 
@@ -289,6 +329,12 @@
 	return fmt.Sprintf("%s/%d/%d", s.config.Gateway, s.config.Incarnation, s.claimSeq.Add(1))
 }
 
+// wall returns the wall clock, which goes on while the monotonic clock of a
+// suspended VM stands still.
+func wall() time.Time {
+	return time.Now().Round(0)
+}
+
 // jitter returns a duration between half of d and d.
 func (s *Store) jitter(d time.Duration) time.Duration {
 	s.randMu.Lock()
