Let a new gateway claim only after the others know it

Cause: the gateway rows are read every 5 s (30 s in the far region). A gateway that was started since is not asked, so another one said not-run of a call that the new gateway had run: 14 of 25 runs of TestPausedGateway, and each run of TestNotRunWithGatewayStartedSince. Ruled out: asking only gateways that were heard (the session may not exist yet); shorter reads (the gap only shrinks).

--- a/pkg/claimstore/store.go
+++ b/pkg/claimstore/store.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	// verifyLimit bounds the verification of not-run.
-	verifyLimit = 100 * time.Millisecond
+	// verifyLimit bounds the verification of not-run: a read of the gateway rows
+	// and a key query, 100 ms each, and a read of the claim row.
+	verifyLimit = 250 * time.Millisecond
 	// maxVerifications bounds the verifications under way; beyond it the outcome
 	// is unknown.
 	maxVerifications = 256
@@ -64,6 +65,9 @@
 	// NoRemoval leaves the removal of old rows to other gateways. It is set where
 	// reading all rows would cross the link between the regions.
 	NoRemoval bool
+	// Introduced is closed once the other gateways know this one, which must not
+	// claim before: they would not ask it before they say not-run. It may be nil.
+	Introduced <-chan struct{}
 	// DigestKeys is the number of keys that the filters are sized for, 0 for
 	// claim.DigestKeys.
 	DigestKeys uint
@@ -147,8 +151,28 @@
 	return decision
 }
 
+// awaitIntroduction waits as long as a claim may take until the others know this
+// gateway.
+func (s *Store) awaitIntroduction(ctx context.Context) bool {
+	if s.config.Introduced == nil {
+		return true
+	}
+	timer := time.NewTimer(s.config.ClaimTimeout)
+	defer timer.Stop()
+	select {
+	case <-s.config.Introduced:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // claim returns the decision. For a refusal, NotRun asks for verification.
 func (s *Store) claim(ctx context.Context, call claim.Call, id claim.ID) claim.Decision {
+	if !s.awaitIntroduction(ctx) {
+		return claim.Decision{Kind: claim.Refuse, NotRun: true, Reason: "this gateway has just started"}
+	}
 	expect := uint64(0)
 	for {
 		item := s.tryClaim(ctx, call, expect)
@@ -200,7 +224,7 @@
 }
 
 // Finish implements proxy.Claims. For ResultReleased it asks the peers before it
-// returns, which takes up to 100 ms: the row proves that the call did not run, but
+// returns, which takes up to 250 ms: the row proves that the call did not run, but
 // a send that waits on another gateway could still claim the released key.
 func (s *Store) Finish(ctx context.Context, ticket claim.Ticket, result claim.Result) bool {
 	id := claim.IDOf(ticket.Service, ticket.Key)
--- a/pkg/gateway/crashguard.go
+++ b/pkg/gateway/crashguard.go
@@ -16,7 +16,7 @@
 func (g *Gateway) peerQuery() claimstore.PeerQuery {
 	switch {
 	case g.peers != nil:
-		return g.peers.exchange
+		return &freshPeerQuery{peers: g.peers}
 	case g.settings.Peers.MaxGateways == 1:
 		return noPeers{}
 	default:
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -53,6 +53,8 @@
 
 	claims    *claims
 	guard     crashGuard
+
+	introduction *introduction
 	proxy     *proxy.Proxy
 	transport *proxy.Transports
 	metrics   *metrics.Set
@@ -81,6 +83,8 @@
 		metrics:     metrics.NewSet(),
 		transport:   proxy.NewTransports(s.Services, s.Peers.MaxGateways),
 		stop:        make(chan struct{}),
+
+		introduction: newIntroduction(),
 	}
 	trusted, err := proxy.ParsePrefixes(s.Traffic.TrustedProxies)
 	if err != nil {
@@ -193,6 +197,7 @@
 	addLoop(g.runRowWriter)
 	addLoop(g.runPeers)
 	addLoop(g.runBudgets)
+	addLoop(g.runIntroduction)
 	addLoop(g.claims.run)
 	addLoop(g.runGuardExpiry)
 	g.addProbeLoops(addLoop)
--- a/pkg/gateway/loops.go
+++ b/pkg/gateway/loops.go
@@ -150,6 +150,7 @@
 func (g *Gateway) writeRow(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	clockKnown := g.storeClock.known()
 	value, err := json.Marshal(g.row())
 	if err != nil {
 		panic(err)
@@ -158,7 +159,14 @@
 		Writes: []platform.Write{{Key: membership.RowPrefix + g.settings.VM.ID, Value: value}},
 	})
 	g.storeClock.observe(result.Time)
-	if result.Status != platform.CommitApplied {
+	switch {
+	case result.Status != platform.CommitApplied:
 		g.counters.platformErrors.Inc()
+	case clockKnown:
+		g.introduction.wroteRow()
+	default:
+		// The first row bears the time of a clock that may be wrong, so that other
+		// gateways may take it for an old one.
+		g.writeRow(ctx)
 	}
 }
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -244,7 +244,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { close(p.stopped) })
 	defer stop()
-	go every(ctx, g.rowsInterval(), nil, p.readRows)
+	go every(ctx, g.rowsInterval(), nil, func(ctx context.Context) { p.readRows(ctx) })
 	go every(ctx, summaryInterval, nil, p.shareSummary)
 	p.exchange.Run(ctx)
 }
@@ -261,14 +261,15 @@
 	return farRowsInterval
 }
 
-// readRows gives the gateway rows to the exchange.
-func (p *peers) readRows(ctx context.Context) {
+// readRows gives the gateway rows to the exchange. It reports whether the store
+// answered.
+func (p *peers) readRows(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	result, err := p.gateway.platform.Scan(ctx, membership.RowPrefix, "", maxRows)
 	if err != nil {
 		p.gateway.counters.platformErrors.Inc()
-		return
+		return false
 	}
 	p.gateway.storeClock.observe(result.Time)
 	var rows []membership.Row
@@ -279,6 +280,7 @@
 		}
 	}
 	p.exchange.Rows(result.Time, rows)
+	return true
 }
 
 // shareSummary tells the neighbours what this gateway sees of the servers.
--- a/pkg/gateway/storeclock.go
+++ b/pkg/gateway/storeclock.go
@@ -23,6 +23,11 @@
 	}
 }
 
+// known reports whether the store has answered.
+func (c *storeClock) known() bool {
+	return c.last.Load() != nil
+}
+
 // now returns the estimate, or the own wall clock before the first answer. It is
 // late by the time that the answer took.
 func (c *storeClock) now() time.Time {
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -275,6 +275,17 @@
 	return ids, complete
 }
 
+// WithRows returns the gateways with a valid row at the last read.
+func (v *View) WithRows() []string {
+	var ids []string
+	for id, m := range v.members {
+		if m.inRows {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Known returns all known gateways but the own one, in ID order.
 func (v *View) Known() []Gateway {
 	known := make([]Gateway, 0, len(v.members))
--- a/pkg/peer/heartbeat.go
+++ b/pkg/peer/heartbeat.go
@@ -83,6 +83,7 @@
 		s.close()
 		return nil
 	}
+	s.heartbeats++
 	s.revision.Store(max(s.revision.Load(), beat.GetRevision()))
 	for _, g := range beat.GetKnown() {
 		e.view.Introduce(now, membership.Gateway{ID: g.GetId(), Region: g.GetRegion(), Peer: g.GetAddress()})
--- a/pkg/peer/keyquery.go
+++ b/pkg/peer/keyquery.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +27,8 @@
 
 // batch is a group of queries that were asked together.
 type batch struct {
+	// asked holds the gateways that the batch went to.
+	asked []string
 	queries []query
 	// missing holds the peers that did not reply yet.
 	missing map[string]bool
@@ -119,7 +122,7 @@
 		complete := false
 		select {
 		case <-b.done:
-			complete = true
+			complete = e.askedAll(b)
 		case <-timer.C:
 		case <-ctx.Done():
 		}
@@ -138,6 +141,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	ids, complete := e.view.MayHoldCalls()
+	b.asked = ids
 	for _, id := range ids {
 		b.missing[id] = true
 	}
@@ -160,6 +164,36 @@
 	return queryID, true
 }
 
+// askedAll reports whether no gateway became known while the answers came in. A
+// gateway claims nothing before the others know it, so one that becomes known
+// later holds no attempt yet.
+func (e *Exchange) askedAll(b *batch) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ids, complete := e.view.MayHoldCalls()
+	for _, id := range ids {
+		if !slices.Contains(b.asked, id) {
+			return false
+		}
+	}
+	return complete
+}
+
+// KnownToAll reports whether every gateway with a valid row knows this one. The
+// second heartbeat of a session proves that: the first may have been sent before
+// the peer learned who is at the other end.
+func (e *Exchange) KnownToAll() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, id := range e.view.WithRows() {
+		s := e.sessions[id]
+		if s == nil || s.heartbeats < 2 {
+			return false
+		}
+	}
+	return true
+}
+
 // answer ends all queries of the batch.
 func (b *batch) answer(complete bool) {
 	for i, q := range b.queries {
--- a/pkg/peer/session.go
+++ b/pkg/peer/session.go
@@ -50,6 +50,8 @@
 	revision atomic.Uint64
 
 	// The fields below belong to the exchange's lock.
+	// heartbeats counts those received.
+	heartbeats    int
 	sentHeartbeat int64
 	// summarised says that summaries count on this session's earlier ones.
 	summarised bool
--- a/pkg/proxy/claims.go
+++ b/pkg/proxy/claims.go
@@ -19,11 +19,11 @@
 	// Finish records the result of a claimed call, also if the context has ended;
 	// the record is written in the background. It reports whether not-run may be
 	// said, which is only the case for ResultReleased. For ResultReleased it asks
-	// the other gateways and may block for up to 100 ms or until the context ends,
+	// the other gateways and may block for up to 250 ms or until the context ends,
 	// which leaves false; for other results it returns at once.
 	Finish(ctx context.Context, ticket claim.Ticket, result claim.Result) (notRun bool)
 	// VerifyNotRun reports whether not-run may be said of a call with a key that
-	// this gateway refused before it claimed the key. It may block for up to 100 ms
+	// this gateway refused before it claimed the key. It may block for up to 250 ms
 	// or until the context ends, which leaves false.
 	VerifyNotRun(ctx context.Context, call claim.Call) bool
 }
