Send drains with their age, and end the loads of servers that are gone

Cause: notices between gateways carried no age, so passing one on renewed it; a gateway that joined heard of a drain only at its next repeat, after up to 20 s. The loads of a server that left the table stayed with its peers for ever, and the values of a session could arrive after PeerLost and stay.

Change: DrainNotice carries its age, rounded up. A session start makes control send State.Drains to the peer (PeerJoined, DrainsInForce), in frames of 20 that fit the smallest link share, across the link between speakers only. One mechanism remains for telling, repeating and passing on drains: control, which alone knows whether a notice is new evidence. The repeats of pkg/gateway and the flooding of pkg/peer are gone. Control passes on a peer's notice that is over 5 s newer than the known one, so that repeats reach gateways that are not neighbours and echoes end. State.Summary is called on the control goroutine and handed over by an atomic pointer; pkg/peer alone makes deltas, because it knows what each neighbour was told. It sends zeros once for servers that are gone, also after a session was replaced. Joined, Lost and Summary keep their order.

Conclusion: evidence ends 60 s after the last announcement however many gateways it passed.

--- a/pkg/control/apply.go
+++ b/pkg/control/apply.go
@@ -19,6 +19,8 @@
 		s.applySummary(e)
 	case PeerLost:
 		s.applyPeerLost(e)
+	case PeerJoined:
+		s.applyPeerJoined(now, e)
 	}
 }
 
--- a/pkg/control/drain.go
+++ b/pkg/control/drain.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"balsamhill/pkg/health"
 )
@@ -30,17 +31,24 @@
 	s.noticeDrain(now, row, at, notice.FromPeer == "")
 }
 
-// noticeDrain takes a notice in and tells the peers of it: of the first one, and
-// of a repeated one if this gateway saw it on the wire. Passing on the first
-// report of a peer reaches gateways that are not neighbours of its sender;
-// repeats are not passed on, so that no report circulates for ever.
+// newerNotice is by how much the time of a peer's notice must exceed that of the
+// known one to be passed on. It is below the interval at which the gateway that
+// sees the server announce tells of it, which is 10 s, and above the time that a
+// notice travels, which makes its own echo look newer.
+const newerNotice = int64(5 * time.Second)
+
+// noticeDrain takes a notice in and tells the peers of it: of the first one, of
+// a repeated one if this gateway saw it on the wire, and of a peer's that is
+// newer. Passing a peer's notices on reaches gateways that are not neighbours of
+// its sender. Each announcement is passed on once, because its echo is not newer.
 func (s *State) noticeDrain(now int64, row *serverRow, at int64, onWire bool) {
+	newer := min(at, now)-row.drain.NoticedAt() > newerNotice
 	first := row.drain.Notice(now, at)
 	s.dirty = s.dirty || first
-	if !row.drain.Noticed(now) || (!first && !onWire) {
+	if !row.drain.Noticed(now) || (!first && !onWire && !newer) {
 		return
 	}
-	if !row.drain.ShouldTell(now) {
+	if !row.drain.ShouldTell(now) && !first {
 		return
 	}
 	s.actions = append(s.actions, DrainLearned{
--- a/pkg/control/events.go
+++ b/pkg/control/events.go
@@ -65,6 +65,12 @@
 func (DrainNoticed) event()  {}
 func (PeerSummary) event()   {}
 func (PeerLost) event()      {}
+func (PeerJoined) event()    {}
+
+// PeerJoined says that a session with a peer started.
+type PeerJoined struct {
+	Peer string
+}
 
 // Action is something that the owner of the State has to do. The types below
 // are all actions.
@@ -94,6 +100,12 @@
 	Age int64
 }
 
+// DrainsInForce asks to send the evidence in force to a peer that joined.
+type DrainsInForce struct {
+	Peer   string
+	Drains []DrainLearned
+}
+
 // ServerChanged reports a change of a server's availability, for the log. From
 // is "unknown" for a new server and To is "removed" for one that is gone.
 type ServerChanged struct {
@@ -106,6 +118,7 @@
 func (Publish) action()       {}
 func (PresetAdopted) action() {}
 func (DrainLearned) action()  {}
+func (DrainsInForce) action() {}
 func (ServerChanged) action() {}
 
 // Tick is the interval at which the owner runs the systems.
--- a/pkg/control/peers.go
+++ b/pkg/control/peers.go
@@ -57,6 +57,15 @@
 	delete(s.peers.loads, lost.Peer)
 }
 
+// applyPeerJoined sends the evidence in force to a new or healed peer, so that it
+// learns of drains at once.
+func (s *State) applyPeerJoined(now int64, joined PeerJoined) {
+	drains := s.Drains(now)
+	if len(drains) > 0 {
+		s.actions = append(s.actions, DrainsInForce{Peer: joined.Peer, Drains: drains})
+	}
+}
+
 // showPeers makes the sum of a server visible to traffic.
 func (s *State) showPeers(serverID string) {
 	row, ok := s.servers[serverID]
--- a/pkg/control/property_test.go
+++ b/pkg/control/property_test.go
@@ -163,6 +163,58 @@
 	})
 }
 
+// TestRepeatsPassThroughNeighbours guards against evidence that expires at
+// gateways that are no neighbours of the one that sees the server announce, and
+// against its circulating after the announcements end. Each gateway only reaches
+// the next one and the one before.
+func TestRepeatsPassThroughNeighbours(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		gateways := make([]*harness, rapid.IntRange(3, 4).Draw(t, "gateways"))
+		for i := range gateways {
+			gateways[i] = newHarness(fmt.Sprintf("g%d", i))
+			gateways[i].state.Apply(second, VMListRead{VMs: liveVMs(3)})
+			gateways[i].state.Apply(second, PresetOffered{Version: version(1)})
+			gateways[i].tick(second)
+		}
+		delay := rapid.Int64Range(tick, second/2).Draw(t, "delay")
+		announces := rapid.Int64Range(tick, 15*second).Draw(t, "announces every")
+		const until = 80 * second
+		var onTheWay []message
+		for now := 2 * second; now < until+70*second; now += tick {
+			if now < until && now%announces < tick {
+				gateways[0].server("s0").Stats.DrainNoticedAt.Store(now)
+			}
+			onTheWay = deliver(gateways, onTheWay, now)
+			for i, h := range gateways {
+				h.tick(now)
+				for _, drain := range h.learned {
+					for _, to := range []int{i - 1, i + 1} {
+						if to >= 0 && to < len(gateways) {
+							onTheWay = append(onTheWay, message{to: to, at: now + delay, event: asNotice(drain, "peer")})
+						}
+					}
+				}
+				if now > 20*second && now < until {
+					assert.Equal(t, h.server("s0").Availability, routing.Draining, "gateway %d at %d", i, now)
+				}
+			}
+		}
+		for i, h := range gateways {
+			assert.Equal(t, h.server("s0").Availability, routing.Available, "gateway %d", i)
+		}
+		h := gateways[0]
+		h.state.Apply(300*second, DrainNoticed{ServerID: "s1", Age: 7 * second})
+		h.state.Apply(301*second, PeerJoined{Peer: "new"})
+		for _, action := range h.state.RunSystems(301 * second) {
+			if sent, ok := action.(DrainsInForce); ok {
+				assert.DeepEqual(t, sent.Drains, []DrainLearned{{ServerID: "s1", Incarnation: 1, Age: 8 * second}})
+				return
+			}
+		}
+		t.Fatal("a peer that joins hears of no drain")
+	})
+}
+
 // TestEjectionBound guards the panic threshold: whatever fails, drains or is in
 // maintenance, at most half of the servers that could be used are ejected, and
 // a service with such a server is never empty.
--- a/pkg/control/status.go
+++ b/pkg/control/status.go
@@ -19,7 +19,8 @@
 	return status
 }
 
-// Summary returns this gateway's own view of all servers, for its peers.
+// Summary returns this gateway's own view of all servers, for its peers. Package
+// peer sends the changes, because what each neighbour was told is known there.
 func (s *State) Summary() []PeerLoad {
 	rows := s.sortedServers()
 	loads := make([]PeerLoad, 0, len(rows))
--- a/pkg/gateway/loops.go
+++ b/pkg/gateway/loops.go
@@ -41,6 +41,7 @@
 		g.perform(g.state.RunSystems(g.now()))
 		status := g.state.Status()
 		g.status.Store(&status)
+		g.peers.summarize(g.now(), g.state)
 	}
 }
 
@@ -59,6 +60,8 @@
 			g.counters.drainNotices.Inc()
 			g.log.Info("server is leaving", "server", a.ServerID)
 			g.peers.drainLearned(a)
+		case control.DrainsInForce:
+			g.peers.drainsInForce(a)
 		case control.ServerChanged:
 			g.log.Info("server availability changed", "server", a.ServerID, "service", a.Service,
 				"from", a.From, "to", a.To, "reason", a.Reason)
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -18,7 +18,6 @@
 	"balsamhill/pkg/peer/peerpb"
 	"balsamhill/pkg/platform"
 	"balsamhill/pkg/preset"
-	"balsamhill/pkg/routing"
 	"balsamhill/pkg/tlsfiles"
 )
 
@@ -33,9 +32,6 @@
 	farPresetInterval = 10 * time.Second
 	// maxRows is more gateways than settings allow.
 	maxRows = 1000
-	// drainRepeat is the interval at which own evidence of a drain is repeated to
-	// peers, whose evidence expires after 60 s.
-	drainRepeat = 20 * time.Second
 )
 
 // peerHooks connect the exchange to other parts of the gateway. They are set
@@ -57,9 +53,10 @@
 	stopped  chan struct{}
 	// badDocuments counts documents from peers that do not parse.
 	badDocuments atomic.Uint64
-	// toldDrains holds when each server's own evidence was last told; only the
-	// summary loop uses it.
-	toldDrains map[string]int64
+	// summary is the last one of the control loop.
+	summary atomic.Pointer[[]control.PeerLoad]
+	// summaryDue belongs to the control goroutine.
+	summaryDue int64
 }
 
 // newPeers opens the listener for peers. It returns nil if settings switch the
@@ -69,7 +66,7 @@
 	if s.Listen == "" {
 		return nil, nil
 	}
-	p := &peers{gateway: g, stopped: make(chan struct{}), toldDrains: make(map[string]int64)}
+	p := &peers{gateway: g, stopped: make(chan struct{})}
 	p.version.Store(&preset.Version{})
 	var files *tlsfiles.Loader
 	if s.TLS != nil {
@@ -117,10 +114,13 @@
 func (p *peers) handler() peer.Handler {
 	return peer.Handler{
 		Preset: p.onPreset,
-		Drain: func(from, serverID string, incarnation uint64) {
-			p.send(control.DrainNoticed{ServerID: serverID, Incarnation: incarnation, FromPeer: from})
+		Drain: func(from string, drain peer.Drain) {
+			p.send(control.DrainNoticed{
+				ServerID: drain.ServerID, Incarnation: drain.Incarnation, FromPeer: from, Age: int64(drain.Age),
+			})
 		},
 		Summary: p.onSummary,
+		Joined:  func(id string) { p.send(control.PeerJoined{Peer: id}) },
 		Lost:    func(id string) { p.send(control.PeerLost{Peer: id}) },
 		Suspicion: func(from string, fingerprint crashguard.Fingerprint, serverID string) {
 			if p.hooks.suspicion != nil {
@@ -182,8 +182,24 @@
 // drainLearned performs control.DrainLearned towards the peers.
 func (p *peers) drainLearned(action control.DrainLearned) {
 	if p != nil {
-		p.exchange.TellDrain(action.ServerID, action.Incarnation)
+		p.exchange.TellDrain(drainOf(action))
+	}
+}
+
+// drainsInForce performs control.DrainsInForce.
+func (p *peers) drainsInForce(action control.DrainsInForce) {
+	if p == nil {
+		return
+	}
+	drains := make([]peer.Drain, 0, len(action.Drains))
+	for _, drain := range action.Drains {
+		drains = append(drains, drainOf(drain))
 	}
+	p.exchange.SendDrains(action.Peer, drains)
+}
+
+func drainOf(action control.DrainLearned) peer.Drain {
+	return peer.Drain{ServerID: action.ServerID, Incarnation: action.Incarnation, Age: time.Duration(action.Age)}
 }
 
 // feedRead is told when the feed of claims was read to its end.
@@ -281,40 +297,33 @@
 	p.exchange.Rows(result.Time, rows)
 }
 
-// shareSummary tells the neighbours what this gateway sees of the servers.
-func (p *peers) shareSummary(context.Context) {
-	snapshot := p.gateway.snapshot.Load()
-	if snapshot == nil {
+// summarize keeps a summary for the next time that the neighbours are told. It
+// runs on the control goroutine, which owns the tables.
+func (p *peers) summarize(now int64, state *control.State) {
+	if p == nil || now < p.summaryDue {
 		return
 	}
-	now := p.gateway.now()
-	var loads []*peerpb.ServerLoad
-	for _, service := range p.gateway.settings.Services {
-		for _, server := range snapshot.Services[service.Name].Servers {
-			loads = append(loads, &peerpb.ServerLoad{
-				ServerId: server.ID,
-				InFlight: server.Stats.InFlight(),
-				Latency:  server.Stats.Latency(),
-				Ejected:  server.Availability == routing.Ejected,
-				Draining: server.Availability == routing.Draining,
-			})
-			p.repeatDrain(now, server)
-		}
-	}
-	p.exchange.ShareSummary(loads)
+	p.summaryDue = now + int64(summaryInterval)
+	summary := state.Summary()
+	p.summary.Store(&summary)
 }
 
-// repeatDrain tells the peers again that a server announces that it is leaving.
-// Only what this gateway saw itself is repeated; repeating reports of peers
-// would keep evidence alive that nobody has any more.
-func (p *peers) repeatDrain(now int64, server *routing.Server) {
-	noticedAt := server.Stats.DrainNoticedAt.Load()
-	told := p.toldDrains[server.ID]
-	if noticedAt == 0 || noticedAt <= told || now-told < int64(drainRepeat) {
+// shareSummary tells the neighbours what this gateway sees of the servers.
+func (p *peers) shareSummary(context.Context) {
+	summary := p.summary.Load()
+	if summary == nil {
 		return
 	}
-	p.toldDrains[server.ID] = now
-	p.exchange.TellDrain(server.ID, server.Incarnation)
+	loads := make([]*peerpb.ServerLoad, 0, len(*summary))
+	for _, load := range *summary {
+		loads = append(loads, &peerpb.ServerLoad{
+			ServerId: load.ServerID,
+			InFlight: load.InFlight,
+			Latency:  load.Latency,
+			Ejected:  load.Ejected,
+		})
+	}
+	p.exchange.ShareSummary(loads)
 }
 
 // presetReadDue reports whether to read the preset in force now. In a region
--- a/pkg/peer/dial.go
+++ b/pkg/peer/dial.go
@@ -183,6 +183,8 @@
 		e.counters.BadFrames.Add(1)
 		e.config.Log.Warn("peer sent invalid data", "peer", s.id, "error", err.Error())
 	}
+	e.order.Lock()
+	defer e.order.Unlock()
 	e.mu.Lock()
 	known := s.id != ""
 	current := known && e.sessions[s.id] == s
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -28,10 +28,14 @@
 type Handler struct {
 	// Preset gets a document whose revision the peer claims.
 	Preset func(peer string, revision uint64, document []byte)
-	Drain  func(peer, serverID string, incarnation uint64)
+	Drain  func(peer string, drain Drain)
 	// Summary gets values that changed since the peer's last summary. All servers
-	// are told at first, but not in one call; those not named are unchanged.
-	Summary   func(peer string, loads []*peerpb.ServerLoad)
+	// are told at first, but not in one call; those not named are unchanged. A
+	// server that the peer no longer has is told once with zeros.
+	Summary func(peer string, loads []*peerpb.ServerLoad)
+	// Joined is called when a session of the peer starts, before its summaries,
+	// and Lost when the last one ended or another one takes its place.
+	Joined    func(peer string)
 	Lost      func(peer string)
 	Suspicion func(peer string, fingerprint crashguard.Fingerprint, serverID string)
 	// HasAttempt answers key queries. Without it the answer is that there may be
@@ -65,6 +69,10 @@
 	unknown  chan struct{}
 	queries  queries
 
+	// order makes the calls of Joined, Lost and Summary come in the order of what
+	// they report. It is taken before mu and held while the handler runs.
+	order sync.Mutex
+
 	mu       sync.Mutex
 	random   *rand.Rand
 	view     *membership.View
--- a/pkg/peer/faults_test.go
+++ b/pkg/peer/faults_test.go
@@ -143,3 +143,33 @@
 		}
 	})
 }
+
+// Guards against loads that a peer keeps for ever: of a server that is gone, and
+// of one that vanished while the session was down.
+func TestEndedServersAreTold(t *testing.T) {
+	runFleet(t, 2, func(f *testFleet) {
+		near := f.nodes[2]
+		if near.region != f.nodes[0].region {
+			near = f.nodes[1]
+		}
+		share := func(ids ...string) string {
+			var loads []*peerpb.ServerLoad
+			for _, id := range ids {
+				loads = append(loads, &peerpb.ServerLoad{ServerId: id, InFlight: 1})
+			}
+			near.loads = nil
+			f.nodes[0].ShareSummary(loads)
+			time.Sleep(time.Second)
+			synctest.Wait()
+			return fmt.Sprint(near.loads)
+		}
+		assert.Equal(t, share("a", "b", "c"), "[a=1 b=1 c=1]")
+		assert.Equal(t, share("b", "c"), "[a=0]")
+		assert.Equal(t, share("b", "c"), "[]")
+		f.net.silence()
+		time.Sleep(20 * time.Second)
+		synctest.Wait()
+		assert.Assert(t, len(near.lost) > 0)
+		assert.Equal(t, share("c"), "[b=0 c=1]")
+	})
+}
--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -95,9 +95,9 @@
 	case *peerpb.Frame_ServerSummary:
 		return checkSummary(body.ServerSummary)
 	case *peerpb.Frame_DrainNotice:
-		if !validName(body.DrainNotice.GetServerId()) {
-			return "drain notice with an invalid server"
-		}
+		return checkDrains(body.DrainNotice)
+	case *peerpb.Frame_DrainList:
+		return checkDrains(body.DrainList.GetNotices()...)
 	case *peerpb.Frame_Suspicion:
 		if !validName(body.Suspicion.GetServerId()) || !validName(body.Suspicion.GetOrigin()) {
 			return "suspicion with an invalid name"
@@ -140,6 +140,18 @@
 	return ""
 }
 
+func checkDrains(notices ...*peerpb.DrainNotice) string {
+	if len(notices) > maxListed {
+		return "list of too many drains"
+	}
+	for _, notice := range notices {
+		if !validName(notice.GetServerId()) {
+			return "drain notice with an invalid server"
+		}
+	}
+	return ""
+}
+
 func checkQuery(query *peerpb.KeyQuery) string {
 	if len(query.GetKeys()) == 0 || len(query.GetKeys()) > maxQueryKeys {
 		return "key query with an invalid number of keys"
--- a/pkg/peer/handle.go
+++ b/pkg/peer/handle.go
@@ -9,7 +9,11 @@
 // before the first heartbeat on the urgent one, so they wait for it.
 func (e *Exchange) handle(s *session, frame *peerpb.Frame, registered func()) error {
 	if beat := frame.GetHeartbeat(); beat != nil {
-		return e.onHeartbeat(s, beat, registered)
+		if !s.isRegistered() {
+			return e.onFirstHeartbeat(s, beat, registered)
+		}
+		e.onHeartbeat(s, beat)
+		return nil
 	}
 	select {
 	case <-s.registered:
@@ -24,10 +28,14 @@
 		e.onRequest(s, body.PresetRequest)
 	case *peerpb.Frame_ServerSummary:
 		if h.Summary != nil {
-			h.Summary(s.id, body.ServerSummary.GetLoads())
+			e.onSummary(s, body.ServerSummary)
 		}
 	case *peerpb.Frame_DrainNotice:
-		e.onDrain(s, frame, body.DrainNotice)
+		e.onDrain(s, body.DrainNotice)
+	case *peerpb.Frame_DrainList:
+		for _, notice := range body.DrainList.GetNotices() {
+			e.onDrain(s, notice)
+		}
 	case *peerpb.Frame_Suspicion:
 		e.onSuspicion(s, frame, body.Suspicion)
 	case *peerpb.Frame_KeyQuery:
@@ -38,13 +46,33 @@
 	return nil
 }
 
-func (e *Exchange) onDrain(s *session, frame *peerpb.Frame, notice *peerpb.DrainNotice) {
-	key := noticeKey{server: notice.GetServerId(), sequence: notice.GetIncarnation()}
-	if !e.passOn(s, frame, key) {
-		return
+// onSummary hands a summary over unless a newer session replaced this one, whose
+// values must not come after those of the newer one.
+func (e *Exchange) onSummary(s *session, summary *peerpb.ServerSummary) {
+	e.order.Lock()
+	defer e.order.Unlock()
+	if e.isCurrent(s) {
+		e.config.Handler.Summary(s.id, summary.GetLoads())
+	}
+}
+
+func (e *Exchange) isCurrent(s *session) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.sessions[s.id] == s
+}
+
+// onDrain hands a notice over. Control passes on what is new to it with
+// TellDrain, because only control knows what is.
+func (e *Exchange) onDrain(s *session, notice *peerpb.DrainNotice) {
+	drain := drainOf(notice)
+	if s.region != e.config.Self.Region {
+		e.mu.Lock()
+		e.seen[drain.key()] = e.now()
+		e.mu.Unlock()
 	}
 	if e.config.Handler.Drain != nil {
-		e.config.Handler.Drain(s.id, notice.GetServerId(), notice.GetIncarnation())
+		e.config.Handler.Drain(s.id, drain)
 	}
 }
 
--- a/pkg/peer/heartbeat.go
+++ b/pkg/peer/heartbeat.go
@@ -50,26 +50,50 @@
 	e.post(s, e.heartbeatFrame(false, nil), true)
 }
 
-// onHeartbeat takes a heartbeat; the first one of a session registers it.
-func (e *Exchange) onHeartbeat(s *session, beat *peerpb.Heartbeat, registered func()) error {
+// onFirstHeartbeat registers a session. Frames on its bulk stream wait until the
+// handler knows of it.
+func (e *Exchange) onFirstHeartbeat(s *session, beat *peerpb.Heartbeat, registered func()) error {
+	if beat.GetId() == "" {
+		return eris.Wrap(ErrBadFrame, "first heartbeat without ID")
+	}
+	e.order.Lock()
+	defer e.order.Unlock()
+	if s.isRegistered() {
+		// The peer sent first heartbeats on both streams.
+		return nil
+	}
+	e.mu.Lock()
+	s.heardAt.Store(e.now())
+	replaced := e.sessions[beat.GetId()] != nil
+	accepted := e.register(e.now(), s, beat)
+	e.mu.Unlock()
+	if !accepted {
+		s.close()
+		return nil
+	}
+	registered()
+	e.onHeartbeat(s, beat)
+	h := e.config.Handler
+	if replaced && h.Lost != nil {
+		h.Lost(s.id)
+	}
+	if h.Joined != nil {
+		h.Joined(s.id)
+	}
+	close(s.registered)
+	return nil
+}
+
+// onHeartbeat takes a heartbeat of a registered session.
+func (e *Exchange) onHeartbeat(s *session, beat *peerpb.Heartbeat) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
 	s.heardAt.Store(now)
-	if s.id == "" {
-		if beat.GetId() == "" {
-			return eris.Wrap(ErrBadFrame, "first heartbeat without ID")
-		}
-		if !e.register(now, s, beat) {
-			s.close()
-			return nil
-		}
-		registered()
-	}
 	if e.sessions[s.id] != s {
 		// A newer session of the pair replaced this one.
 		s.close()
-		return nil
+		return
 	}
 	current := e.view.Heard(now, membership.Gateway{
 		ID:          s.id,
@@ -81,7 +105,7 @@
 	})
 	if !current {
 		s.close()
-		return nil
+		return
 	}
 	s.revision.Store(max(s.revision.Load(), beat.GetRevision()))
 	for _, g := range beat.GetKnown() {
@@ -96,7 +120,6 @@
 		e.sendHeartbeat(now, s)
 	}
 	e.askForPreset(now)
-	return nil
 }
 
 // register makes a session the one of its peer. It reports false if the session
@@ -128,7 +151,6 @@
 	s.region = beat.GetRegion()
 	s.sentHeartbeat = now
 	e.sessions[s.id] = s
-	close(s.registered)
 	e.counters.Opened.Add(1)
 	if s.region == self.Region {
 		s.send(e.heartbeatFrame(false, e.knownGateways()), true)
--- a/pkg/peer/notices.go
+++ b/pkg/peer/notices.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"slices"
 	"time"
 
 	"balsamhill/pkg/crashguard"
@@ -8,11 +9,12 @@
 )
 
 // noticeLife is how long a notice is remembered. It exceeds the time that a
-// notice travels and stays below the interval at which evidence is repeated.
+// notice travels and stays below the interval at which control tells of the same
+// drain again.
 const noticeLife = 5 * time.Second
 
-// noticeKey identifies a notice that is passed on from gateway to gateway: a
-// drain notice by server and incarnation, a suspicion by origin and sequence.
+// noticeKey identifies a notice: a drain notice by server and incarnation, a
+// suspicion by origin and sequence.
 type noticeKey struct {
 	server, origin string
 	sequence       uint64
@@ -38,15 +40,69 @@
 	}
 }
 
-// TellDrain tells the peers that a server is leaving.
-func (e *Exchange) TellDrain(serverID string, incarnation uint64) {
-	notice := &peerpb.DrainNotice{ServerId: serverID, Incarnation: incarnation}
-	frame := &peerpb.Frame{Body: &peerpb.Frame_DrainNotice{DrainNotice: notice}}
+// Drain says that one incarnation of a server announced that it is leaving.
+type Drain struct {
+	ServerID    string
+	Incarnation uint64
+	// Age is how long ago it announced.
+	Age time.Duration
+}
+
+func (d Drain) message() *peerpb.DrainNotice {
+	return &peerpb.DrainNotice{
+		ServerId:    d.ServerID,
+		Incarnation: d.Incarnation,
+		AgeMillis:   uint64((max(0, d.Age) + time.Millisecond - 1) / time.Millisecond),
+	}
+}
+
+// maxDrainAge bounds the ages that are believed. Evidence expires long before.
+const maxDrainAge = time.Hour
+
+func drainOf(notice *peerpb.DrainNotice) Drain {
+	millis := min(notice.GetAgeMillis(), uint64(maxDrainAge/time.Millisecond))
+	return Drain{
+		ServerID:    notice.GetServerId(),
+		Incarnation: notice.GetIncarnation(),
+		Age:         time.Duration(millis) * time.Millisecond,
+	}
+}
+
+func (d Drain) key() noticeKey {
+	return noticeKey{server: d.ServerID, sequence: d.Incarnation}
+}
+
+// TellDrain tells the peers that a server is leaving. What came from the far
+// region a moment ago is not sent back across the link.
+func (e *Exchange) TellDrain(drain Drain) {
+	frame := &peerpb.Frame{Body: &peerpb.Frame_DrainNotice{DrainNotice: drain.message()}}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
-	if e.seen.first(now, noticeKey{server: serverID, sequence: incarnation}) {
-		e.spread(now, frame, "", true)
+	_, fromFar := e.seen[drain.key()]
+	e.spread(now, frame, "", !fromFar)
+}
+
+// drainsPerFrame lets one frame of the longest names fit into the smallest share
+// of the link budget that a gateway may save, which is 2 KiB.
+const drainsPerFrame = 20
+
+// SendDrains sends evidence in force to a peer whose session started. Gateways
+// across the link get it only between speakers.
+func (e *Exchange) SendDrains(peer string, drains []Drain) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.sessions[peer]
+	now := e.now()
+	if s == nil || (!slices.Contains(e.view.Neighbours(now), peer) && !slices.Contains(e.view.FarSpeakers(now), peer)) {
+		return
+	}
+	for chunk := range slices.Chunk(drains, drainsPerFrame) {
+		list := &peerpb.DrainList{}
+		for _, drain := range chunk {
+			list.Notices = append(list.Notices, drain.message())
+		}
+		e.post(s, &peerpb.Frame{Body: &peerpb.Frame_DrainList{DrainList: list}}, false)
 	}
 }
 
--- a/pkg/peer/session.go
+++ b/pkg/peer/session.go
@@ -101,6 +101,16 @@
 	})
 }
 
+// isRegistered reports whether the first heartbeat was taken in.
+func (s *session) isRegistered() bool {
+	select {
+	case <-s.registered:
+		return true
+	default:
+		return false
+	}
+}
+
 // send queues a frame. It reports false if the peer reads too slowly or the
 // frame is too large; a full urgent queue ends the session.
 func (s *session) send(frame *peerpb.Frame, urgent bool) bool {
--- a/pkg/peer/summary.go
+++ b/pkg/peer/summary.go
@@ -24,7 +24,8 @@
 	loadOverhead = 3
 )
 
-// summaries is what the neighbours were told about servers.
+// summaries is what the neighbours were told about servers. An entry that is nil
+// was told to some neighbour, but not to all.
 type summaries struct {
 	last   map[string]*peerpb.ServerLoad
 	bucket *budget.Bucket
@@ -53,7 +54,7 @@
 		targets = append(targets, s)
 		if !s.summarised {
 			s.summarised = true
-			clear(e.summaries.last)
+			e.summaries.forget()
 		}
 	}
 	loads := e.summaries.choose(now, all, len(targets))
@@ -66,6 +67,29 @@
 	}
 }
 
+// forget makes all servers count as changed. Those that were told stay known, so
+// that neighbours hear of their end.
+func (m *summaries) forget() {
+	for id := range m.last {
+		m.last[id] = nil
+	}
+}
+
+// ended returns zeros for servers that were told and are not among all.
+func (m *summaries) ended(all []*peerpb.ServerLoad) []*peerpb.ServerLoad {
+	present := make(map[string]bool, len(all))
+	for _, load := range all {
+		present[load.GetServerId()] = true
+	}
+	var ended []*peerpb.ServerLoad
+	for id := range m.last {
+		if !present[id] {
+			ended = append(ended, &peerpb.ServerLoad{ServerId: id})
+		}
+	}
+	return ended
+}
+
 // choose returns the loads to send to this many neighbours now.
 func (m *summaries) choose(now int64, all []*peerpb.ServerLoad, neighbours int) []*peerpb.ServerLoad {
 	var changed []*peerpb.ServerLoad
@@ -74,8 +98,16 @@
 			changed = append(changed, load)
 		}
 	}
+	ended := m.ended(all)
+	for _, load := range ended {
+		if m.change(load) > 0 {
+			changed = append(changed, load)
+		} else {
+			delete(m.last, load.GetServerId())
+		}
+	}
 	slices.SortStableFunc(changed, func(a, b *peerpb.ServerLoad) int {
-		return cmp.Compare(m.change(b), m.change(a))
+		return cmp.Or(cmp.Compare(m.change(b), m.change(a)), cmp.Compare(a.GetServerId(), b.GetServerId()))
 	})
 	var chosen []*peerpb.ServerLoad
 	cost := float64(frameOverhead * neighbours)
@@ -88,6 +120,11 @@
 		m.last[load.GetServerId()] = load
 		chosen = append(chosen, load)
 	}
+	for _, load := range ended {
+		if m.last[load.GetServerId()] == load {
+			delete(m.last, load.GetServerId())
+		}
+	}
 	return chosen
 }
 
@@ -101,7 +138,7 @@
 // change returns how much a load differs from what was told, 0 if not at all.
 func (m *summaries) change(load *peerpb.ServerLoad) float64 {
 	last := m.last[load.GetServerId()]
-	if last == nil || last.GetEjected() != load.GetEjected() || last.GetDraining() != load.GetDraining() {
+	if last == nil || last.GetEjected() != load.GetEjected() {
 		return changeOfState
 	}
 	change := max(load.GetInFlight()-last.GetInFlight(), last.GetInFlight()-load.GetInFlight())
