Choose the server after the claim and the crash guard

The detection of silent servers measures from the choice, so that such a server looked silent as soon as its call was sent.

Change: the claim and the crash guard come before the choice; an attempt that the guard refuses is never started and not counted. Calls use the servers of last resort if there are no others. pkg/proxy's parser of the load header is replaced by pkg/loadreport, with its fuzz target.

Conclusion: the order holds for all first attempts. A second attempt of a request under suspicion may still wait for the guard after its choice; its rivals hold a lock while they choose, so it is left.

--- a/pkg/loadreport/loadreport_test.go
+++ b/pkg/loadreport/loadreport_test.go
@@ -1,6 +1,8 @@
 package loadreport
 
 import (
+	"math"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -28,3 +30,25 @@
 		})
 	}
 }
+
+// A load report comes from a server and must not break or mislead the gateway.
+func FuzzParse(f *testing.F) {
+	for _, seed := range []string{
+		"TEXT named_metrics.in_flight=3, application_utilization=0.7", "TEXT named_metrics.in_flight=NaN",
+		"TEXT named_metrics.in_flight=-1", "TEXT named_metrics.in_flight=1e300", "TEXT ,,=", "JSON {}", "",
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, value string) {
+		inFlight, ok := Parse(value)
+		if !ok && inFlight != 0 {
+			t.Fatalf("%q: %d without ok", value, inFlight)
+		}
+		if inFlight < 0 || inFlight > math.MaxInt32 {
+			t.Fatalf("%q: %d", value, inFlight)
+		}
+		if ok && !strings.HasPrefix(value, "TEXT ") {
+			t.Fatalf("%q accepted", value)
+		}
+	})
+}
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -83,11 +83,10 @@
 // send sends the request and waits for the answer's header or a failure.
 func (a *attempt) send() {
 	c := a.call
-	var fingerprint crashguard.Fingerprint
 	guard := c.proxy.config.CrashGuard
-	if guard != nil {
-		fingerprint = c.crashFingerprint()
-		a.guarded = c.admitCrash(fingerprint)
+	// The guard admitted the first attempt before its server was chosen.
+	if guard != nil && a.number > 1 {
+		a.guarded = c.admitCrash(c.fingerprint)
 		if a.guarded != "" {
 			a.denied = true
 			a.end = retry.NeverWritten
@@ -108,7 +107,31 @@
 		a.server.Stats.End()
 	}
 	if guard != nil {
-		guard.Done(now, fingerprint, a.guardEnd(), a.server.ID)
+		guard.Done(now, c.fingerprint, a.guardEnd(), a.server.ID)
+	}
+}
+
+// passGuard asks the crash guard about the first attempt, and refuses the call
+// if it may not be sent.
+func (c *call) passGuard() bool {
+	if c.proxy.config.CrashGuard == nil {
+		return true
+	}
+	c.fingerprint = c.crashFingerprint()
+	reason := c.admitCrash(c.fingerprint)
+	if reason == "" {
+		return true
+	}
+	c.proxy.config.Metrics.failed[retry.NeverWritten].Inc()
+	c.refuse(http.StatusServiceUnavailable, reason)
+	return false
+}
+
+// leaveGuard ends an admission of passGuard that no attempt followed.
+func (c *call) leaveGuard() {
+	guard := c.proxy.config.CrashGuard
+	if guard != nil {
+		guard.Done(c.proxy.config.Now(), c.fingerprint, crashguard.EndedOther, "")
 	}
 }
 
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -13,6 +13,7 @@
 
 	"balsamhill/pkg/admission"
 	"balsamhill/pkg/claim"
+	"balsamhill/pkg/crashguard"
 	"balsamhill/pkg/preset"
 	"balsamhill/pkg/retry"
 	"balsamhill/pkg/routing"
@@ -74,9 +75,11 @@
 	body     callerBody
 	informer informer
 	log      retry.Log
-	tried    []*routing.Server
-	triedBuf [2]*routing.Server
-	sent     int
+	// fingerprint identifies the request towards the crash guard.
+	fingerprint crashguard.Fingerprint
+	tried       []*routing.Server
+	triedBuf    [2]*routing.Server
+	sent        int
 }
 
 var randPool = sync.Pool{New: func() any {
@@ -118,15 +121,25 @@
 		return
 	}
 	defer c.leave()
-	server := c.choose()
-	if server == nil {
-		c.proxy.config.Metrics.noServer.Inc()
-		c.refuse(http.StatusServiceUnavailable, "no server of "+c.route.Service+" is available")
+	if c.candidates() == 0 {
+		c.refuseWithoutServer()
 		return
 	}
 	if c.safety == retry.Keyed && !c.claim() {
 		return
 	}
+	// Claims and the crash guard may take long. They come before the choice,
+	// because Stats.Start must follow Choose at once: the detection of silent
+	// servers measures from the choice.
+	if !c.passGuard() {
+		return
+	}
+	server := c.choose()
+	if server == nil {
+		c.leaveGuard()
+		c.refuseWithoutServer()
+		return
+	}
 	var won *attempt
 	if c.mayRace() {
 		won = c.race(server)
@@ -136,9 +149,26 @@
 	c.conclude(won)
 }
 
+// candidates returns how many servers the call may be sent to: the usable ones,
+// else those that are only noticed as leaving.
+func (c *call) candidates() int {
+	if c.view == nil {
+		return 0
+	}
+	if usable := c.view.Usable(); usable > 0 {
+		return usable
+	}
+	return len(c.view.LastResort)
+}
+
+func (c *call) refuseWithoutServer() {
+	c.proxy.config.Metrics.noServer.Inc()
+	c.refuse(http.StatusServiceUnavailable, "no server of "+c.route.Service+" is available")
+}
+
 // choose returns a server that was not tried yet, nil if there is none.
 func (c *call) choose() *routing.Server {
-	if c.view == nil || c.view.Usable() == 0 {
+	if c.candidates() == 0 {
 		return nil
 	}
 	random := randPool.Get().(*rand.Rand)
@@ -195,10 +225,11 @@
 // bounds returns servers × slots × factor as the limit; without servers the
 // call is refused a step later.
 func (c *call) bounds() admission.Bounds {
-	if c.view == nil || c.view.Usable() == 0 {
+	candidates := c.candidates()
+	if candidates == 0 {
 		return admission.Bounds{Limit: 1 << 30}
 	}
-	limit := float64(c.view.Usable()*c.view.Slots) * c.view.Tuning.QueueFactor
+	limit := float64(candidates*c.view.Slots) * c.view.Tuning.QueueFactor
 	return admission.Bounds{
 		Limit:   max(1, int64(limit)),
 		MaxWait: c.view.Tuning.QueueMillis * int64(time.Millisecond),
--- /dev/null
+++ b/pkg/proxy/choice_test.go
@@ -0,0 +1,79 @@
+package proxy_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"balsamhill/pkg/claim"
+	"balsamhill/pkg/crashguard"
+	"balsamhill/pkg/preset"
+	"balsamhill/pkg/proxy"
+	"balsamhill/pkg/routing"
+)
+
+// slowSteps is a store and a crash guard that each take 400 ms of a clock.
+type slowSteps struct {
+	fakeClaims
+	guard fakeGuard
+	now   atomic.Int64
+}
+
+func (s *slowSteps) wait() { s.now.Add(int64(400 * time.Millisecond)) }
+
+func (s *slowSteps) Claim(ctx context.Context, call claim.Call) claim.Decision {
+	s.wait()
+	return s.fakeClaims.Claim(ctx, call)
+}
+
+func (s *slowSteps) Admit(now int64, print crashguard.Fingerprint) crashguard.Admission {
+	s.wait()
+	return s.guard.Admit(now, print)
+}
+
+func (s *slowSteps) Done(now int64, print crashguard.Fingerprint, end crashguard.End, server string) {
+	s.guard.Done(now, print, end, server)
+}
+
+// Guards against a server that looks silent because its call waited for the
+// claim or the crash guard after the choice.
+func TestWaitBeforeTheSendIsNoSilence(t *testing.T) {
+	steps := &slowSteps{fakeClaims: fakeClaims{decision: claim.Decision{Kind: claim.Dispatch}, mayDispatch: true}}
+	steps.now.Store(int64(time.Second))
+	var b *bench
+	var silence atomic.Int64
+	server := startServer(t, func(http.ResponseWriter, *http.Request) {
+		silence.Store(b.servers[0].Stats.Silence(steps.now.Load()))
+	})
+	b = newBench(t, setup{adjust: func(config *proxy.Config) {
+		config.Claims, config.CrashGuard, config.Now = steps, steps, steps.now.Load
+	}}, server)
+	got := do(t, newClient(t, false), newRequest(t, "POST", b.url+"/x", strings.NewReader("b"), "Idempotency-Key", "k"))
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, silence.Load(), int64(0))
+	assert.Equal(t, len(steps.guard.ends), 1)
+	// The claim and the guard took their time.
+	assert.Equal(t, steps.now.Load(), int64(1800*time.Millisecond))
+}
+
+// Guards against refusing calls of a service whose servers are all noticed as
+// leaving: they are the last resort.
+func TestLastResortIsUsed(t *testing.T) {
+	server := startServer(t, func(http.ResponseWriter, *http.Request) {})
+	last := &routing.Server{ID: "a", Address: server, Region: "khomas", Weight: 1,
+		Availability: routing.Draining, LastResort: true, Stats: &routing.Stats{}}
+	tuning := preset.Tuning{Policy: preset.PolicyRoundRobin, QueueFactor: 16, QueueMillis: 100}
+	view := routing.NewServiceView(serviceName, 4, "khomas", tuning, []*routing.Server{last})
+	b := newBench(t, setup{adjust: func(config *proxy.Config) {
+		snapshot := *config.Snapshot()
+		snapshot.Services = map[string]*routing.ServiceView{serviceName: view}
+		config.Snapshot = func() *routing.Snapshot { return &snapshot }
+	}})
+	got := do(t, newClient(t, false), newRequest(t, "GET", b.url+"/fetch/x", nil))
+	assert.Equal(t, got.status, 200)
+}
--- a/pkg/proxy/fuzz_test.go
+++ b/pkg/proxy/fuzz_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"math"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,28 +13,6 @@
 	"balsamhill/pkg/routing"
 )
 
-// A load report comes from a server and must not break or mislead the gateway.
-func FuzzParseLoad(f *testing.F) {
-	for _, seed := range []string{
-		"TEXT named_metrics.in_flight=3, application_utilization=0.7", "TEXT named_metrics.in_flight=NaN",
-		"TEXT named_metrics.in_flight=-1", "TEXT named_metrics.in_flight=1e300", "TEXT ,,=", "JSON {}", "",
-	} {
-		f.Add(seed)
-	}
-	f.Fuzz(func(t *testing.T, value string) {
-		inFlight, ok := parseLoad(value)
-		if !ok && inFlight != 0 {
-			t.Fatalf("%q: %d without ok", value, inFlight)
-		}
-		if inFlight < 0 || inFlight > math.MaxInt32 {
-			t.Fatalf("%q: %d", value, inFlight)
-		}
-		if ok && !strings.HasPrefix(value, "TEXT ") {
-			t.Fatalf("%q accepted", value)
-		}
-	})
-}
-
 // Whatever a request holds, what is sent must match what was routed, and no
 // header of gateways may come from outside.
 func FuzzOutgoingRequest(f *testing.F) {
--- a/pkg/proxy/headers.go
+++ b/pkg/proxy/headers.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 
+	"balsamhill/pkg/loadreport"
 	"balsamhill/pkg/retry"
 	"balsamhill/pkg/routing"
 )
@@ -177,7 +178,7 @@
 }
 
 func isPrivateAnswer(name string) bool {
-	return name == loadHeader || name == requestIDHeader || strings.HasPrefix(name, internalPrefix)
+	return name == loadreport.Header || name == requestIDHeader || strings.HasPrefix(name, internalPrefix)
 }
 
 // attemptNumber reads Balsamhill-Attempt; invalid values count as 0.
