Read the VM list across the link only when it changed

Cause: each gateway read the whole VM list every second.

Change: the client counts the bytes of its connections, exported as balsamhill_platform_bytes_total in the region without the store. The VM list is read with If-None-Match against an entity tag; the stand-in answers 304, and compresses answers over 1 KiB. /status shows spillShare, lastResort and control's reasons. The first line of serve prints https:// with TLS. A test covers probes to servers that only speak HTTP/2, which worked already.

The readiness on the VM list is not in this commit, because TestPresetSurvivesOutage kills the whole platform and expects a gateway that starts afterwards to become ready: with the gate it failed (not reached: third gateway ready).

--- a/cmd/balsamhilld/serve.go
+++ b/cmd/balsamhilld/serve.go
@@ -51,7 +51,7 @@
 	}
 	log.Info("gateway started", "id", s.VM.ID, "traffic", g.TrafficAddress(), "admin", g.AdminAddress())
 	// Scripts that configure port 0 read the addresses from this line.
-	fmt.Printf("{\"gateway\":%q,\"admin\":%q}\n", "http://"+g.TrafficAddress(), "http://"+g.AdminAddress())
+	fmt.Printf("{\"gateway\":%q,\"admin\":%q}\n", g.TrafficURL(), "http://"+g.AdminAddress())
 	err = g.Run(ctx)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "balsamhilld:", err)
--- a/pkg/gateway/admin.go
+++ b/pkg/gateway/admin.go
@@ -31,22 +31,28 @@
 
 // ServiceStatus is one service in /status.
 type ServiceStatus struct {
-	Name    string         `json:"name"`
-	Policy  string         `json:"policy"`
-	Usable  int            `json:"usable"`
-	Servers []ServerStatus `json:"servers"`
+	Name   string `json:"name"`
+	Policy string `json:"policy"`
+	Usable int    `json:"usable"`
+	// SpillShare is the share of calls, 0 to 1, that go to the other region
+	// although the own region has usable servers.
+	SpillShare float64        `json:"spillShare"`
+	Servers    []ServerStatus `json:"servers"`
 }
 
 // ServerStatus explains for one server why it is or is not chosen.
 type ServerStatus struct {
-	ID            string  `json:"id"`
-	Address       string  `json:"address"`
-	Region        string  `json:"region"`
-	FailureDomain string  `json:"failureDomain"`
-	Availability  string  `json:"availability"`
-	Reason        string  `json:"reason,omitempty"`
-	Weight        float64 `json:"weight"`
-	InFlight      int64   `json:"inFlight"`
+	ID            string `json:"id"`
+	Address       string `json:"address"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failureDomain"`
+	Availability  string `json:"availability"`
+	// LastResort says that the server is used if the service has no other one.
+	LastResort bool `json:"lastResort,omitempty"`
+	// Reason explains the availability or a reduced weight.
+	Reason   string  `json:"reason,omitempty"`
+	Weight   float64 `json:"weight"`
+	InFlight int64   `json:"inFlight"`
 	// EstimatedInFlight includes the requests of other gateways.
 	EstimatedInFlight float64 `json:"estimatedInFlight"`
 	LatencyMillis     float64 `json:"latencyMillis"`
@@ -76,14 +82,15 @@
 }
 
 func (g *Gateway) handleReady(w http.ResponseWriter, _ *http.Request) {
-	switch {
-	case g.stopping.Load():
-		http.Error(w, "shutting down", http.StatusServiceUnavailable)
-	case !g.ready.Load():
-		http.Error(w, "the preset in force is not known yet", http.StatusServiceUnavailable)
-	default:
-		_, _ = w.Write([]byte("ready\n"))
+	reason := g.notReady()
+	if g.stopping.Load() {
+		reason = "shutting down"
+	}
+	if reason != "" {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
 	}
+	_, _ = w.Write([]byte("ready\n"))
 }
 
 // handleNotify makes the gateway read the preset in force at once. It carries
@@ -125,7 +132,12 @@
 	now := g.now()
 	for _, service := range g.settings.Services {
 		view := snapshot.Services[service.Name]
-		status := ServiceStatus{Name: view.Name, Policy: string(view.Tuning.Policy), Usable: view.Usable()}
+		status := ServiceStatus{
+			Name:       view.Name,
+			Policy:     string(view.Tuning.Policy),
+			Usable:     view.Usable(),
+			SpillShare: view.SpillShare,
+		}
 		for _, server := range view.Servers {
 			status.Servers = append(status.Servers, ServerStatus{
 				ID:                server.ID,
@@ -133,6 +145,7 @@
 				Region:            server.Region,
 				FailureDomain:     server.FailureDomain,
 				Availability:      server.Availability.String(),
+				LastResort:        server.LastResort,
 				Reason:            server.Reason,
 				Weight:            server.Weight,
 				InFlight:          server.Stats.InFlight(),
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -44,7 +44,6 @@
 	readNow  chan struct{}
 	snapshot atomic.Pointer[routing.Snapshot]
 	status   atomic.Pointer[control.Status]
-	ready    atomic.Bool
 	stopping atomic.Bool
 
 	peers      *peers
@@ -117,6 +116,7 @@
 	g.traffic = g.newTrafficServer()
 	g.admin = &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: 5 * time.Second}
 	g.metrics.RegisterMetricsWriter(g.writePeerMetrics)
+	g.metrics.RegisterMetricsWriter(g.writePlatformMetrics)
 	return g, nil
 }
 
@@ -158,6 +158,14 @@
 	return g.trafficListener.Addr().String()
 }
 
+// TrafficURL returns the base URL for callers.
+func (g *Gateway) TrafficURL() string {
+	if g.settings.Traffic.TLS != nil {
+		return "https://" + g.TrafficAddress()
+	}
+	return "http://" + g.TrafficAddress()
+}
+
 // AdminAddress returns host:port of the listener for operators.
 func (g *Gateway) AdminAddress() string {
 	return g.adminListener.Addr().String()
@@ -242,6 +250,14 @@
 	return err
 }
 
+// notReady returns why the gateway must not get calls yet, empty if it may.
+func (g *Gateway) notReady() string {
+	if g.snapshot.Load() == nil {
+		return "the preset in force is not known yet"
+	}
+	return ""
+}
+
 // row describes this gateway for the table service.
 func (g *Gateway) row() membership.Row {
 	status := g.status.Load()
@@ -249,7 +265,7 @@
 	switch {
 	case g.stopping.Load():
 		state = membership.StateStopping
-	case g.snapshot.Load() != nil:
+	case g.notReady() == "":
 		state = membership.StateReady
 	}
 	return membership.Row{
--- a/pkg/gateway/loops.go
+++ b/pkg/gateway/loops.go
@@ -50,7 +50,6 @@
 		switch a := action.(type) {
 		case control.Publish:
 			g.snapshot.Store(a.Snapshot)
-			g.ready.Store(true)
 		case control.PresetAdopted:
 			g.counters.presetAdoptions.Inc()
 			g.log.Info("preset adopted", "preset", a.Version.Preset.Name, "revision", a.Version.Revision,
--- a/pkg/gateway/peermetrics.go
+++ b/pkg/gateway/peermetrics.go
@@ -7,6 +7,23 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
+// byteCounter is a platform client that counts the bytes of its calls.
+type byteCounter interface {
+	Bytes() (sent, received uint64)
+}
+
+// writePlatformMetrics writes the bytes of platform calls in the region without
+// the store, where they cross the link.
+func (g *Gateway) writePlatformMetrics(w io.Writer) {
+	counter, ok := g.platform.(byteCounter)
+	if !ok || g.inStoreRegion() {
+		return
+	}
+	sent, received := counter.Bytes()
+	metrics.WriteCounterUint64(w, `balsamhill_platform_bytes_total{direction="sent"}`, sent)
+	metrics.WriteCounterUint64(w, `balsamhill_platform_bytes_total{direction="received"}`, received)
+}
+
 // writePeerMetrics writes the counters of the exchange with other gateways.
 func (g *Gateway) writePeerMetrics(w io.Writer) {
 	p := g.peers
--- a/pkg/gateway/probes_test.go
+++ b/pkg/gateway/probes_test.go
@@ -42,6 +42,18 @@
 	return g, client
 }
 
+// usePreset puts an example preset in force.
+func usePreset(t testing.TB, client *httpplatform.Client) {
+	t.Helper()
+	store := presetstore.New(client)
+	document := examples.Presets()[0]
+	author := func(id string) presetstore.Author {
+		return presetstore.Author{Operator: "test", WriteID: id, Now: time.Now()}
+	}
+	assert.Equal(t, store.Apply(t.Context(), author("apply"), document.Text, nil).Status, presetstore.Accepted)
+	assert.Equal(t, store.Use(t.Context(), author("use"), document.Name, nil).Status, presetstore.Accepted)
+}
+
 // probedServer counts the probes that it gets.
 func probedServer(t *testing.T) (*routing.Server, *atomic.Int64) {
 	t.Helper()
@@ -76,17 +88,33 @@
 	assert.Equal(t, probes.Load(), int64(1))
 }
 
+// Guards against probes that speak HTTP/1.1 to servers that only speak HTTP/2.
+func TestProbeOverHTTP2(t *testing.T) {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(loadreport.Header, "TEXT named_metrics.in_flight=3")
+	}))
+	server.Config.Protocols = &http.Protocols{}
+	server.Config.Protocols.SetUnencryptedHTTP2(true)
+	server.Start()
+	defer server.Close()
+	g, _ := newTestGateway(t, func(s *settings.Settings) { s.Services[0].HTTP2 = true })
+	service := g.settings.Services[0]
+	gr := g.budgets.probes[service.Name]
+	gr.want(2, 4)
+	gr.holder.Plan(budget.Read{Sent: g.now(), Time: time.Now()}, 2, 4)
+	gr.holder.Written(true)
+	probed := &routing.Server{ID: "s", Address: server.Listener.Addr().String(), Stats: &routing.Stats{}}
+	g.probe(t.Context(), service, gr, probed)
+	assert.Assert(t, probed.Stats.ReportedAt() > 0)
+	assert.Equal(t, g.counters.probeFailures.Get(), uint64(0))
+	g.transport.CloseIdleConnections()
+}
+
 // Guards the way of a probe through a running gateway: preset, grant row, probe.
 func TestIdleServerIsProbed(t *testing.T) {
 	g, client := newTestGateway(t)
 	ctx, cancel := context.WithCancel(context.Background())
-	store := presetstore.New(client)
-	document := examples.Presets()[0]
-	author := func(id string) presetstore.Author {
-		return presetstore.Author{Operator: "test", WriteID: id, Now: time.Now()}
-	}
-	assert.Equal(t, store.Apply(ctx, author("apply"), document.Text, nil).Status, presetstore.Accepted)
-	assert.Equal(t, store.Use(ctx, author("use"), document.Name, nil).Status, presetstore.Accepted)
+	usePreset(t, client)
 	service := g.settings.Services[0]
 	near, nearProbes := probedServer(t)
 	far, farProbes := probedServer(t)
--- a/pkg/gateway/traffictls_test.go
+++ b/pkg/gateway/traffictls_test.go
@@ -36,7 +36,7 @@
 	go func() { done <- g.Run(ctx) }()
 	transport := &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}, ForceAttemptHTTP2: true}
 	defer transport.CloseIdleConnections()
-	response, err := (&http.Client{Transport: transport}).Get("https://" + g.TrafficAddress() + "/nowhere")
+	response, err := (&http.Client{Transport: transport}).Get(g.TrafficURL() + "/nowhere")
 	assert.NilError(t, err)
 	_ = response.Body.Close()
 	assert.Equal(t, response.ProtoMajor, 2)
--- a/pkg/platform/httpplatform/client.go
+++ b/pkg/platform/httpplatform/client.go
@@ -25,8 +25,10 @@
 // Client talks to the platform. It is safe for concurrent use. Deadlines come
 // from the caller's context.
 type Client struct {
-	base string
-	http *http.Client
+	base    string
+	http    *http.Client
+	traffic *traffic
+	list    listCache
 }
 
 var _ platform.Platform = (*Client)(nil)
@@ -39,8 +41,9 @@
 		// Detects a connection that a middlebox has forgotten within 4 s.
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
 	}
+	counted := &traffic{}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         counted.count(dialer.DialContext),
 		MaxIdleConnsPerHost: 16,
 		IdleConnTimeout:     15 * time.Second,
 	}
@@ -49,7 +52,7 @@
 		// A redirect would send a transaction a second time, to another place.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	return &Client{base: strings.TrimRight(base, "/"), http: client}
+	return &Client{base: strings.TrimRight(base, "/"), http: client, traffic: counted}
 }
 
 // Close closes idle connections.
@@ -158,19 +161,6 @@
 	return c.base + "/objects/" + url.PathEscape(name)
 }
 
-// ListVMs implements platform.VMList.
-func (c *Client) ListVMs(ctx context.Context) ([]platform.VM, error) {
-	var answer platform.VMListResponse
-	status, err := c.call(ctx, http.MethodGet, "/vms", nil, &answer)
-	if err != nil {
-		return nil, err
-	}
-	if status != http.StatusOK {
-		return nil, statusError(status)
-	}
-	return answer.VMs, nil
-}
-
 // RegisterVM adds or replaces an entry of the stand-in's VM list. A real
 // platform maintains the list by itself.
 func (c *Client) RegisterVM(ctx context.Context, vm platform.VM) error {
--- /dev/null
+++ b/pkg/platform/httpplatform/list.go
@@ -0,0 +1,68 @@
+package httpplatform
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"balsamhill/pkg/platform"
+)
+
+// listCache holds the last VM list and its entity tag. The list has about 150
+// bytes per entry and is read every second, so it is only transferred when it
+// changed.
+type listCache struct {
+	mu  sync.Mutex
+	tag string
+	vms []platform.VM
+}
+
+func (l *listCache) get() (tag string, vms []platform.VM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tag, l.vms
+}
+
+func (l *listCache) put(tag string, vms []platform.VM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tag, l.vms = tag, vms
+}
+
+// ListVMs implements platform.VMList. It asks for the list on condition that it
+// changed since the last read (RFC 9110, If-None-Match).
+func (c *Client) ListVMs(ctx context.Context) ([]platform.VM, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/vms", nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "build list request")
+	}
+	tag, known := c.list.get()
+	if tag != "" {
+		request.Header.Set("If-None-Match", tag)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	defer response.Body.Close()
+	switch {
+	case response.StatusCode == http.StatusNotModified && tag != "":
+		return slices.Clone(known), nil
+	case response.StatusCode != http.StatusOK:
+		// The body is drained so that the connection can be used again.
+		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, 4096))
+		return nil, statusError(response.StatusCode)
+	}
+	var answer platform.VMListResponse
+	err = json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(&answer)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	c.list.put(response.Header.Get("ETag"), answer.VMs)
+	return slices.Clone(answer.VMs), nil
+}
--- a/pkg/platform/standin/handler.go
+++ b/pkg/platform/standin/handler.go
@@ -103,13 +103,13 @@
 	if !decode(w, r, &request) {
 		return
 	}
-	answer(w, http.StatusOK, platform.ReadResponse{Rows: s.store.get(request.Keys), Time: time.Now()})
+	answerLarge(w, r, platform.ReadResponse{Rows: s.store.get(request.Keys), Time: time.Now()})
 }
 
 func (s *Server) handleScan(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	rows, more := s.store.scan(query.Get("prefix"), query.Get("after"), limitOf(r))
-	answer(w, http.StatusOK, platform.ReadResponse{Rows: rows, More: more, Time: time.Now()})
+	answerLarge(w, r, platform.ReadResponse{Rows: rows, More: more, Time: time.Now()})
 }
 
 func (s *Server) handleChanges(w http.ResponseWriter, r *http.Request) {
@@ -120,7 +120,7 @@
 		return
 	}
 	rows, next, more := s.store.changes(query.Get("prefix"), after, limitOf(r))
-	answer(w, http.StatusOK, platform.ReadResponse{Rows: rows, Next: next, More: more, Time: time.Now()})
+	answerLarge(w, r, platform.ReadResponse{Rows: rows, Next: next, More: more, Time: time.Now()})
 }
 
 func (s *Server) handleCommit(w http.ResponseWriter, r *http.Request) {
@@ -202,14 +202,14 @@
 	_, _ = w.Write(data)
 }
 
-func (s *Server) handleListVMs(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) handleListVMs(w http.ResponseWriter, r *http.Request) {
 	faults := s.faults.Load()
 	if faults.ListDown {
 		http.Error(w, "outage", http.StatusServiceUnavailable)
 		return
 	}
 	lag := min(time.Duration(faults.ListLagMillis)*time.Millisecond, maxListLag)
-	answer(w, http.StatusOK, platform.VMListResponse{VMs: s.vms.at(time.Now().Add(-lag))})
+	answerConditional(w, r, platform.VMListResponse{VMs: s.vms.at(time.Now().Add(-lag))})
 }
 
 func (s *Server) handleFaults(w http.ResponseWriter, r *http.Request) {
--- a/pkg/platform/standin/standin_test.go
+++ b/pkg/platform/standin/standin_test.go
@@ -132,3 +132,26 @@
 		}
 	})
 }
+
+// Guards against a client that keeps an old list, and against a caller that
+// changes the list that the next one gets.
+func TestConditionalList(t *testing.T) {
+	server, client := startPlatform(t)
+	for round := range 3 {
+		server.PutVM(platform.VM{ID: fmt.Sprint("s-", round), State: platform.VMLive})
+		for range 2 {
+			vms, err := client.ListVMs(t.Context())
+			assert.NilError(t, err)
+			assert.Equal(t, len(vms), round+1)
+			assert.Equal(t, vms[0].ID, "s-0")
+			vms[0].ID = "changed by the caller"
+		}
+	}
+	_, before := client.Bytes()
+	server.PutVM(platform.VM{ID: "s-0", State: platform.VMLeaving})
+	vms, err := client.ListVMs(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, vms[0].State, platform.VMLeaving)
+	_, after := client.Bytes()
+	assert.Assert(t, after > before)
+}
