--- a/pkg/gateway/loops.go
+++ b/pkg/gateway/loops.go
@@ -41,6 +41,7 @@
 		g.perform(g.state.RunSystems(g.now()))
 		status := g.state.Status()
 		g.status.Store(&status)
+		g.peers.summarize(g.now(), g.state)
 	}
 }
 
@@ -49,7 +50,6 @@
 		switch a := action.(type) {
 		case control.Publish:
 			g.snapshot.Store(a.Snapshot)
-			g.ready.Store(true)
 		case control.PresetAdopted:
 			g.counters.presetAdoptions.Inc()
 			g.log.Info("preset adopted", "preset", a.Version.Preset.Name, "revision", a.Version.Revision,
@@ -59,6 +59,8 @@
 			g.counters.drainNotices.Inc()
 			g.log.Info("server is leaving", "server", a.ServerID)
 			g.peers.drainLearned(a)
+		case control.DrainsInForce:
+			g.peers.drainsInForce(a)
 		case control.ServerChanged:
 			g.log.Info("server availability changed", "server", a.ServerID, "service", a.Service,
 				"from", a.From, "to", a.To, "reason", a.Reason)
