--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -257,10 +257,16 @@
 
 // notReady returns why the gateway must not get calls yet, empty if it may.
 func (g *Gateway) notReady() string {
-	if g.snapshot.Load() == nil {
+	switch {
+	case g.snapshot.Load() == nil:
 		return "the preset in force is not known yet"
+	case !g.introduction.isDone() && g.storeClock.known() && time.Since(g.started) < introductionLimit:
+		// Calls with a key would be refused. Without the store they are refused
+		// anyway, and all others can be served.
+		return "the other gateways do not know this one yet"
+	default:
+		return ""
 	}
-	return ""
 }
 
 // row describes this gateway for the table service.
--- a/pkg/gateway/notrun_test.go
+++ b/pkg/gateway/notrun_test.go
@@ -38,6 +38,7 @@
 	fresh := regionGateway(t, "gw-2", "khomas", client)
 	startGateway(t, fresh)
 	waitUntil(t, "service served by the new gateway", served(fresh))
+	waitUntil(t, "new gateway ready", func() bool { return fresh.notReady() == "" })
 	status, _, body := callGateway(t, fresh, http.MethodPost, "/booking-desk/book", "key-1")
 	assert.Equal(t, status, http.StatusOK, body)
 	status, outcome, body := callGateway(t, old, http.MethodPost, "/booking-desk/book", "key-1")
--- a/pkg/gateway/parted_test.go
+++ b/pkg/gateway/parted_test.go
@@ -245,7 +245,7 @@
 	for _, g := range all {
 		waitUntil(t, "service served and peers connected", func() bool {
 			status, _, _ := callGateway(t, g, http.MethodGet, "/booking-desk/ready", "")
-			return status == http.StatusOK && g.connectedPeers() == len(all)-1
+			return status == http.StatusOK && g.connectedPeers() == len(all)-1 && g.notReady() == ""
 		})
 	}
 	status, _, _ := callGateway(t, far, http.MethodPost, "/booking-desk/book", "before")
