--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -50,14 +50,14 @@
 	budgets    *budgets
 	storeClock storeClock
 
-	claims    *claims
-	guard     crashGuard
+	claims *claims
+	guard  crashGuard
 
 	introduction *introduction
-	proxy     *proxy.Proxy
-	transport *proxy.Transports
-	metrics   *metrics.Set
-	counters  *counters
+	proxy        *proxy.Proxy
+	transport    *proxy.Transports
+	metrics      *metrics.Set
+	counters     *counters
 
 	trafficListener net.Listener
 	adminListener   net.Listener
--- a/pkg/peer/keyquery.go
+++ b/pkg/peer/keyquery.go
@@ -28,7 +28,7 @@
 // batch is a group of queries that were asked together.
 type batch struct {
 	// asked holds the gateways that the batch went to.
-	asked []string
+	asked   []string
 	queries []query
 	// missing holds the peers that did not reply yet.
 	missing map[string]bool
