Report readiness only after the VM list was read, and apply events in bursts

A gateway without a list knows no server and answers every call with 503. The control loop ran all systems once per event; with 47 peers that is most of its processor time. It now takes all waiting events first.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -45,6 +45,8 @@
 	snapshot atomic.Pointer[routing.Snapshot]
 	status   atomic.Pointer[control.Status]
 	stopping atomic.Bool
+	// listRead says that the control loop has taken a copy of the VM list.
+	listRead atomic.Bool
 
 	peers      *peers
 	budgets    *budgets
@@ -260,6 +262,8 @@
 	switch {
 	case g.snapshot.Load() == nil:
 		return "the preset in force is not known yet"
+	case !g.listRead.Load() && !g.allServersFixed():
+		return "the platform's list of VMs was not read yet, so no server is known"
 	case !g.introduction.isDone() && g.storeClock.known() && time.Since(g.started) < introductionLimit:
 		// Calls with a key would be refused. Without the store they are refused
 		// anyway, and all others can be served.
@@ -269,6 +273,16 @@
 	}
 }
 
+// allServersFixed reports whether settings name the servers of every service.
+func (g *Gateway) allServersFixed() bool {
+	for _, service := range g.settings.Services {
+		if len(service.Servers) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // row describes this gateway for the table service.
 func (g *Gateway) row() membership.Row {
 	status := g.status.Load()
--- a/pkg/gateway/loops.go
+++ b/pkg/gateway/loops.go
@@ -33,7 +33,7 @@
 	for {
 		select {
 		case event := <-g.events:
-			g.state.Apply(g.now(), event)
+			g.applyEvents(event)
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
@@ -45,6 +45,22 @@
 	}
 }
 
+// applyEvents takes an event and all that wait behind it, so that the systems run
+// once for a burst of events.
+func (g *Gateway) applyEvents(event control.Event) {
+	for range eventQueue {
+		g.state.Apply(g.now(), event)
+		if _, ok := event.(control.VMListRead); ok {
+			g.listRead.Store(true)
+		}
+		select {
+		case event = <-g.events:
+		default:
+			return
+		}
+	}
+}
+
 func (g *Gateway) perform(actions []control.Action) {
 	for _, action := range actions {
 		switch a := action.(type) {
--- /dev/null
+++ b/pkg/gateway/ready_test.go
@@ -0,0 +1,30 @@
+package gateway
+
+import (
+	"net/http/httptest"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"balsamhill/pkg/platform"
+	"balsamhill/pkg/platform/httpplatform"
+	"balsamhill/pkg/platform/standin"
+)
+
+// Guards against a gateway that reports ready without knowing any server, and
+// would answer every call with 503.
+func TestNotReadyWithoutVMList(t *testing.T) {
+	platformStandin := standin.New()
+	platformStandin.SetFaults(platform.Faults{ListDown: true})
+	store := httptest.NewServer(platformStandin)
+	t.Cleanup(store.Close)
+	client := httpplatform.New(store.URL)
+	t.Cleanup(client.Close)
+	putPresetInForce(t, client)
+	g := regionGateway(t, "gw-1", "khomas", client)
+	startGateway(t, g)
+	waitUntil(t, "preset in force", func() bool { return g.snapshot.Load() != nil })
+	assert.Equal(t, g.notReady(), "the platform's list of VMs was not read yet, so no server is known")
+	platformStandin.SetFaults(platform.Faults{})
+	waitUntil(t, "ready", func() bool { return g.notReady() == "" })
+}
