--- a/pkg/peer/memory_test.go
+++ b/pkg/peer/memory_test.go
@@ -99,7 +99,7 @@
 
 // memoryConn is one end of a connection.
 type memoryConn struct {
-	// Conn is nil; what is not implemented here is not called.
+	// Conn is nil, because only the methods below are called.
 	net.Conn
 	net      *memoryNet
 	from, to string
