--- a/pkg/gateway/introduction.go
+++ b/pkg/gateway/introduction.go
@@ -92,12 +92,8 @@
 type freshPeerQuery struct {
 	peers *peers
 	mu    sync.Mutex
-	next  *rowsRead
-}
-
-// rowsRead is one read of the rows that several queries wait for.
-type rowsRead struct {
-	done chan struct{}
+	// next is closed at the end of the next read, nil if none is planned.
+	next chan struct{}
 }
 
 // QueryKey implements claimstore.PeerQuery.
@@ -110,15 +106,15 @@
 // read is under way share the next one.
 func (q *freshPeerQuery) readRows(ctx context.Context) {
 	q.mu.Lock()
-	read := q.next
-	if read == nil {
-		read = &rowsRead{done: make(chan struct{})}
-		q.next = read
-		go q.run(read)
+	done := q.next
+	if done == nil {
+		done = make(chan struct{})
+		q.next = done
+		go q.run(done)
 	}
 	q.mu.Unlock()
 	select {
-	case <-read.done:
+	case <-done:
 	case <-ctx.Done():
 	}
 }
@@ -126,7 +122,8 @@
 // batchQueries is the time for queries to join a read before it begins.
 const batchQueries = time.Millisecond
 
-func (q *freshPeerQuery) run(read *rowsRead) {
+func (q *freshPeerQuery) run(done chan struct{}) {
+	defer close(done)
 	time.Sleep(batchQueries)
 	q.mu.Lock()
 	q.next = nil
@@ -134,7 +131,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), freshRowsLimit)
 	defer cancel()
 	q.peers.readRows(ctx)
-	close(read.done)
 }
 
 var _ claimstore.PeerQuery = (*freshPeerQuery)(nil)
