Use memtable for the table of the claim store's tests

The tests had their own commits, scans and change feed, which pkg/platform/memtable already has with a property test of its own. Faults, delays and all assertions are unchanged.

--- a/pkg/claimstore/promises_test.go
+++ b/pkg/claimstore/promises_test.go
@@ -143,7 +143,7 @@
 	orphans := make(map[int]bool)
 	for key := range maxKeys {
 		rowKey := claim.RowKey(service, fmt.Sprint(key))
-		found := f.table.existing(func(k string) bool { return k == rowKey })
+		found := f.table.get(rowKey)
 		if len(found.Rows) == 0 {
 			continue
 		}
--- a/pkg/claimstore/store_test.go
+++ b/pkg/claimstore/store_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -39,7 +38,7 @@
 func (f *fleet) row(t *testing.T, key string) claim.Row {
 	t.Helper()
 	rowKey := claim.RowKey(service, key)
-	found := f.table.existing(func(k string) bool { return k == rowKey })
+	found := f.table.get(rowKey)
 	assert.Equal(t, len(found.Rows), 1)
 	row, err := claim.DecodeRow(found.Rows[0].Value)
 	assert.NilError(t, err)
@@ -192,7 +191,7 @@
 			}
 		}
 		time.Sleep(time.Minute)
-		for _, row := range f.table.existing(func(key string) bool { return strings.HasPrefix(key, claim.RowPrefix) }).Rows {
+		for _, row := range f.table.scan(claim.RowPrefix, "", 0).Rows {
 			decoded, err := claim.DecodeRow(row.Value)
 			assert.NilError(t, err)
 			assert.Equal(t, decoded.State, claim.StateReleased)
@@ -228,7 +227,7 @@
 			assert.Assert(t, waited < 2*removalInterval, "no pass removed the row")
 			time.Sleep(removalInterval / 36)
 		}
-		answers := f.table.existing(func(key string) bool { return strings.HasPrefix(key, claim.AnswerPrefix) })
+		answers := f.table.scan(claim.AnswerPrefix, "", 0)
 		assert.Equal(t, len(answers.Rows), 0, "the answer outlives its claim row")
 		assert.Equal(t, f.claim(1, "done", time.Second).Kind, claim.Dispatch)
 		assert.Equal(t, f.claim(1, "open", time.Second).Kind, claim.Refuse)
--- a/pkg/claimstore/table_test.go
+++ b/pkg/claimstore/table_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"sort"
-	"strings"
 	"sync"
 	"time"
 
@@ -28,14 +26,13 @@
 type fakeTable struct {
 	mu      sync.Mutex
 	rng     *rand.Rand
-	version uint64
-	rows    map[string]platform.Row
+	rows    *memtable.Table
 	commits int
 	pending sync.WaitGroup
 }
 
 func newFakeTable(seed uint64) *fakeTable {
-	return &fakeTable{rng: rand.New(rand.NewPCG(seed, 1)), rows: make(map[string]platform.Row)}
+	return &fakeTable{rng: rand.New(rand.NewPCG(seed, 1)), rows: memtable.New()}
 }
 
 // roll draws a number below n.
@@ -54,60 +51,34 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.commits++
-	var conflicts []platform.Row
-	for _, check := range txn.Checks {
-		row := f.rows[check.Key]
-		if row.Deleted {
-			row = platform.Row{}
-		}
-		if row.Version != check.Version {
-			row.Key = check.Key
-			conflicts = append(conflicts, row)
-		}
-	}
+	version, conflicts := f.rows.Commit(txn)
 	if len(conflicts) > 0 {
 		return platform.CommitResult{Status: platform.CommitConflict, Conflicts: conflicts, Time: time.Now()}
 	}
-	f.version++
-	for _, w := range txn.Writes {
-		f.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: f.version, Deleted: w.Delete}
-	}
-	return platform.CommitResult{Status: platform.CommitApplied, Version: f.version, Time: time.Now()}
+	return platform.CommitResult{Status: platform.CommitApplied, Version: version, Time: time.Now()}
 }
 
 // changed returns the rows with a version above after, tombstones included.
 func (f *fakeTable) changed(prefix string, after uint64, limit int) platform.ReadResult {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	result := platform.ReadResult{Next: f.version, Time: time.Now()}
-	for key, row := range f.rows {
-		if row.Version > after && strings.HasPrefix(key, prefix) {
-			result.Rows = append(result.Rows, row)
-		}
-	}
-	sort.Slice(result.Rows, func(i, j int) bool { return result.Rows[i].Version < result.Rows[j].Version })
-	for limit < len(result.Rows) && result.Rows[limit].Version == result.Rows[limit-1].Version {
-		limit++
-	}
-	if limit < len(result.Rows) {
-		result.Rows, result.More = result.Rows[:limit], true
-		result.Next = result.Rows[limit-1].Version
-	}
-	return result
+	rows, next, more := f.rows.Changes(prefix, after, limit)
+	return platform.ReadResult{Rows: rows, Next: next, More: more, Time: time.Now()}
 }
 
-// existing returns the rows that the filter accepts, in key order.
-func (f *fakeTable) existing(accept func(key string) bool) platform.ReadResult {
+// get returns the existing rows of the keys.
+func (f *fakeTable) get(keys ...string) platform.ReadResult {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	result := platform.ReadResult{Time: time.Now()}
-	for key, row := range f.rows {
-		if !row.Deleted && accept(key) {
-			result.Rows = append(result.Rows, row)
-		}
-	}
-	sort.Slice(result.Rows, func(i, j int) bool { return result.Rows[i].Key < result.Rows[j].Key })
-	return result
+	return platform.ReadResult{Rows: f.rows.Get(keys...), Time: time.Now()}
+}
+
+// scan returns existing rows with the prefix, all of them if limit is 0.
+func (f *fakeTable) scan(prefix, after string, limit int) platform.ReadResult {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rows, more := f.rows.Scan(prefix, after, limit)
+	return platform.ReadResult{Rows: rows, More: more, Time: time.Now()}
 }
 
 // link is one gateway's access to the table, with its faults and a gate at which
@@ -196,23 +167,11 @@
 }
 
 func (l *link) Get(ctx context.Context, keys ...string) (platform.ReadResult, error) {
-	wanted := make(map[string]bool)
-	for _, key := range keys {
-		wanted[key] = true
-	}
-	return l.read(ctx, func() platform.ReadResult {
-		return l.table.existing(func(key string) bool { return wanted[key] })
-	})
+	return l.read(ctx, func() platform.ReadResult { return l.table.get(keys...) })
 }
 
 func (l *link) Scan(ctx context.Context, prefix, after string, limit int) (platform.ReadResult, error) {
-	return l.read(ctx, func() platform.ReadResult {
-		result := l.table.existing(func(key string) bool { return key > after && strings.HasPrefix(key, prefix) })
-		if len(result.Rows) > limit {
-			result.Rows, result.More = result.Rows[:limit], true
-		}
-		return result
-	})
+	return l.read(ctx, func() platform.ReadResult { return l.table.scan(prefix, after, limit) })
 }
 
 func (l *link) Changes(ctx context.Context, prefix string, after uint64, limit int, options ...platform.ChangesOption) (platform.ReadResult, error) {
