--- a/cmd/balsamhilld/main.go
+++ b/cmd/balsamhilld/main.go
@@ -17,6 +17,7 @@
 	subcommands.Register(&serveCommand{}, "")
 	subcommands.Register(&checkCommand{}, "")
 	subcommands.Register(&demoCommand{}, "")
+	subcommands.Register(&platformCommand{}, "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	status := subcommands.Execute(ctx)
--- a/pkg/control/apply.go
+++ b/pkg/control/apply.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"time"
+
 	"balsamhill/pkg/platform"
 	"balsamhill/pkg/routing"
 )
@@ -10,7 +12,7 @@
 func (s *State) Apply(now int64, event Event) {
 	switch e := event.(type) {
 	case VMListRead:
-		s.applyVMList(now, e.VMs)
+		s.applyVMList(now, e)
 	case PresetOffered:
 		s.applyPreset(now, e)
 	case DrainNoticed:
@@ -44,17 +46,20 @@
 	}
 }
 
-// applyVMList takes a list in. A server that is missing from it is not removed
-// here, because the list lags and may be empty for a moment; see
+// applyVMList takes a list in. A server that is missing from a list that lags is
+// not removed here, because such a list may be empty for a moment; see
 // runUnlistedSystem.
-func (s *State) applyVMList(now int64, vms []platform.VM) {
-	listed := make(map[string]bool, len(vms))
-	for _, vm := range vms {
+func (s *State) applyVMList(now int64, list VMListRead) {
+	listed := make(map[string]bool, len(list.VMs))
+	for _, vm := range list.VMs {
 		if vm.Role != platform.RoleServer {
 			continue
 		}
 		listed[vm.ID] = true
-		s.applyServer(now, vm)
+		s.applyServer(now, vm, list.Exact)
+	}
+	if list.Exact {
+		s.removeUnlisted(listed)
 	}
 	for id, row := range s.servers {
 		if !listed[id] && !row.fixed && row.unlistedAt == 0 {
@@ -66,7 +71,18 @@
 	s.seenList = s.seenList || len(listed) > 0
 }
 
-func (s *State) applyServer(now int64, vm platform.VM) {
+// removeUnlisted removes the servers that an exact list does not show.
+func (s *State) removeUnlisted(listed map[string]bool) {
+	for _, row := range s.sortedServers() {
+		if listed[row.id] || row.fixed {
+			continue
+		}
+		s.reportChange(row, verdict{reason: "the platform's list no longer shows it"}, removedState)
+		s.removeServer(row)
+	}
+}
+
+func (s *State) applyServer(now int64, vm platform.VM, exact bool) {
 	row, ok := s.servers[vm.ID]
 	if ok && vm.Incarnation < row.incarnation {
 		// The list lags; a newer incarnation is known already.
@@ -85,11 +101,26 @@
 		row.unlistedAt = 0
 		s.dirty = true
 	}
+	if exact {
+		// The platform itself says how long the server stays slow.
+		row.joinedAt = 0
+		row.slots = vm.Slots
+		s.applyWarmup(now, row, vm)
+	}
 	if vm.State == platform.VMLeaving {
 		s.confirmDrain(now, row)
 	}
 }
 
+// applyWarmup keeps the first warm-up that was read, because later reads of the
+// same entry repeat it.
+func (s *State) applyWarmup(now int64, row *serverRow, vm platform.VM) {
+	if row.coldUntil == 0 && vm.WarmupMillis > 0 {
+		row.coldUntil = now + vm.WarmupMillis*int64(time.Millisecond)
+		s.dirty = true
+	}
+}
+
 // replaceServer puts a new row in the place of an old one, which may be nil.
 func (s *State) replaceServer(now int64, old *serverRow, vm platform.VM) *serverRow {
 	row := newServerRow(vm)
@@ -116,6 +147,10 @@
 	}
 	s.adopted = adoption{at: now, source: offered.Source}
 	s.dirty = true
+	s.routes = nil
+	if offered.Version.Routing != nil {
+		s.routes = newRouteTable(offered.Version.Routing.Rules)
+	}
 	s.actions = append(s.actions, PresetAdopted{
 		Version:  offered.Version,
 		Source:   offered.Source,
--- a/pkg/control/events.go
+++ b/pkg/control/events.go
@@ -16,6 +16,9 @@
 // VMListRead carries a copy of the platform's list.
 type VMListRead struct {
 	VMs []platform.VM
+	// Exact says that the list does not lag: a server that is missing from it is
+	// gone at once.
+	Exact bool
 }
 
 // PresetOffered carries a version read from the store or received from a peer.
--- a/pkg/control/publish.go
+++ b/pkg/control/publish.go
@@ -67,10 +67,10 @@
 func (s *State) snapshot(now int64, version preset.Version) *routing.Snapshot {
 	byService := make(map[string][]*routing.Server)
 	for _, row := range s.sortedServers() {
-		byService[row.service] = append(byService[row.service], s.view(now, row))
+		byService[row.service] = append(byService[row.service], s.view(now, row, version.Preset))
 	}
-	services := make(map[string]*routing.ServiceView, len(s.config.Services))
-	for _, service := range s.config.Services {
+	services := make(map[string]*routing.ServiceView, len(s.services()))
+	for _, service := range s.services() {
 		tuning := version.Preset.Tuning(service.Name)
 		view := routing.NewServiceView(
 			service.Name, service.Slots, s.config.Region, tuning, byService[service.Name])
@@ -79,11 +79,42 @@
 		view.SpillShare = state.share
 		services[service.Name] = view
 	}
-	return &routing.Snapshot{Version: version, Services: services}
+	return &routing.Snapshot{Version: version, Routes: s.routes, Services: services, ServersByID: byID(byService)}
+}
+
+func byID(byService map[string][]*routing.Server) map[string]*routing.Server {
+	servers := make(map[string]*routing.Server)
+	for _, list := range byService {
+		for _, server := range list {
+			servers[server.ID] = server
+		}
+	}
+	return servers
+}
+
+// newRouteTable builds the routes that a version brings with it.
+func newRouteTable(rules []preset.Rule) *routing.RouteTable {
+	routes := make([]routing.Route, 0, len(rules))
+	for _, rule := range rules {
+		routes = append(routes, routing.Route{
+			Name:         rule.Name,
+			Host:         rule.Host,
+			PathPrefix:   rule.PathPrefix,
+			Service:      rule.Backends[0].Service,
+			Backends:     rule.Backends,
+			Class:        rule.Class,
+			ClassDecides: true,
+			Timeout:      time.Duration(rule.TimeoutMillis) * time.Millisecond,
+			Target:       time.Duration(rule.TargetMillis) * time.Millisecond,
+			MaxAttempts:  rule.MaxAttempts,
+			Priority:     rule.Priority,
+		})
+	}
+	return routing.NewRouteTable(routes)
 }
 
 // view returns a server as traffic sees it.
-func (s *State) view(now int64, row *serverRow) *routing.Server {
+func (s *State) view(now int64, row *serverRow, preset *preset.Preset) *routing.Server {
 	judged := s.judge(now, row)
 	judged.reason = s.reason(now, row, judged)
 	judged.known = true
@@ -103,6 +134,9 @@
 		Reason:        judged.reason,
 		Weight:        judged.weight,
 		Penalty:       s.penalty(row),
+		ByteNanos:     s.byteNanos(row, preset.Tuning(row.service)),
+		Slots:         row.slots,
+		ColdUntil:     row.coldUntil,
 		Stats:         row.stats,
 	}
 }
@@ -180,3 +214,15 @@
 		return 0
 	}
 }
+
+// byteNanos is the price of a byte to the server; see preset.Tuning.
+func (s *State) byteNanos(row *serverRow, tuning preset.Tuning) float64 {
+	switch {
+	case row.region != s.config.Region:
+		return tuning.RegionByteNanos
+	case row.failureDomain != s.config.FailureDomain:
+		return tuning.DomainByteNanos
+	default:
+		return 0
+	}
+}
--- a/pkg/control/spill.go
+++ b/pkg/control/spill.go
@@ -62,9 +62,9 @@
 
 // runSpillSystem updates the spill-over of all services.
 func (s *State) runSpillSystem(now int64, preset *preset.Preset) {
-	loads := make(map[string]*regionLoads, len(s.config.Services))
-	slots := make(map[string]int, len(s.config.Services))
-	for _, service := range s.config.Services {
+	loads := make(map[string]*regionLoads, len(s.services()))
+	slots := make(map[string]int, len(s.services()))
+	for _, service := range s.services() {
 		slots[service.Name] = service.Slots
 	}
 	for _, row := range s.sortedServers() {
@@ -78,7 +78,7 @@
 		}
 		sums.add(now, row, s.config.Region, slots[row.service])
 	}
-	for _, service := range s.config.Services {
+	for _, service := range s.services() {
 		state := s.spill[service.Name]
 		if state == nil {
 			state = &spillState{}
--- a/pkg/control/systems.go
+++ b/pkg/control/systems.go
@@ -99,7 +99,7 @@
 // that point, and if drains, maintenance or the subset take other servers away
 // afterwards, all ejected servers are used (see judge).
 func (s *State) runEjectionSystem(now int64) {
-	counts := make(map[string]serviceCounts, len(s.config.Services))
+	counts := make(map[string]serviceCounts, len(s.services()))
 	for _, row := range s.sortedServers() {
 		if !row.mayCarryLoad(now) {
 			continue
--- a/pkg/control/tables.go
+++ b/pkg/control/tables.go
@@ -27,10 +27,27 @@
 
 // ServiceConfig is one service of the settings.
 type ServiceConfig struct {
-	Name  string
+	Name string
+	// Slots is how many requests a server runs at once. Servers of a list that
+	// tells their slots keep their own value.
 	Slots int
 }
 
+// services returns the services of the version in force, or those of the
+// settings if the version does not define any.
+func (s *State) services() []ServiceConfig {
+	version := s.adopter.Current()
+	if version.Routing == nil {
+		return s.config.Services
+	}
+	rules := version.Routing.Services
+	services := make([]ServiceConfig, 0, len(rules))
+	for _, rule := range rules {
+		services = append(services, ServiceConfig{Name: rule.Name, Slots: 1})
+	}
+	return services
+}
+
 // serverRow is one row of the server table.
 type serverRow struct {
 	id            string
@@ -39,6 +56,10 @@
 	region        string
 	failureDomain string
 	incarnation   uint64
+	// slots is how many requests the server runs at once, 0 for the service's value.
+	slots int
+	// coldUntil is when the server has warmed up, 0 if it was listed as warm.
+	coldUntil int64
 	// fixed rows come from the settings and are not removed with the VM list.
 	fixed bool
 	// joinedAt is when the row was first seen, 0 if it was part of the first
@@ -73,7 +94,9 @@
 	// show yet, by server ID.
 	earlyNotices map[string]earlyNotice
 	peers        peerTable
-	spill        map[string]*spillState
+	// routes is built from the version in force if that holds a Routing.
+	routes *routing.RouteTable
+	spill  map[string]*spillState
 	// counts holds the number of servers that could be used, by service; the
 	// ejection system sets it.
 	counts map[string]serviceCounts
--- /dev/null
+++ b/pkg/edge/edge.go
@@ -0,0 +1,221 @@
+package edge
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
+
+	"balsamhill/pkg/control"
+	"balsamhill/pkg/feed"
+	"balsamhill/pkg/gossip"
+	"balsamhill/pkg/proxy"
+	"balsamhill/pkg/registry"
+	"balsamhill/pkg/routing"
+)
+
+const (
+	// eventQueue bounds the events that wait for the control loop.
+	eventQueue = 256
+	// domainPenalty and regionPenalty are the round trips in nanoseconds.
+	domainPenalty = 2e6
+	regionPenalty = 62e6
+	// connectionsPerServer bounds the connections of one gateway to one server:
+	// a server runs a few requests at once and queues about twice as many.
+	connectionsPerServer = 16
+	// idleLimit and freshIdleLimit are below the idle time-outs of servers; see
+	// proxy.TransportLimits.
+	idleLimit      = 4 * time.Second
+	freshIdleLimit = 500 * time.Millisecond
+	// bufferAnswer is how much of an answer is read before it is passed on; longer
+	// ones are streamed.
+	bufferAnswer = 64 << 10
+	// keepBody is how much of an upload is kept for a second server.
+	keepBody = 1 << 20
+	// headerTimeout and callerIdle are above the limits of any configuration, so
+	// that no caller that keeps to them is cut.
+	headerTimeout = 10 * time.Second
+	callerIdle    = 5 * time.Minute
+	// maxHeaderBytes is above the limit of any configuration.
+	maxHeaderBytes = 64 << 10
+)
+
+// Edge is one gateway. Create it with New and run it with Run.
+type Edge struct {
+	settings *Settings
+	store    Store
+	codec    Codec
+	log      *slog.Logger
+	started  time.Time
+	self     gossip.Gateway
+
+	// The control goroutine owns state and servers.
+	state   *control.State
+	servers *registry.Registry
+	events  chan tableEvent
+
+	snapshot  atomic.Pointer[routing.Snapshot]
+	listRead  atomic.Bool
+	stopping  atomic.Bool
+	storeView storeView
+	watchers  []*watcher
+
+	peersMu sync.Mutex
+	peers   *gossip.Peers
+
+	proxy     *proxy.Proxy
+	transport *proxy.Transports
+	probes    *http.Transport
+	metrics   *metrics.Set
+	counters  *counters
+
+	trafficListener net.Listener
+	readyListener   net.Listener
+	feedListener    net.Listener
+	datagrams       *net.UDPConn
+	traffic         *http.Server
+	joined          chan struct{}
+}
+
+// New opens the listeners and prepares a gateway.
+func New(s *Settings, store Store, codec Codec, log *slog.Logger) (*Edge, error) {
+	started := time.Now()
+	e := &Edge{
+		settings: s,
+		store:    store,
+		codec:    codec,
+		log:      log,
+		started:  started,
+		self: gossip.Gateway{
+			ID:            s.ID,
+			Incarnation:   uint64(started.UnixMilli()),
+			Address:       net.JoinHostPort(s.IP, strconv.Itoa(s.InternalPort)),
+			Region:        s.Region,
+			FailureDomain: s.FailureDomain,
+		},
+		state: control.NewState(control.Config{
+			VMID: s.ID, Region: s.Region, FailureDomain: s.FailureDomain,
+			DomainPenalty: domainPenalty, RegionPenalty: regionPenalty,
+		}),
+		servers: registry.New(s.Regions),
+		events:  make(chan tableEvent, eventQueue),
+		metrics: metrics.NewSet(),
+		joined:  make(chan struct{}, 1),
+		transport: proxy.NewSharedTransports(proxy.TransportLimits{
+			Connections: connectionsPerServer, Idle: idleLimit, FreshIdle: freshIdleLimit,
+		}),
+	}
+	e.peers = gossip.NewPeers(e.self)
+	e.counters = newCounters(e.metrics)
+	e.probes = newProbeTransport()
+	for index, table := range feed.Tables() {
+		e.watchers = append(e.watchers, newWatcher(e, table, index))
+	}
+	e.proxy = proxy.New(proxy.Config{
+		Dialect:         codec.Dialect(),
+		Snapshot:        e.snapshot.Load,
+		Servers:         e.transport,
+		Now:             e.now,
+		Metrics:         proxy.NewMetrics(e.metrics),
+		BufferAnswer:    bufferAnswer,
+		KeepBody:        keepBody,
+		ReplaceRefusals: true,
+		Observer:        observer{e},
+	})
+	e.traffic = &http.Server{
+		Handler:           e.closingHandler(e.proxy),
+		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       callerIdle,
+		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+	return e, e.listen()
+}
+
+func (e *Edge) listen() error {
+	var err error
+	e.trafficListener, err = net.Listen("tcp", e.settings.Traffic)
+	if err != nil {
+		return eris.Wrap(err, "open traffic listener")
+	}
+	e.readyListener, err = net.Listen("tcp", e.settings.Ready)
+	if err != nil {
+		return eris.Wrap(err, "open ready listener")
+	}
+	e.feedListener, err = net.Listen("tcp", e.self.Address)
+	if err != nil {
+		return eris.Wrap(err, "open listener for gateways")
+	}
+	address, err := net.ResolveUDPAddr("udp", e.self.Address)
+	if err != nil {
+		return eris.Wrap(err, "address for datagrams")
+	}
+	e.datagrams, err = net.ListenUDP("udp", address)
+	return eris.Wrap(err, "open socket for datagrams")
+}
+
+// now returns nanoseconds since the start on the monotonic clock. It starts at
+// 1 s because 0 means "never" in the decision packages.
+func (e *Edge) now() int64 {
+	return int64(time.Since(e.started) + time.Second)
+}
+
+// Run serves until ctx ends, and then until the requests in flight are complete
+// or the time to stop is over.
+func (e *Edge) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var group run.Group
+	addLoop := func(loop func(context.Context)) {
+		loopContext, stop := context.WithCancel(background)
+		group.Add(func() error {
+			loop(loopContext)
+			return nil
+		}, func(error) { stop() })
+	}
+	addServer := func(server *http.Server, listener net.Listener) {
+		group.Add(func() error { return server.Serve(listener) }, func(error) { _ = server.Close() })
+	}
+	addLoop(e.runControl)
+	for _, w := range e.watchers {
+		addLoop(w.run)
+	}
+	addLoop(e.runJoin)
+	addLoop(e.runSending)
+	addLoop(e.runProbes)
+	group.Add(func() error { e.runReceiving(); return nil }, func(error) { _ = e.datagrams.Close() })
+	addServer(&http.Server{Handler: e.readyHandler(), IdleTimeout: callerIdle}, e.readyListener)
+	addServer(&http.Server{Handler: e.feedHandler(), IdleTimeout: callerIdle}, e.feedListener)
+	group.Add(func() error { return e.serveTraffic(ctx) }, func(error) { _ = e.traffic.Close() })
+	err := group.Run()
+	e.transport.CloseIdleConnections()
+	if eris.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// ready reports whether the gateway can take callers.
+func (e *Edge) ready() bool {
+	return e.snapshot.Load() != nil && e.listRead.Load() && !e.stopping.Load()
+}
+
+func (e *Edge) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+e.settings.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !e.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return mux
+}
--- /dev/null
+++ b/pkg/edge/exchange.go
@@ -0,0 +1,323 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"balsamhill/pkg/feed"
+	"balsamhill/pkg/gossip"
+	"balsamhill/pkg/routing"
+)
+
+const (
+	// sendInterval is how often new load reports go to the peers.
+	sendInterval = 20 * time.Millisecond
+	// heartbeatInterval is how often a message goes out without new reports.
+	heartbeatInterval = 100 * time.Millisecond
+	// maxTableBytes bounds a table that another gateway hands over.
+	maxTableBytes = 16 << 20
+	tablePath     = "/table/"
+)
+
+func (e *Edge) newestPeer(now int64, table int) (string, feed.Mark, bool) {
+	e.peersMu.Lock()
+	defer e.peersMu.Unlock()
+	return e.peers.Newest(now, table)
+}
+
+func (e *Edge) isReader(now int64) bool {
+	if e.stopping.Load() {
+		return false
+	}
+	e.peersMu.Lock()
+	defer e.peersMu.Unlock()
+	return e.peers.IsReader(now, !e.storeView.unreachable.Load())
+}
+
+// runSending sends messages to the peers until ctx ends.
+func (e *Edge) runSending(ctx context.Context) {
+	ticker := time.NewTicker(sendInterval)
+	defer ticker.Stop()
+	sender := &sender{edge: e, told: make(map[string]told)}
+	for {
+		select {
+		case <-ticker.C:
+			sender.tick()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// sender builds and sends messages. It belongs to one goroutine.
+type sender struct {
+	edge     *Edge
+	sequence uint64
+	sentAt   int64
+	told     map[string]told
+	buffer   []byte
+}
+
+// told is what the peers know of a server.
+type told struct {
+	reportedAt int64
+	silent     bool
+}
+
+func (s *sender) tick() {
+	e := s.edge
+	now := e.now()
+	reports := s.newReports(now)
+	if len(reports) == 0 && now-s.sentAt < int64(heartbeatInterval) {
+		return
+	}
+	s.sentAt = now
+	message := gossip.Message{
+		Sender:         e.self,
+		Stopping:       e.stopping.Load(),
+		StoreReachable: !e.storeView.unreachable.Load(),
+	}
+	for _, w := range e.watchers {
+		mark, _ := w.mark(now)
+		message.Marks = append(message.Marks, mark)
+	}
+	e.peersMu.Lock()
+	targets := e.peers.Targets(now)
+	e.peersMu.Unlock()
+	for first := true; first || len(reports) > 0; first = false {
+		s.sequence++
+		message.Sequence = s.sequence
+		part := reports[:min(len(reports), reportsPerMessage)]
+		reports = reports[len(part):]
+		message.Reports = part
+		s.buffer = message.Marshal(s.buffer[:0])
+		e.sendTo(targets, s.buffer)
+	}
+}
+
+// reportsPerMessage keeps messages below gossip.MaxBytes.
+const reportsPerMessage = 30
+
+func (e *Edge) sendTo(targets []string, data []byte) {
+	for _, target := range targets {
+		address, err := netip.ParseAddrPort(target)
+		if err != nil {
+			continue
+		}
+		_, err = e.datagrams.WriteToUDPAddrPort(data, address)
+		if err != nil {
+			e.counters.sendErrors.Inc()
+		}
+	}
+	e.counters.messagesSent.Add(len(targets))
+	e.counters.messageBytes.Add(len(targets) * len(data))
+}
+
+// newReports returns what this gateway has learnt itself since the last message.
+func (s *sender) newReports(now int64) []gossip.Report {
+	snapshot := s.edge.snapshot.Load()
+	if snapshot == nil {
+		return nil
+	}
+	var reports []gossip.Report
+	for id, server := range snapshot.ServersByID {
+		known := s.told[id]
+		current := told{reportedAt: server.Stats.OwnReportedAt(), silent: known.silent}
+		if s.edge.measures(now, server) {
+			current.silent = server.Stats.IsSilent()
+		}
+		if current == known || server.Region != s.edge.settings.Region {
+			continue
+		}
+		s.told[id] = current
+		reports = append(reports, gossip.Report{
+			ServerID:     id,
+			Age:          time.Duration(now - current.reportedAt),
+			InFlight:     int64(server.Stats.ReportedInFlight()),
+			PacePermille: server.Stats.PacePermille(),
+			Silent:       current.silent,
+		})
+	}
+	return reports
+}
+
+func (e *Edge) measures(now int64, server *routing.Server) bool {
+	e.peersMu.Lock()
+	defer e.peersMu.Unlock()
+	return e.peers.Measures(now, server.ID, server.FailureDomain)
+}
+
+// runReceiving takes messages in until the socket is closed.
+func (e *Edge) runReceiving() {
+	buffer := make([]byte, 64<<10)
+	for {
+		n, _, err := e.datagrams.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		message, err := gossip.Unmarshal(buffer[:n])
+		if err != nil {
+			e.counters.badMessages.Inc()
+			continue
+		}
+		e.receive(&message)
+	}
+}
+
+func (e *Edge) receive(message *gossip.Message) {
+	now := e.now()
+	e.peersMu.Lock()
+	newer, joined := e.peers.Hear(now, message)
+	e.peersMu.Unlock()
+	if !newer {
+		return
+	}
+	if joined {
+		e.log.Info("gateway joined", "gateway", message.Sender.ID, "incarnation", message.Sender.Incarnation)
+	}
+	for i, mark := range message.Marks {
+		if i < len(e.watchers) {
+			e.watchers[i].confirm(now, mark)
+		}
+	}
+	snapshot := e.snapshot.Load()
+	if snapshot == nil {
+		return
+	}
+	for _, report := range message.Reports {
+		server, ok := snapshot.ServersByID[report.ServerID]
+		if !ok {
+			continue
+		}
+		server.Stats.ReportFromPeer(now-int64(report.Age), report.InFlight, report.PacePermille)
+		if !e.measures(now, server) {
+			server.Stats.SetSilent(report.Silent)
+		}
+	}
+}
+
+// member is a row of the table Members.
+type member struct {
+	Incarnation   uint64 `json:"incarnation"`
+	Address       string `json:"address"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failureDomain"`
+}
+
+// joinRetry is the pause after a failed call.
+const joinRetry = 500 * time.Millisecond
+
+// runJoin leaves this gateway's address in the store and learns those of the
+// others. Gateways that start later introduce themselves with a message.
+func (e *Edge) runJoin(ctx context.Context) {
+	value, err := json.Marshal(member{
+		Incarnation: e.self.Incarnation, Address: e.self.Address,
+		Region: e.self.Region, FailureDomain: e.self.FailureDomain,
+	})
+	if err != nil {
+		panic(err)
+	}
+	e.untilDone(ctx, func(ctx context.Context) error { return e.store.Put(ctx, Members, e.self.ID, value) })
+	e.untilDone(ctx, e.readMembers)
+	<-ctx.Done()
+}
+
+// untilDone repeats a call until it succeeds or ctx ends.
+func (e *Edge) untilDone(ctx context.Context, call func(context.Context) error) {
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		err := call(callCtx)
+		cancel()
+		e.counters.storeCall(Members, err)
+		if err == nil {
+			return
+		}
+		e.log.Warn("cannot join the other gateways yet", "error", err)
+		select {
+		case <-time.After(joinRetry + jitter(joinRetry)):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (e *Edge) readMembers(ctx context.Context) error {
+	batch, err := e.store.Read(ctx, Members)
+	if err != nil {
+		return err
+	}
+	e.peersMu.Lock()
+	defer e.peersMu.Unlock()
+	for _, row := range batch.Rows {
+		var m member
+		err := json.Unmarshal(row.Value, &m)
+		if err != nil {
+			e.log.Warn("row of a gateway cannot be read", "gateway", row.Key, "error", err)
+			continue
+		}
+		e.peers.Learn(e.now(), gossip.Gateway{
+			ID: row.Key, Incarnation: m.Incarnation, Address: m.Address,
+			Region: m.Region, FailureDomain: m.FailureDomain,
+		})
+	}
+	return nil
+}
+
+// feedHandler hands tables over to other gateways.
+func (e *Edge) feedHandler() http.Handler {
+	mux := http.NewServeMux()
+	for _, w := range e.watchers {
+		mux.HandleFunc("GET "+tablePath+string(w.table), func(writer http.ResponseWriter, r *http.Request) {
+			after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+			if err != nil {
+				http.Error(writer, "after is not a version", http.StatusBadRequest)
+				return
+			}
+			batch, known := w.after(after)
+			if !known {
+				http.Error(writer, "the table is not known yet", http.StatusServiceUnavailable)
+				return
+			}
+			// An error here means that the other gateway has gone away.
+			_ = json.NewEncoder(writer).Encode(batch)
+		})
+	}
+	mux.HandleFunc("GET /metrics", func(writer http.ResponseWriter, _ *http.Request) {
+		e.metrics.WritePrometheus(writer)
+	})
+	return mux
+}
+
+// peerClient reads tables from other gateways.
+var peerClient = &http.Client{Transport: &http.Transport{
+	DialContext:         (&net.Dialer{Timeout: peerTimeout}).DialContext,
+	DisableCompression:  true,
+	MaxIdleConnsPerHost: 1,
+	IdleConnTimeout:     10 * time.Second,
+}}
+
+func fetchFromPeer(ctx context.Context, address string, table feed.Table, after uint64) (feed.Batch, error) {
+	url := "http://" + address + tablePath + string(table) + "?after=" + strconv.FormatUint(after, 10)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return feed.Batch{}, eris.Wrap(err, "build read of a table")
+	}
+	response, err := peerClient.Do(request)
+	if err != nil {
+		return feed.Batch{}, eris.Wrap(err, "read a table")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return feed.Batch{}, eris.Errorf("the gateway answered %d", response.StatusCode)
+	}
+	var batch feed.Batch
+	err = json.NewDecoder(io.LimitReader(response.Body, maxTableBytes)).Decode(&batch)
+	return batch, eris.Wrap(err, "decode a table")
+}
--- /dev/null
+++ b/pkg/edge/explain.go
@@ -0,0 +1,83 @@
+package edge
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"balsamhill/pkg/feed"
+	"balsamhill/pkg/proxy"
+)
+
+// observer logs calls that did not go as usual.
+type observer struct {
+	edge *Edge
+}
+
+var _ proxy.Observer = observer{}
+
+// AttemptFailed implements proxy.Observer.
+func (o observer) AttemptFailed(event proxy.AttemptEvent) {
+	o.edge.log.Info("attempt failed", "request", event.RequestID, "route", event.Route, "service", event.Service,
+		"server", event.ServerID, "attempt", event.Attempt, "end", event.End.String(), "took", event.Took.String(),
+		"error", errorText(event.Err), "inFlight", event.InFlight, "pace", event.Pace,
+		"reportAge", event.ReportAge.String(), "revision", event.Revision)
+}
+
+// CallRefused implements proxy.Observer.
+func (o observer) CallRefused(event proxy.RefusalEvent) {
+	o.edge.log.Info("call refused", "request", event.RequestID, "route", event.Route, "service", event.Service,
+		"status", event.Status, "outcome", string(event.Outcome), "detail", event.Detail,
+		"attempts", event.Attempts, "took", event.Took.String(), "revision", event.Revision)
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// counters are the counters of the assembly; docs/METRICS.md explains them.
+type counters struct {
+	set          *metrics.Set
+	adoptions    *metrics.Counter
+	badConfigs   *metrics.Counter
+	badEntries   *metrics.Counter
+	badMessages  *metrics.Counter
+	sendErrors   *metrics.Counter
+	messagesSent *metrics.Counter
+	messageBytes *metrics.Counter
+	probes       *metrics.Counter
+	probeErrors  *metrics.Counter
+}
+
+func newCounters(set *metrics.Set) *counters {
+	return &counters{
+		set:          set,
+		adoptions:    set.NewCounter("balsamhill_config_adoptions_total"),
+		badConfigs:   set.NewCounter("balsamhill_config_unreadable_total"),
+		badEntries:   set.NewCounter("balsamhill_server_entries_unreadable_total"),
+		badMessages:  set.NewCounter("balsamhill_gossip_unreadable_total"),
+		sendErrors:   set.NewCounter("balsamhill_gossip_send_errors_total"),
+		messagesSent: set.NewCounter("balsamhill_gossip_messages_sent_total"),
+		messageBytes: set.NewCounter("balsamhill_gossip_sent_bytes_total"),
+		probes:       set.NewCounter("balsamhill_probes_total"),
+		probeErrors:  set.NewCounter("balsamhill_probe_errors_total"),
+	}
+}
+
+func (c *counters) storeCall(table feed.Table, err error) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`balsamhill_store_calls_total{table=%q,result=%q}`, table, result(err))).Inc()
+}
+
+func (c *counters) peerRead(err error) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`balsamhill_gateway_reads_total{result=%q}`, result(err))).Inc()
+}
+
+func result(err error) string {
+	if err != nil {
+		return "error"
+	}
+	return "ok"
+}
--- /dev/null
+++ b/pkg/edge/stop.go
@@ -0,0 +1,58 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+)
+
+const (
+	// stopNotice is how long the listener stays open after readiness fails: the
+	// balancer asks once a second and gives up after two failures.
+	stopNotice = 2300 * time.Millisecond
+	// stopReserve is kept of the time to stop for the end of the process.
+	stopReserve = 300 * time.Millisecond
+)
+
+// serveTraffic serves callers and returns after the graceful shutdown. The other
+// parts stay up until then.
+func (e *Edge) serveTraffic(ctx context.Context) error {
+	failed := make(chan error, 1)
+	go func() { failed <- e.traffic.Serve(e.trafficListener) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	return e.shutDown(context.WithoutCancel(ctx))
+}
+
+// shutDown stops new work and waits for the requests in flight. Connections of
+// callers stay open until the notice is over, because a caller may send a
+// request at any moment; each answer asks its caller to leave.
+func (e *Edge) shutDown(ctx context.Context) error {
+	begun := time.Now()
+	e.stopping.Store(true)
+	e.log.Info("graceful shutdown started", "inFlight", e.proxy.InFlight())
+	time.Sleep(stopNotice)
+	ctx, cancel := context.WithDeadline(ctx, begun.Add(e.settings.Terms.StopGrace-stopReserve))
+	defer cancel()
+	err := e.traffic.Shutdown(ctx)
+	err = errors.Join(err, e.proxy.Wait(ctx))
+	e.log.Info("graceful shutdown complete", "inFlight", e.proxy.InFlight(), "took", time.Since(begun))
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// closingHandler asks callers to leave while the gateway shuts down.
+func (e *Edge) closingHandler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/pkg/edge/watch.go
@@ -0,0 +1,251 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"balsamhill/pkg/feed"
+)
+
+const (
+	// readerWait is how long the reader of a region lets the store wait for
+	// changes. Each answer confirms the table, so it bounds the age of the view.
+	readerWait = 1200 * time.Millisecond
+	// callTimeout is added to the wait for the store's answer.
+	callTimeout = 600 * time.Millisecond
+	// staleAge is the age from which a gateway reads the store itself. With the
+	// time of a read it stays below the bounds of 2.5 s on configurations and
+	// leaving servers.
+	staleAge = 1900 * time.Millisecond
+	// readerBackoff and followerBackoff are the pauses after a failed call.
+	readerBackoff   = 200 * time.Millisecond
+	followerBackoff = time.Second
+	// peerTimeout bounds a read from another gateway.
+	peerTimeout = 400 * time.Millisecond
+	// watchPause is how often a follower looks at the age of its view.
+	watchPause = 100 * time.Millisecond
+	// outageLength is the least time without the store that may make entries
+	// lapse.
+	outageLength = 300 * time.Millisecond
+)
+
+// storeView is what the last calls to the store showed. It is safe for
+// concurrent use.
+type storeView struct {
+	unreachable atomic.Bool
+	mu          sync.Mutex
+	failedSince int64
+	// outageEnded is when the store came back after an outage, 0 if never.
+	outageEnded int64
+}
+
+func (v *storeView) failed(now int64) {
+	v.unreachable.Store(true)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.failedSince == 0 {
+		v.failedSince = now
+	}
+}
+
+func (v *storeView) succeeded(now int64) {
+	v.unreachable.Store(false)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.failedSince != 0 && now-v.failedSince >= int64(outageLength) {
+		v.outageEnded = now
+	}
+	v.failedSince = 0
+}
+
+// heardOutage takes in that another gateway saw the store come back.
+func (v *storeView) heardOutage(at int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.outageEnded = max(v.outageEnded, at)
+}
+
+func (v *storeView) lastOutage() int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.outageEnded
+}
+
+// watcher follows one table.
+type watcher struct {
+	edge  *Edge
+	table feed.Table
+	index int
+	// wake is signalled when a peer holds changes that this gateway lacks.
+	wake chan struct{}
+
+	mu     sync.Mutex
+	mirror feed.Mirror
+}
+
+func newWatcher(e *Edge, table feed.Table, index int) *watcher {
+	return &watcher{edge: e, table: table, index: index, wake: make(chan struct{}, 1)}
+}
+
+func (w *watcher) run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		pause := w.step(ctx)
+		timer.Reset(pause)
+		select {
+		case <-timer.C:
+		case <-w.wake:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// step does one read if it is due and returns the time to the next look.
+func (w *watcher) step(ctx context.Context) time.Duration {
+	now := w.edge.now()
+	mark, known := w.mark(now)
+	address, newest, ok := w.edge.newestPeer(now, w.index)
+	behind := ok && (!known || newest.Changed > mark.AsOf)
+	if behind && newest.Age < int64(staleAge) && w.readPeer(ctx, address, mark.AsOf) {
+		return 0
+	}
+	switch {
+	case !known:
+		return w.readStore(ctx, readerBackoff)
+	case w.edge.isReader(now):
+		return w.changes(ctx, mark.AsOf, readerWait, readerBackoff)
+	case behind || mark.Age > int64(staleAge):
+		return w.changes(ctx, mark.AsOf, 0, followerBackoff+jitter(followerBackoff))
+	default:
+		return watchPause
+	}
+}
+
+func jitter(most time.Duration) time.Duration {
+	return rand.N(most)
+}
+
+func (w *watcher) mark(now int64) (feed.Mark, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.mirror.Mark(now), w.mirror.Known()
+}
+
+// confirm takes in what a peer holds and wakes the watcher if it holds more.
+func (w *watcher) confirm(now int64, mark feed.Mark) {
+	w.mu.Lock()
+	behind := w.mirror.Confirm(now, mark)
+	w.mu.Unlock()
+	if !behind {
+		return
+	}
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// readStore reads the whole table.
+func (w *watcher) readStore(ctx context.Context, backoff time.Duration) time.Duration {
+	began := w.edge.now()
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	batch, err := w.edge.store.Read(callCtx, w.table)
+	return w.finish(ctx, began, batch, err, backoff)
+}
+
+// changes reads what is new in the table.
+func (w *watcher) changes(ctx context.Context, after uint64, wait, backoff time.Duration) time.Duration {
+	began := w.edge.now()
+	callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	batch, err := w.edge.store.Changes(callCtx, w.table, after, wait)
+	if errors.Is(err, ErrHistoryGone) {
+		w.edge.log.Info("the store forgot its history; reading the whole table", "table", w.table, "after", after)
+		return w.readStore(ctx, backoff)
+	}
+	return w.finish(ctx, began, batch, err, backoff)
+}
+
+func (w *watcher) finish(ctx context.Context, began int64, batch feed.Batch, err error, backoff time.Duration) time.Duration {
+	now := w.edge.now()
+	w.edge.counters.storeCall(w.table, err)
+	if err != nil {
+		if ctx.Err() == nil {
+			w.edge.storeFailed(now, w.table, err)
+		}
+		return backoff
+	}
+	w.edge.storeSucceeded(now)
+	w.take(ctx, batch, "store")
+	return 0
+}
+
+// take applies a batch and hands the changes to the control loop.
+func (w *watcher) take(ctx context.Context, batch feed.Batch, source string) {
+	now := w.edge.now()
+	w.mu.Lock()
+	first := !w.mirror.Known()
+	rows := w.mirror.Apply(now, batch)
+	w.mu.Unlock()
+	if len(rows) == 0 && !first {
+		return
+	}
+	event := tableEvent{table: w.table, rows: rows, outageEnded: w.edge.storeView.lastOutage(), source: source}
+	select {
+	case w.edge.events <- event:
+	case <-ctx.Done():
+	}
+}
+
+// readPeer reads what is new in the table from another gateway.
+func (w *watcher) readPeer(ctx context.Context, address string, after uint64) bool {
+	callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	batch, err := fetchFromPeer(callCtx, address, w.table, after)
+	w.edge.counters.peerRead(err)
+	if err != nil {
+		w.edge.log.Debug("gateway did not hand over a table", "table", w.table, "gateway", address, "error", err)
+		return false
+	}
+	if batch.OutageEnded > 0 {
+		w.edge.storeView.heardOutage(w.edge.now() - batch.OutageEnded)
+	}
+	w.take(ctx, batch, address)
+	return true
+}
+
+// after returns the changes after a version for another gateway.
+func (w *watcher) after(version uint64) (feed.Batch, bool) {
+	now := w.edge.now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.mirror.Known() {
+		return feed.Batch{}, false
+	}
+	batch := w.mirror.After(now, version)
+	if ended := w.edge.storeView.lastOutage(); ended != 0 {
+		batch.OutageEnded = now - ended
+	}
+	return batch, true
+}
+
+func (e *Edge) storeFailed(now int64, table feed.Table, err error) {
+	if !e.storeView.unreachable.Load() {
+		e.log.Warn("lost the store; the last view stays in force", "table", table, "error", err)
+	}
+	e.storeView.failed(now)
+}
+
+func (e *Edge) storeSucceeded(now int64) {
+	if e.storeView.unreachable.Load() {
+		e.log.Info("reached the store again")
+	}
+	e.storeView.succeeded(now)
+}
--- /dev/null
+++ b/pkg/feed/mirror.go
@@ -0,0 +1,170 @@
+// Package feed keeps copies of the tables that a gateway follows: the operators'
+// configuration and the entries of the servers. A copy says which version of
+// the table it holds and when the store last confirmed it, so that gateways can
+// take changes from each other and still know how old their view is. The package
+// does no I/O, starts no goroutine and reads no clock: times are nanoseconds on
+// the gateway's monotonic clock.
+package feed
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Table names a followed table.
+type Table string
+
+// The followed tables.
+const (
+	Config  Table = "config"
+	Servers Table = "servers"
+)
+
+// Tables returns all followed tables.
+func Tables() []Table {
+	return []Table{Config, Servers}
+}
+
+// Row is one row of a table.
+type Row struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value,omitempty"`
+	// Version is that of the transaction that last wrote or deleted the row.
+	Version uint64 `json:"version"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+// Batch is a read of a table: all of it, or the changes after a version.
+type Batch struct {
+	Rows []Row `json:"rows"`
+	// Full says that the rows are the whole table.
+	Full bool `json:"full,omitempty"`
+	// AsOf is the version of the store that the reader holds after the batch.
+	AsOf uint64 `json:"asOf"`
+	// Age is how long ago the store confirmed AsOf, in nanoseconds.
+	Age int64 `json:"age"`
+	// OutageEnded is how long ago the store came back after an outage, in
+	// nanoseconds, 0 if there was none.
+	OutageEnded int64 `json:"outageEnded,omitempty"`
+}
+
+// Mark says what a gateway holds of a table.
+type Mark struct {
+	// Changed is the version of the newest change that it holds.
+	Changed uint64
+	// AsOf is the version of the store up to which it holds all changes.
+	AsOf uint64
+	// Age is how long ago the store confirmed AsOf, in nanoseconds.
+	Age int64
+}
+
+// Mirror is a copy of one table. It is not safe for concurrent use. The zero
+// value is an empty copy that was never read.
+type Mirror struct {
+	rows map[string]Row
+	// floor is the version below which deletions are not known.
+	floor       uint64
+	changed     uint64
+	asOf        uint64
+	confirmedAt int64
+}
+
+// Known reports whether the table was read.
+func (m *Mirror) Known() bool {
+	return m.rows != nil
+}
+
+// AsOf returns the version up to which the copy holds all changes.
+func (m *Mirror) AsOf() uint64 {
+	return m.asOf
+}
+
+// ConfirmedAt returns when the store last confirmed the copy.
+func (m *Mirror) ConfirmedAt() int64 {
+	return m.confirmedAt
+}
+
+// Apply takes a batch in and returns the rows that changed. A batch that is
+// older than the copy changes nothing.
+func (m *Mirror) Apply(now int64, batch Batch) []Row {
+	if batch.AsOf < m.asOf || (!batch.Full && !m.Known()) {
+		return nil
+	}
+	var changes []Row
+	if batch.Full {
+		changes = m.replace(batch)
+	} else {
+		changes = m.merge(batch.Rows)
+	}
+	m.asOf = batch.AsOf
+	m.confirmedAt = max(m.confirmedAt, now-batch.Age)
+	return changes
+}
+
+func (m *Mirror) merge(rows []Row) []Row {
+	var changes []Row
+	for _, row := range rows {
+		if old, ok := m.rows[row.Key]; ok && old.Version >= row.Version {
+			continue
+		}
+		m.rows[row.Key] = row
+		m.changed = max(m.changed, row.Version)
+		changes = append(changes, row)
+	}
+	return changes
+}
+
+// replace takes a whole table in; rows that it lacks were deleted.
+func (m *Mirror) replace(batch Batch) []Row {
+	old := m.rows
+	m.rows = make(map[string]Row, len(batch.Rows))
+	var changes []Row
+	for _, row := range batch.Rows {
+		m.rows[row.Key] = row
+		if before, ok := old[row.Key]; !ok || before.Version != row.Version {
+			changes = append(changes, row)
+		}
+		delete(old, row.Key)
+	}
+	for key, row := range old {
+		if !row.Deleted {
+			changes = append(changes, Row{Key: key, Version: batch.AsOf, Deleted: true})
+		}
+	}
+	m.floor = batch.AsOf
+	m.changed = max(m.changed, batch.AsOf)
+	slices.SortFunc(changes, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
+	return changes
+}
+
+// Confirm takes in that a peer holds a version with no change that the copy
+// lacks. It reports whether the peer holds changes that the copy lacks.
+func (m *Mirror) Confirm(now int64, mark Mark) (behind bool) {
+	if !m.Known() || mark.Changed > m.asOf {
+		return mark.AsOf > 0
+	}
+	if mark.AsOf >= m.asOf {
+		m.asOf = mark.AsOf
+		m.confirmedAt = max(m.confirmedAt, now-mark.Age)
+	}
+	return false
+}
+
+// Mark describes the copy.
+func (m *Mirror) Mark(now int64) Mark {
+	return Mark{Changed: m.changed, AsOf: m.asOf, Age: now - m.confirmedAt}
+}
+
+// After returns what has changed since a version, or the whole table if the
+// deletions since then are not known.
+func (m *Mirror) After(now int64, version uint64) Batch {
+	batch := Batch{AsOf: m.asOf, Age: now - m.confirmedAt, Full: version < m.floor}
+	for _, row := range m.rows {
+		if batch.Full && row.Deleted || !batch.Full && row.Version <= version {
+			continue
+		}
+		batch.Rows = append(batch.Rows, row)
+	}
+	slices.SortFunc(batch.Rows, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
+	return batch
+}
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -157,6 +157,10 @@
 	// Address is host:port of the server, or of the gateway's peer listener.
 	Address string  `json:"address"`
 	State   VMState `json:"state"`
+	// Slots is how many requests a server runs at once, 0 if the list does not say.
+	Slots int `json:"slots,omitempty"`
+	// WarmupMillis is how much longer a server is slow after its start.
+	WarmupMillis int64 `json:"warmupMillis,omitempty"`
 }
 
 // VMList is the platform's list of VMs, which lags behind reality.
--- a/pkg/preset/preset.go
+++ b/pkg/preset/preset.go
@@ -29,6 +29,7 @@
 	PolicyPowerOfTwo    Policy = "power-of-two"
 	PolicyWeightedLoad  Policy = "weighted-load"
 	PolicyHotCold       Policy = "hot-cold"
+	PolicyPaced         Policy = "paced"
 )
 
 // Class names a route class, which decides on timeouts and on what may be
@@ -68,6 +69,11 @@
 	RetryPercent float64 `json:"retryPercent"`
 	// HedgePercent is the budget for hedges in percent of recent calls.
 	HedgePercent float64 `json:"hedgePercent"`
+	// RetryFloor is added to the budget for retries: attempts in 10 s whatever
+	// the traffic. 0 means that the budget is at least one attempt.
+	RetryFloor float64 `json:"-"`
+	// RetryErrors allows another attempt of an idempotent call after a 5xx answer.
+	RetryErrors bool `json:"-"`
 }
 
 // Timeout returns TimeoutMillis as a duration.
@@ -87,6 +93,11 @@
 	QueueFactor float64 `json:"queueFactor,omitempty"`
 	// QueueMillis is how long a call may wait for admission.
 	QueueMillis int64 `json:"queueMillis,omitempty"`
+	// DomainByteNanos and RegionByteNanos are the price of a byte that crosses to
+	// another failure domain or region, as the delay in nanoseconds that is worth
+	// as much. Only the policy paced weighs them.
+	DomainByteNanos float64 `json:"-"`
+	RegionByteNanos float64 `json:"-"`
 }
 
 // Measuring holds the budgets for measuring server state, for the whole fleet.
@@ -112,4 +123,6 @@
 	Preset   *Preset
 	// Document is the JSON text as stored.
 	Document []byte
+	// Routing is set if the routes come with the version and not from settings.
+	Routing *Routing
 }
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -1,8 +1,11 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"io"
+	"maps"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -22,6 +25,7 @@
 	errDenied   = errors.New("the attempt must not be sent")
 	errLost     = errors.New("another attempt answered first")
 	errDone     = errors.New("the call ended")
+	errForeign  = errors.New("the answer does not belong to the request")
 )
 
 // attempt is one try to get the answer from one server. send runs in one
@@ -51,9 +55,11 @@
 	// guarded is why the crash guard refused the attempt.
 	guarded string
 
-	response *http.Response
-	err      error
-	end      retry.End
+	dispatch  Dispatch
+	response  *http.Response
+	judgement Judgement
+	err       error
+	end       retry.End
 }
 
 func (c *call) newAttempt(server *routing.Server) *attempt {
@@ -99,7 +105,7 @@
 	a.end = a.classify()
 	now := c.proxy.config.Now()
 	if a.response != nil {
-		observe(a.server, a.response, now, now-a.started)
+		a.observe(now)
 	} else {
 		if a.serverFailed() {
 			a.server.Stats.Failure()
@@ -138,13 +144,61 @@
 func (a *attempt) roundTrip() {
 	c := a.call
 	trace := &httptrace.ClientTrace{GotConn: a.gotConn, Got1xxResponse: a.got1xx}
-	request := c.outgoingRequest(a.server, a.number).WithContext(httptrace.WithClientTrace(a.ctx, trace))
+	a.dispatch = c.dispatch(a.server, a.number)
+	request := c.outgoingRequest(a.server, a.dispatch).WithContext(httptrace.WithClientTrace(a.ctx, trace))
 	c.body.watch(func() { a.cancel(errIdle) })
 	fresh := a.fresh || c.safety != retry.Idempotent
-	a.response, a.err = c.proxy.config.Servers.RoundTrip(c.route.Service, fresh, request)
+	a.response, a.err = c.proxy.config.Servers.RoundTrip(c.target, fresh, request)
 	if a.err != nil {
 		a.response = nil
+		return
+	}
+	a.judgement = c.proxy.config.Dialect.Judge(a.response, a.dispatch)
+	switch a.judgement {
+	case JudgedForeign, JudgedUnvouched:
+		a.dropAnswer(errForeign)
+	default:
+		a.readAnswer()
+	}
+}
+
+// dropAnswer gives up an answer that must not be passed on, and its connection.
+func (a *attempt) dropAnswer(cause error) {
+	a.err = cause
+	_ = a.response.Body.Close()
+	if a.conn != nil && !a.conn.shared {
+		_ = a.conn.Close()
 	}
+	a.response = nil
+}
+
+// readAnswer reads the beginning of the answer's body. A body that breaks off
+// within it is a failure of the attempt, and one that ends has a length.
+func (a *attempt) readAnswer() {
+	limit := a.call.proxy.config.BufferAnswer
+	body := a.response.Body
+	if limit == 0 || body == http.NoBody || a.response.StatusCode == http.StatusSwitchingProtocols {
+		return
+	}
+	data, err := io.ReadAll(io.LimitReader(body, int64(limit)+1))
+	switch {
+	case err != nil:
+		a.judgement = JudgedForeign
+		a.dropAnswer(err)
+	case len(data) > limit:
+		a.response.Body = joinedBody{io.MultiReader(bytes.NewReader(data), body), body}
+	default:
+		_ = body.Close()
+		a.response.Body = io.NopCloser(bytes.NewReader(data))
+		a.response.ContentLength = int64(len(data))
+		a.response.TransferEncoding = nil
+	}
+}
+
+// joinedBody reads what was buffered and then the rest of a body.
+type joinedBody struct {
+	io.Reader
+	io.Closer
 }
 
 // gotConn runs immediately before the request is written.
@@ -224,11 +278,10 @@
 func (a *attempt) classify() retry.End {
 	o := retry.Observation{}
 	if a.response != nil {
-		o.Written = true
-		o.Status = a.response.StatusCode
-		// On a successful answer the guarantee would contradict the status.
-		o.NotRun = o.Status >= http.StatusBadRequest && a.response.Header.Get(outcomeHeader) == string(NotRun)
-		return retry.Classify(o)
+		return endOf(a.judgement, a.response.StatusCode)
+	}
+	if a.judgement == JudgedUnvouched {
+		return retry.Shed
 	}
 	o.NotRun = refusedStream(a.err) && !a.resent
 	o.Written = a.written()
@@ -286,9 +339,10 @@
 // informer passes informational answers to the caller until the final answer
 // begins.
 type informer struct {
-	mu     sync.Mutex
-	w      http.ResponseWriter
-	closed bool
+	dialect Dialect
+	mu      sync.Mutex
+	w       http.ResponseWriter
+	closed  bool
 }
 
 func (i *informer) send(code int, header http.Header) {
@@ -298,12 +352,12 @@
 		return
 	}
 	to := i.w.Header()
-	id := to[requestIDHeader]
+	kept := to.Clone()
 	clear(to)
-	copyAnswerHeader(to, header)
+	copyAnswerHeader(i.dialect, to, header)
 	i.w.WriteHeader(code)
 	clear(to)
-	to[requestIDHeader] = id
+	maps.Copy(to, kept)
 }
 
 func (i *informer) close() {
--- a/pkg/proxy/body.go
+++ b/pkg/proxy/body.go
@@ -51,8 +51,18 @@
 	overflowed bool
 	// prefix was read from the source and is delivered first.
 	prefix []byte
+	// keepLimit is how much of a streamed body is kept for another attempt, 0 for
+	// nothing.
+	keepLimit int
 
 	mu sync.Mutex
+	// readEnded is signalled when a read from the caller returns.
+	readEnded sync.Cond
+	// kept is the beginning of the body; offset is where the last attempt reads in
+	// it. It is empty after the body has grown over keepLimit.
+	kept     []byte
+	offset   int
+	outgrown bool
 	// generation counts attempts; only the last one may read.
 	generation int
 	count      int64
@@ -81,6 +91,8 @@
 	b.c = c
 	b.limit = c.limits.MaxBodyBytes
 	b.idle = c.idle()
+	b.keepLimit = c.proxy.config.KeepBody
+	b.readEnded.L = &b.mu
 	b.present = c.r.Body != nil && c.r.Body != http.NoBody && c.r.ContentLength != 0
 	if b.present && c.r.ProtoMajor == 1 {
 		// Answers may start before the body ends; see closeIfBodyUnread.
@@ -95,7 +107,24 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return !b.consumed
+	return !b.consumed || b.keeps() && (b.err == nil || b.err == io.EOF)
+}
+
+// keeps reports whether all bytes that were read so far are kept.
+func (b *callerBody) keeps() bool {
+	return b.keepLimit > 0 && !b.outgrown
+}
+
+// keep stores bytes that were read from the caller.
+func (b *callerBody) keep(data []byte) {
+	if !b.keeps() {
+		return
+	}
+	if len(b.kept)+len(data) > b.keepLimit {
+		b.kept, b.outgrown = nil, true
+		return
+	}
+	b.kept = append(b.kept, data...)
 }
 
 // failure returns why reading from the caller failed, nil if it did not.
@@ -126,7 +155,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.generation++
-	if b.consumed {
+	b.offset = 0
+	b.readEnded.Broadcast()
+	if b.consumed && !b.keeps() {
 		// A late read of an earlier attempt took bytes; without them the body is
 		// not whole.
 		b.err = errBodyClosed
@@ -168,11 +199,24 @@
 // read serves the attempt of a generation; generation 0 reads in advance.
 func (b *callerBody) read(p []byte, generation int) (int, error) {
 	b.mu.Lock()
+	for b.reading && !b.closed && generation == b.generation {
+		// The attempt before has not returned from its last read.
+		b.readEnded.Wait()
+	}
 	if b.closed || generation != b.generation {
 		b.mu.Unlock()
 		return 0, errBodyClosed
 	}
 	b.consumed = true
+	if b.offset < len(b.kept) {
+		n := copy(p, b.kept[b.offset:])
+		b.offset += n
+		if b.stall != nil {
+			b.stall.Reset(b.idle)
+		}
+		b.mu.Unlock()
+		return n, nil
+	}
 	if len(b.prefix) > 0 {
 		n := copy(p, b.prefix)
 		b.prefix = b.prefix[n:]
@@ -199,7 +243,19 @@
 	defer b.mu.Unlock()
 	b.reading = false
 	b.moved = time.Now()
-	return b.took(n, err)
+	b.readEnded.Broadcast()
+	n, err = b.took(n, err)
+	b.keep(p[:n])
+	if generation != b.generation {
+		if !b.keeps() {
+			b.err = errBodyClosed
+		}
+		return 0, errBodyClosed
+	}
+	if b.keeps() {
+		b.offset += n
+	}
+	return n, err
 }
 
 // took accounts for one read from the caller.
@@ -281,6 +337,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.closed = true
+	b.readEnded.Broadcast()
 	if b.stall != nil {
 		b.stall.Stop()
 	}
@@ -343,14 +400,24 @@
 		b.buffered = data
 	default:
 		b.overflowed = true
-		b.mu.Lock()
-		b.prefix = data
-		b.consumed = false
-		b.mu.Unlock()
+		b.returnBytes(data)
 	}
 	return true
 }
 
+// returnBytes makes bytes that were read in advance the beginning of the body
+// again.
+func (b *callerBody) returnBytes(data []byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.consumed = false
+	if b.keeps() {
+		b.offset = 0
+		return
+	}
+	b.prefix = data
+}
+
 // closeIfBodyUnread makes an HTTP/1.1 connection end after the answer if the
 // body has not been read to its end: what follows on the connection could
 // otherwise be taken for a request. Connections with chunked requests are
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"balsamhill/pkg/admission"
@@ -21,10 +22,13 @@
 
 // service is what traffic remembers about one service.
 type service struct {
-	limiter  admission.Limiter
-	retries  retry.Budget
-	hedges   retry.Budget
-	latency  retry.Delay
+	limiter admission.Limiter
+	retries retry.Budget
+	hedges  retry.Budget
+	latency retry.Delay
+	// work is the moving average of the time that a call takes on an idle server
+	// at its usual pace, in nanoseconds, 0 before the first sample.
+	work     atomic.Int64
 	Counters *serviceMetrics
 }
 
@@ -44,11 +48,15 @@
 
 // call is one caller's request on its way. It belongs to the handler's goroutine.
 type call struct {
-	proxy     *Proxy
-	w         http.ResponseWriter
-	r         *http.Request
-	control   *http.ResponseController
-	route     routing.Route
+	proxy   *Proxy
+	w       http.ResponseWriter
+	r       *http.Request
+	control *http.ResponseController
+	route   *routing.Route
+	// revision is that of the preset that the call sees.
+	revision uint64
+	// target is the name of the service that receives the call.
+	target    string
 	service   *service
 	limits    preset.Limits
 	view      *routing.ServiceView
@@ -80,6 +88,8 @@
 	tried       []*routing.Server
 	triedBuf    [2]*routing.Server
 	sent        int
+	// refused counts the attempts that certainly did not run.
+	refused int
 }
 
 var randPool = sync.Pool{New: func() any {
@@ -103,10 +113,11 @@
 func (c *call) serve(limits preset.Limits, view *routing.ServiceView) {
 	c.limits = limits
 	c.view = view
-	c.deadline = retry.Deadline(c.arrived, limits.Timeout(), c.r.Header.Get(timeoutHeader))
+	c.deadline = retry.Deadline(c.arrived, limits.Timeout(), c.proxy.config.Dialect.WaitMillis(c.r.Header))
 	c.base = c.r.Context()
 	c.tried = c.triedBuf[:0]
 	c.informer.w = c.w
+	c.informer.dialect = c.proxy.config.Dialect
 	c.service.retries.Call(c.arrived)
 	c.service.hedges.Call(c.arrived)
 	if limits.MaxBodyBytes > 0 && c.r.ContentLength > limits.MaxBodyBytes {
@@ -163,7 +174,7 @@
 
 func (c *call) refuseWithoutServer() {
 	c.proxy.config.Metrics.noServer.Inc()
-	c.refuse(http.StatusServiceUnavailable, "no server of "+c.route.Service+" is available")
+	c.refuse(http.StatusServiceUnavailable, "no server of "+c.target+" is available")
 }
 
 // choose returns a server that was not tried yet, nil if there is none.
@@ -173,13 +184,28 @@
 	}
 	random := randPool.Get().(*rand.Rand)
 	defer randPool.Put(random)
-	server := c.view.Choose(routing.Pick{Rand: random, Now: c.proxy.config.Now(), Tried: c.tried})
+	server := c.view.Choose(c.pick(random))
 	if server != nil {
 		c.tried = append(c.tried, server)
 	}
 	return server
 }
 
+// pick describes the call to the policy.
+func (c *call) pick(random *rand.Rand) routing.Pick {
+	return routing.Pick{
+		Rand:  random,
+		Now:   c.proxy.config.Now(),
+		Tried: c.tried,
+		Work:  c.service.work.Load(),
+		Bytes: usualAnswerBytes + max(0, c.r.ContentLength),
+	}
+}
+
+// usualAnswerBytes stands for the answer and both headers when the price of the
+// distance is weighed.
+const usualAnswerBytes = 2 << 10
+
 // admit waits for a place among the calls in flight of the service.
 func (c *call) admit() bool {
 	now := c.proxy.config.Now()
@@ -193,7 +219,7 @@
 		return true
 	}
 	c.proxy.config.Metrics.shed[verdict].Inc()
-	c.refuse(http.StatusServiceUnavailable, "too many calls of "+c.route.Service+" are in flight")
+	c.refuse(http.StatusServiceUnavailable, "too many calls of "+c.target+" are in flight")
 	return false
 }
 
@@ -239,23 +265,51 @@
 // mayTryAgain reports whether another server may be tried after an attempt.
 // It takes from the retry budget if so.
 func (c *call) mayTryAgain(last *attempt) bool {
-	if c.sent > 1 || last.denied || !retry.MayAskAgain(c.incomingAttempt) {
+	if !c.mayRunAgain() || last.denied || !retry.MayAskAgain(c.incomingAttempt) {
 		return false
 	}
-	if !retry.MayTryAgain(c.safety, last.end) || !c.body.replayable() {
+	if !c.mayFollow(last) || !c.body.replayable() {
 		return false
 	}
 	now := c.proxy.config.Now()
 	if retry.Expired(now, c.deadline) || c.base.Err() != nil {
 		return false
 	}
-	if !c.service.retries.Take(now, c.limits.RetryPercent) {
+	if !c.service.retries.Take(now, c.limits.RetryPercent, c.limits.RetryFloor) {
 		c.service.Counters.retriesDenied.Inc()
 		return false
 	}
 	return true
 }
 
+const (
+	// defaultAttempts is the number of servers that may run a call of a route that
+	// does not say.
+	defaultAttempts = 2
+	// maxSends bounds the attempts of a call that servers refuse.
+	maxSends = 4
+)
+
+// mayRunAgain reports whether the route allows another server to run the call.
+func (c *call) mayRunAgain() bool {
+	return c.sent-c.refused < c.maxAttempts() && c.sent < maxSends
+}
+
+func (c *call) maxAttempts() int {
+	if c.route.MaxAttempts > 0 {
+		return c.route.MaxAttempts
+	}
+	return defaultAttempts
+}
+
+// mayFollow reports whether the end of an attempt allows another one.
+func (c *call) mayFollow(last *attempt) bool {
+	if last.end == retry.ServerError && c.limits.RetryErrors {
+		return c.safety == retry.Idempotent
+	}
+	return retry.MayTryAgain(c.safety, last.end)
+}
+
 // sequence sends attempts one after the other.
 func (c *call) sequence(server *routing.Server) *attempt {
 	for {
@@ -289,11 +343,25 @@
 // record takes note of how an attempt ended.
 func (c *call) record(a *attempt) {
 	c.log.Add(a.end)
+	if a.end.DidNotRun() {
+		c.refused++
+	}
+	c.observe(a)
 	c.service.Counters.attempts[a.end].Inc()
 }
 
 // conclude hands the last attempt's result to the caller.
 func (c *call) conclude(a *attempt) {
+	if a.response != nil && a.end == retry.RefusedNotRun && c.proxy.config.ReplaceRefusals {
+		a.done()
+		c.proxy.config.Metrics.failed[a.end].Inc()
+		status := http.StatusServiceUnavailable
+		if !c.log.DidNotRun() {
+			status = http.StatusBadGateway
+		}
+		c.refuse(status, "the servers of "+c.target+" refused the call")
+		return
+	}
 	if a.response != nil {
 		c.headerAt = c.proxy.config.Now()
 		c.deliver(a)
@@ -316,7 +384,7 @@
 	case a.timedOut():
 		status, detail = http.StatusGatewayTimeout, "the server did not answer in time"
 	case a.end == retry.NeverWritten:
-		status, detail = http.StatusServiceUnavailable, "no connection to a server of "+c.route.Service
+		status, detail = http.StatusServiceUnavailable, "no connection to a server of "+c.target
 	}
 	c.proxy.config.Metrics.failed[a.end].Inc()
 	c.refuse(status, detail)
--- a/pkg/proxy/check.go
+++ b/pkg/proxy/check.go
@@ -24,7 +24,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	boundUnreadBody(w, r)
-	refuse(w, status, outcomeWithoutService(r), detail)
+	p.refuse(w, status, outcomeWithoutService(r), detail)
 	return false
 }
 
--- a/pkg/proxy/deliver.go
+++ b/pkg/proxy/deliver.go
@@ -34,9 +34,9 @@
 		return
 	}
 	header := c.w.Header()
-	copyAnswerHeader(header, a.response.Header)
+	copyAnswerHeader(c.proxy.config.Dialect, header, a.response.Header)
 	c.setOutcome(a)
-	announceTrailers(header, a.response.Trailer)
+	announceTrailers(c.proxy.config.Dialect, header, a.response.Trailer)
 	if len(a.response.Trailer) > 0 && c.r.ProtoMajor == 1 && c.r.Method != http.MethodHead {
 		// HTTP/1.1 has trailers after chunks only; HTTP/2 also after a length.
 		header.Del("Content-Length")
@@ -55,7 +55,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	c.proxy.config.Metrics.answered.Inc()
-	deliverTrailers(header, a.response.Trailer)
+	deliverTrailers(c.proxy.config.Dialect, header, a.response.Trailer)
 }
 
 // framed reports whether the end of an answer's body can be told from a broken
@@ -76,18 +76,18 @@
 }
 
 // announceTrailers declares the trailers that the server declared.
-func announceTrailers(header, trailers http.Header) {
+func announceTrailers(dialect Dialect, header, trailers http.Header) {
 	for name := range trailers {
-		if !hopHeaders[name] && !isPrivateAnswer(name) {
+		if !hopHeaders[name] && !dialect.Private(name) {
 			header.Add("Trailer", name)
 		}
 	}
 }
 
 // deliverTrailers sets the trailers, which have their values after the body.
-func deliverTrailers(header, trailers http.Header) {
+func deliverTrailers(dialect Dialect, header, trailers http.Header) {
 	for name, values := range trailers {
-		if hopHeaders[name] || isPrivateAnswer(name) {
+		if hopHeaders[name] || dialect.Private(name) {
 			continue
 		}
 		// The prefix also works for trailers that were not declared.
@@ -216,7 +216,7 @@
 	whole := err == nil || errors.As(err, &caller) && !errors.Is(err, io.ErrUnexpectedEOF) && a.ctx.Err() == nil
 	if whole && !record.full {
 		header := http.Header{}
-		copyAnswerHeader(header, a.response.Header)
+		copyAnswerHeader(c.proxy.config.Dialect, header, a.response.Header)
 		result.Answer = &claim.Answer{Status: a.response.StatusCode, Header: header, Body: record.body}
 	}
 	c.finish(result)
--- /dev/null
+++ b/pkg/proxy/dialect.go
@@ -0,0 +1,155 @@
+package proxy
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"balsamhill/pkg/loadreport"
+	"balsamhill/pkg/retry"
+)
+
+// Dialect is what callers, gateways and servers of a deployment say to each
+// other in headers. Implementations are safe for concurrent use.
+type Dialect interface {
+	// RequestID returns the caller's id of a request, empty if there is none that
+	// can be kept.
+	RequestID(header http.Header) string
+	// SetRequestID puts the id of a call into the header of its answer.
+	SetRequestID(header http.Header, id string)
+	// WaitMillis returns how many milliseconds the caller waits, as text; empty if
+	// it does not say.
+	WaitMillis(header http.Header) string
+	// Address completes the header of a request to a server.
+	Address(header http.Header, dispatch Dispatch)
+	// Judge says what an answer is to the request that was sent.
+	Judge(response *http.Response, dispatch Dispatch) Judgement
+	// Load returns the load that an answer reports.
+	Load(header http.Header) (loadreport.Report, bool)
+	// Private reports whether a header of an answer is meant for gateways only.
+	Private(name string) bool
+	// Refuse answers in place of a server.
+	Refuse(w http.ResponseWriter, refusal Refusal)
+}
+
+// Dispatch is one request to one server.
+type Dispatch struct {
+	RequestID string
+	ServerID  string
+	// Attempt counts the requests of one call from 1, over all gateways.
+	Attempt int
+	// LeftMillis is the time until the call's deadline, 0 for no deadline.
+	LeftMillis int64
+}
+
+// Judgement says what an answer is.
+type Judgement int
+
+const (
+	// JudgedOwn is the final answer to the request.
+	JudgedOwn Judgement = iota
+	// JudgedNotRun is a refusal that guarantees that the request did not run.
+	JudgedNotRun
+	// JudgedWrongServer is the refusal of another server at the same address.
+	JudgedWrongServer
+	// JudgedUnvouched has a status that promises that the request did not run, but
+	// lacks the guarantee.
+	JudgedUnvouched
+	// JudgedForeign is not an answer to the request. Its connection is closed.
+	JudgedForeign
+)
+
+// Refusal is an answer in place of a server.
+type Refusal struct {
+	Status  int
+	Outcome Outcome
+	Detail  string
+	// RetryAfter is when the caller may try again, 0 for no advice.
+	RetryAfter time.Duration
+}
+
+// ownDialect is the dialect of balsamhill itself.
+type ownDialect struct{}
+
+var _ Dialect = ownDialect{}
+
+func (ownDialect) RequestID(header http.Header) string {
+	values := header[requestIDHeader]
+	if len(values) == 1 && validRequestID(values[0]) {
+		return values[0]
+	}
+	return ""
+}
+
+func (ownDialect) SetRequestID(header http.Header, id string) {
+	header[requestIDHeader] = []string{id}
+}
+
+func (ownDialect) WaitMillis(header http.Header) string {
+	return header.Get(timeoutHeader)
+}
+
+func (ownDialect) Address(header http.Header, dispatch Dispatch) {
+	values := make(headerValues, 0, addedHeaders)
+	values.set(header, requestIDHeader, dispatch.RequestID)
+	values.set(header, attemptHeader, strconv.Itoa(dispatch.Attempt))
+	delete(header, timeoutHeader)
+	if dispatch.LeftMillis > 0 {
+		values.set(header, timeoutHeader, strconv.FormatInt(dispatch.LeftMillis, 10))
+	}
+}
+
+// Judge implements Dialect. On a successful answer the guarantee would contradict
+// the status.
+func (ownDialect) Judge(response *http.Response, _ Dispatch) Judgement {
+	if response.StatusCode >= http.StatusBadRequest && response.Header.Get(outcomeHeader) == string(NotRun) {
+		return JudgedNotRun
+	}
+	return JudgedOwn
+}
+
+func (ownDialect) Load(header http.Header) (loadreport.Report, bool) {
+	inFlight, ok := loadreport.InFlight(header)
+	return loadreport.Report{InFlight: inFlight}, ok
+}
+
+func (ownDialect) Private(name string) bool {
+	return name == loadreport.Header || name == requestIDHeader || strings.HasPrefix(name, internalPrefix)
+}
+
+// problem is the body of a refusal (RFC 9457).
+type problem struct {
+	Title   string  `json:"title"`
+	Status  int     `json:"status"`
+	Detail  string  `json:"detail"`
+	Outcome Outcome `json:"outcome"`
+}
+
+func (ownDialect) Refuse(w http.ResponseWriter, refusal Refusal) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.Header().Set(outcomeHeader, string(refusal.Outcome))
+	w.WriteHeader(refusal.Status)
+	// An error here means that the caller has gone away.
+	_ = json.NewEncoder(w).Encode(problem{
+		Title:   http.StatusText(refusal.Status),
+		Status:  refusal.Status,
+		Detail:  refusal.Detail,
+		Outcome: refusal.Outcome,
+	})
+}
+
+// endOf maps a judgement of an answer to how its attempt ended.
+func endOf(judgement Judgement, status int) retry.End {
+	switch judgement {
+	case JudgedNotRun, JudgedWrongServer:
+		return retry.RefusedNotRun
+	case JudgedUnvouched:
+		return retry.Shed
+	case JudgedForeign:
+		return retry.Broken
+	default:
+		return retry.Classify(retry.Observation{Written: true, Status: status})
+	}
+}
--- a/pkg/proxy/forwarded.go
+++ b/pkg/proxy/forwarded.go
@@ -45,6 +45,9 @@
 // forwarding adds the peer to X-Forwarded-For, and to Forwarded if a trusted
 // proxy uses it. Headers of untrusted peers are not in the map any more.
 func (c *call) forwarding(to http.Header, values *headerValues) {
+	if _, own := c.proxy.config.Dialect.(ownDialect); !own {
+		return
+	}
 	scheme := "http"
 	if c.r.TLS != nil {
 		scheme = "https"
@@ -82,10 +85,9 @@
 
 // requestID keeps the id of the caller, so that logs of several systems can be
 // joined, unless it is too long or could break a log line.
-func requestID(r *http.Request) string {
-	values := r.Header[requestIDHeader]
-	if len(values) == 1 && validRequestID(values[0]) {
-		return values[0]
+func (p *Proxy) requestID(r *http.Request) string {
+	if id := p.config.Dialect.RequestID(r.Header); id != "" {
+		return id
 	}
 	var raw [16]byte
 	binary.BigEndian.PutUint64(raw[:8], rand.Uint64())
--- a/pkg/proxy/headers.go
+++ b/pkg/proxy/headers.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"strings"
 
-	"balsamhill/pkg/loadreport"
 	"balsamhill/pkg/retry"
 	"balsamhill/pkg/routing"
 )
@@ -49,7 +48,7 @@
 
 // outgoingRequest builds the request of one attempt. Slices of header values are
 // shared with the caller's request and are not changed.
-func (c *call) outgoingRequest(server *routing.Server, number int) *http.Request {
+func (c *call) outgoingRequest(server *routing.Server, dispatch Dispatch) *http.Request {
 	r := c.r
 	out := &http.Request{
 		Method: r.Method,
@@ -62,7 +61,7 @@
 		Proto:      "HTTP/1.1",
 		ProtoMajor: 1,
 		ProtoMinor: 1,
-		Header:     c.outgoingHeader(number),
+		Header:     c.outgoingHeader(dispatch),
 	}
 	if r.Host == "" {
 		out.Host = server.Address
@@ -76,7 +75,7 @@
 	return out
 }
 
-func (c *call) outgoingHeader(number int) http.Header {
+func (c *call) outgoingHeader(dispatch Dispatch) http.Header {
 	from := c.r.Header
 	to := make(http.Header, len(from)+addedHeaders)
 	values := make(headerValues, 0, addedHeaders)
@@ -105,16 +104,22 @@
 		// Keeps http.Transport from adding its own.
 		to["User-Agent"] = nil
 	}
-	values.set(to, requestIDHeader, c.requestID)
-	values.set(to, attemptHeader, strconv.Itoa(retry.OutgoingAttempt(c.incomingAttempt, number)))
-	delete(to, timeoutHeader)
-	if left, ok := retry.RemainingMillis(c.proxy.config.Now(), c.deadline); ok {
-		values.set(to, timeoutHeader, strconv.FormatInt(left, 10))
-	}
+	c.proxy.config.Dialect.Address(to, dispatch)
 	c.forwarding(to, &values)
 	return to
 }
 
+// dispatch describes the next request to a server.
+func (c *call) dispatch(server *routing.Server, number int) Dispatch {
+	left, _ := retry.RemainingMillis(c.proxy.config.Now(), c.deadline)
+	return Dispatch{
+		RequestID:  c.requestID,
+		ServerID:   server.ID,
+		Attempt:    retry.OutgoingAttempt(c.incomingAttempt, number),
+		LeftMillis: left,
+	}
+}
+
 // addedHeaders is how many headers the gateway adds to a request.
 const addedHeaders = 8
 
@@ -163,10 +168,10 @@
 
 // copyAnswerHeader passes a server's headers on. What servers tell gateways
 // stays between them.
-func copyAnswerHeader(to, from http.Header) {
+func copyAnswerHeader(dialect Dialect, to, from http.Header) {
 	named := connectionNames(from)
 	for name, values := range from {
-		if hopHeaders[name] || (named != nil && named[name]) || isPrivateAnswer(name) {
+		if hopHeaders[name] || (named != nil && named[name]) || dialect.Private(name) {
 			continue
 		}
 		to[name] = values
@@ -177,10 +182,6 @@
 	}
 }
 
-func isPrivateAnswer(name string) bool {
-	return name == loadreport.Header || name == requestIDHeader || strings.HasPrefix(name, internalPrefix)
-}
-
 // attemptNumber reads Balsamhill-Attempt; invalid values count as 0.
 func attemptNumber(value string) int {
 	number, err := strconv.Atoi(value)
--- a/pkg/proxy/keyed.go
+++ b/pkg/proxy/keyed.go
@@ -15,7 +15,7 @@
 func (c *call) claimIdentity() claim.Call {
 	if c.claimCall.Key == "" {
 		c.claimCall = claim.Call{
-			Service:     c.route.Service,
+			Service:     c.target,
 			Key:         c.key,
 			Fingerprint: c.requestFingerprint(),
 			Arrived:     c.arrived,
@@ -106,12 +106,12 @@
 func (c *call) answerClaim(status int, outcome Outcome, detail string) {
 	c.proxy.config.Metrics.outcomes[outcome].Inc()
 	c.closeIfBodyUnread()
-	refuse(c.w, status, outcome, detail)
+	c.proxy.refuse(c.w, status, outcome, detail)
 }
 
 // replay sends the recorded answer of the run.
 func (c *call) replay(answer *claim.Answer) {
-	copyAnswerHeader(c.w.Header(), answer.Header)
+	copyAnswerHeader(c.proxy.config.Dialect, c.w.Header(), answer.Header)
 	c.w.Header().Set(replayHeader, "answer")
 	c.closeIfBodyUnread()
 	c.w.WriteHeader(answer.Status)
@@ -172,7 +172,7 @@
 // server's consent (Expect: 100-continue).
 func (c *call) crashFingerprint() crashguard.Fingerprint {
 	digest := xxhash.New()
-	writeField(digest, c.route.Service)
+	writeField(digest, c.target)
 	writeField(digest, c.r.Method)
 	writeField(digest, c.r.URL.Path)
 	switch {
@@ -192,7 +192,7 @@
 	if !b.replayable() {
 		return nil
 	}
-	if len(b.prefix) == 0 {
+	if len(b.prefix) == 0 && len(b.kept) == 0 {
 		data := make([]byte, limit)
 		wanted := int(min(int64(limit), max(1, b.c.r.ContentLength)))
 		read := 0
@@ -203,10 +203,13 @@
 				break
 			}
 		}
-		b.mu.Lock()
-		b.prefix = data[:read]
-		b.consumed = false
-		b.mu.Unlock()
+		b.returnBytes(data[:read])
 	}
-	return b.prefix[:min(len(b.prefix), limit)]
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	first := b.prefix
+	if b.keeps() {
+		first = b.kept
+	}
+	return first[:min(len(first), limit)]
 }
--- a/pkg/proxy/load.go
+++ b/pkg/proxy/load.go
@@ -2,27 +2,120 @@
 
 import (
 	"net/http"
+	"time"
 
-	"balsamhill/pkg/loadreport"
-	"balsamhill/pkg/routing"
+	"balsamhill/pkg/retry"
 )
 
 const drainingHeader = "Balsamhill-Draining"
 
 // observe takes what an answer says about the server.
-func observe(server *routing.Server, response *http.Response, now, latency int64) {
+func (a *attempt) observe(now int64) {
+	response, stats := a.response, a.server.Stats
 	switch {
-	case response.StatusCode == http.StatusServiceUnavailable:
-		server.Stats.Shed()
+	case a.judgement == JudgedWrongServer:
+		// The server is gone and its address belongs to another one.
+		stats.DrainNoticedAt.Store(now)
+		return
+	case response.StatusCode == http.StatusServiceUnavailable || a.judgement == JudgedNotRun:
+		stats.Shed()
 	case response.StatusCode >= http.StatusInternalServerError:
-		server.Stats.Failure()
+		stats.Failure()
 	default:
-		server.Stats.Success(now, latency)
+		stats.Success(now, now-a.started)
+		a.learnWork(now - a.started)
 	}
-	if inFlight, ok := loadreport.InFlight(response.Header); ok {
-		server.Stats.Report(now, inFlight)
+	if report, ok := a.call.proxy.config.Dialect.Load(response.Header); ok {
+		stats.Report(now, report.InFlight)
+		if report.PacePermille > 0 {
+			stats.ReportPace(report.PacePermille)
+		}
 	}
 	if response.Header[drainingHeader] != nil {
-		server.Stats.DrainNoticedAt.Store(now)
+		stats.DrainNoticedAt.Store(now)
 	}
 }
+
+// workWeight is the weight of a sample in the moving average of the work.
+const workWeight = 0.05
+
+// learnWork takes a latency into the average work of the service. Only answers
+// of a server whose pace is known are samples.
+func (a *attempt) learnWork(latency int64) {
+	pace := a.server.Stats.ReportedPace()
+	if pace == 0 {
+		return
+	}
+	sample := int64(float64(max(0, latency-a.server.Penalty)) / pace)
+	work := &a.call.service.work
+	old := work.Load()
+	if old == 0 {
+		work.Store(sample)
+		return
+	}
+	// A lost update of the average is harmless, so no compare-and-swap loop.
+	work.Store(old + int64(workWeight*float64(sample-old)))
+}
+
+// Observer is told of calls that did not go as usual. It must not block.
+type Observer interface {
+	// AttemptFailed is told of each attempt without a final answer.
+	AttemptFailed(AttemptEvent)
+	// CallRefused is told of each answer in place of a server.
+	CallRefused(RefusalEvent)
+}
+
+// AttemptEvent describes a failed attempt.
+type AttemptEvent struct {
+	RequestID string
+	Route     string
+	Service   string
+	ServerID  string
+	Attempt   int
+	End       retry.End
+	Took      time.Duration
+	Err       error
+	// InFlight, Pace and ReportAge are what the choice of the server was based on.
+	InFlight  float64
+	Pace      float64
+	ReportAge time.Duration
+	// Revision is that of the configuration that the call saw.
+	Revision uint64
+}
+
+// RefusalEvent describes an answer in place of a server.
+type RefusalEvent struct {
+	RequestID string
+	Route     string
+	Service   string
+	Status    int
+	Outcome   Outcome
+	Detail    string
+	Attempts  int
+	Took      time.Duration
+	Revision  uint64
+}
+
+// observe tells the observer of an attempt that failed.
+func (c *call) observe(a *attempt) {
+	observer := c.proxy.config.Observer
+	if observer == nil || a.end == retry.Answered {
+		return
+	}
+	now := c.proxy.config.Now()
+	stats := a.server.Stats
+	observer.AttemptFailed(AttemptEvent{
+		RequestID: c.requestID,
+		Route:     c.route.Name,
+		Service:   c.target,
+		ServerID:  a.server.ID,
+		Attempt:   a.number,
+		End:       a.end,
+		Took:      time.Duration(now - a.started),
+		Err:       a.err,
+		InFlight:  stats.EstimatedInFlight(now),
+		Pace:      stats.ReportedPace(),
+		ReportAge: time.Duration(now - stats.ReportedAt()),
+		Revision:  c.revision,
+	})
+}
--- a/pkg/proxy/outcome.go
+++ b/pkg/proxy/outcome.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"time"
 
@@ -20,28 +19,19 @@
 	Unknown Outcome = "unknown"
 )
 
-// problem is the body of a refusal (RFC 9457).
-type problem struct {
-	Title   string  `json:"title"`
-	Status  int     `json:"status"`
-	Detail  string  `json:"detail"`
-	Outcome Outcome `json:"outcome"`
-}
-
 // refuse answers in place of a server.
-func refuse(w http.ResponseWriter, status int, outcome Outcome, detail string) {
-	w.Header().Set("Content-Type", "application/problem+json")
-	w.Header().Set(outcomeHeader, string(outcome))
-	w.WriteHeader(status)
-	// An error here means that the caller has gone away.
-	_ = json.NewEncoder(w).Encode(problem{
-		Title:   http.StatusText(status),
-		Status:  status,
-		Detail:  detail,
-		Outcome: outcome,
-	})
+func (p *Proxy) refuse(w http.ResponseWriter, status int, outcome Outcome, detail string) {
+	refusal := Refusal{Status: status, Outcome: outcome, Detail: detail}
+	if status == http.StatusServiceUnavailable && outcome == NotRun {
+		refusal.RetryAfter = retryAfter
+	}
+	p.config.Dialect.Refuse(w, refusal)
 }
 
+// retryAfter is when a caller of a call that did not run may come back: long
+// enough for a burst of a few calls per server to pass.
+const retryAfter = 200 * time.Millisecond
+
 // outcomeWithoutService is the outcome of a call that is refused before its
 // service is known. Whether another gateway holds an attempt of its key cannot
 // be asked then, so a call with a key gets unknown.
@@ -57,9 +47,29 @@
 	c.informer.close()
 	outcome := c.outcome()
 	c.proxy.config.Metrics.outcomes[outcome].Inc()
+	c.observeRefusal(status, outcome, detail)
 	c.closeIfBodyUnread()
 	_ = c.control.SetWriteDeadline(time.Now().Add(c.idle()))
-	refuse(c.w, status, outcome, detail)
+	c.proxy.refuse(c.w, status, outcome, detail)
+}
+
+// observeRefusal tells the observer of an answer in place of a server.
+func (c *call) observeRefusal(status int, outcome Outcome, detail string) {
+	observer := c.proxy.config.Observer
+	if observer == nil {
+		return
+	}
+	observer.CallRefused(RefusalEvent{
+		RequestID: c.requestID,
+		Route:     c.route.Name,
+		Service:   c.target,
+		Status:    status,
+		Outcome:   outcome,
+		Detail:    detail,
+		Attempts:  c.sent,
+		Took:      time.Duration(c.proxy.config.Now() - c.arrived),
+		Revision:  c.revision,
+	})
 }
 
 // outcome returns what may be said about a call that gets no answer, and ends
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -18,7 +19,21 @@
 
 // Config is what a Proxy needs.
 type Config struct {
+	// Routes applies while the snapshot has no routes of its own.
 	Routes *routing.RouteTable
+	// Dialect is nil for the headers of docs/TRAFFIC.md.
+	Dialect Dialect
+	// BufferAnswer is how many bytes of an answer are read before it is passed on.
+	// An answer that ends within them and breaks off counts as a failed attempt.
+	// 0 passes answers on as they come.
+	BufferAnswer int
+	// ReplaceRefusals answers in place of a server that refused a call.
+	ReplaceRefusals bool
+	// KeepBody is how many bytes of a streamed body are kept, so that it can be
+	// sent to another server after a refusal.
+	KeepBody int
+	// Observer may be nil.
+	Observer Observer
 	// Snapshot returns the published snapshot, nil before the first.
 	Snapshot func() *routing.Snapshot
 	// Servers carries requests to servers.
@@ -55,6 +70,9 @@
 
 // New returns a proxy.
 func New(config Config) *Proxy {
+	if config.Dialect == nil {
+		config.Dialect = ownDialect{}
+	}
 	return &Proxy{config: config}
 }
 
@@ -88,24 +106,38 @@
 	defer p.inFlight.Add(-1)
 	arrived := p.config.Now()
 	peer, _ := peerAddress(r.RemoteAddr)
-	id := requestID(r)
-	w.Header()[requestIDHeader] = []string{id}
+	id := p.requestID(r)
+	p.config.Dialect.SetRequestID(w.Header(), id)
 	if !checkRequest(p, w, r) {
 		return
 	}
-	route, ok := p.config.Routes.Match(r.Method, r.Host, r.URL.Path)
+	snapshot := p.config.Snapshot()
+	routes := p.config.Routes
+	if snapshot != nil && snapshot.Routes != nil {
+		routes = snapshot.Routes
+	}
+	if routes == nil {
+		p.config.Metrics.notReady.Inc()
+		boundUnreadBody(w, r)
+		p.refuse(w, http.StatusServiceUnavailable, outcomeWithoutService(r), "the gateway does not know its routes yet")
+		return
+	}
+	route, ok := routes.Match(r.Method, r.Host, r.URL.Path)
 	if !ok {
 		p.config.Metrics.noRoute.Inc()
 		boundUnreadBody(w, r)
-		refuse(w, http.StatusNotFound, outcomeWithoutService(r), "no route matches host "+r.Host+" and path "+r.URL.Path)
+		p.refuse(w, http.StatusNotFound, outcomeWithoutService(r), "no route matches host "+r.Host+" and path "+r.URL.Path)
 		return
 	}
+	service := chooseService(route)
 	c := &call{
 		proxy:     p,
 		w:         w,
 		r:         r,
 		route:     route,
-		service:   p.service(route.Service),
+		target:    service,
+		revision:  revisionOf(snapshot),
+		service:   p.service(service),
 		arrived:   arrived,
 		peer:      peer,
 		trusted:   p.trusts(peer),
@@ -114,14 +146,32 @@
 	}
 	c.classify()
 	defer c.end()
-	snapshot := p.config.Snapshot()
 	if snapshot == nil {
 		p.config.Metrics.notReady.Inc()
 		c.refuse(http.StatusServiceUnavailable, "the gateway does not know the preset in force yet")
 		return
 	}
 	limits := snapshot.Version.Preset.Limits(route.Class)
-	c.serve(limits, snapshot.Services[route.Service])
+	if route.Timeout > 0 {
+		limits.TimeoutMillis = route.Timeout.Milliseconds()
+	}
+	c.serve(limits, snapshot.Services[service])
+}
+
+func revisionOf(snapshot *routing.Snapshot) uint64 {
+	if snapshot == nil {
+		return 0
+	}
+	return snapshot.Version.Revision
+}
+
+func chooseService(route *routing.Route) string {
+	if len(route.Backends) <= 1 {
+		return route.Service
+	}
+	random := randPool.Get().(*rand.Rand)
+	defer randPool.Put(random)
+	return route.ChooseService(random)
 }
 
 // classify finds out what a second run of the call would do. Calls of the
@@ -129,6 +179,13 @@
 // method; see section 6 of the design.
 func (c *call) classify() {
 	c.upgrade = upgradeOf(c.r)
+	if c.route.ClassDecides {
+		c.safety = retry.NonIdempotent
+		if c.route.Class == preset.ClassFetch && c.upgrade == "" {
+			c.safety = retry.Idempotent
+		}
+		return
+	}
 	c.key = claimedKey(c.r)
 	switch {
 	case c.key != "":
--- a/pkg/proxy/race.go
+++ b/pkg/proxy/race.go
@@ -29,19 +29,21 @@
 	mu       sync.Mutex
 	over     bool
 	running  []*attempt
+	open     int
 	timer    *time.Timer
 	mayHedge bool
 	hedged   bool
 }
 
 // maxRacers is the largest number of attempts of one call.
-const maxRacers = 2
+const maxRacers = maxSends
 
 // race sends a call and, when it takes longer than most, a hedge to another
 // server; the first answer wins. It also retries as sequence does.
 func (c *call) race(server *routing.Server) *attempt {
 	x := &contest{call: c, results: make(chan *attempt, maxRacers), first: c.newAttempt(server)}
 	x.running = append(x.running, x.first)
+	x.open = 1
 	x.arm()
 	defer x.timer.Stop()
 	x.first.send()
@@ -95,6 +97,7 @@
 // start runs an attempt beside the first.
 func (x *contest) start(a *attempt) {
 	x.running = append(x.running, a)
+	x.open++
 	go func() {
 		a.send()
 		x.mu.Lock()
@@ -121,6 +124,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.call.record(a)
+	x.open--
 	last, decided := x.judge(a, fallback)
 	x.over = decided
 	return last, decided
@@ -154,35 +158,34 @@
 		return a, true
 	}
 	if fallback != nil {
-		// The other attempt ended before: of two failures the one with an answer
-		// says more.
+		// Of two failures the one with an answer says more.
 		if a.response == nil {
 			a, fallback = fallback, a
 		}
 		fallback.discard()
+	}
+	if x.open > 0 {
+		return a, false
+	}
+	if !c.mayTryAgain(a) {
 		return a, true
 	}
-	if len(x.running) == 1 {
-		if !c.mayTryAgain(a) {
-			return a, true
-		}
-		server := c.choose()
-		if server == nil {
-			return a, true
-		}
-		c.service.Counters.retries.Inc()
-		x.start(c.newAttempt(server))
+	server := c.choose()
+	if server == nil {
+		return a, true
 	}
+	c.service.Counters.retries.Inc()
+	x.start(c.newAttempt(server))
 	return a, false
 }
 
 // hedge starts a second attempt if the budget and the servers allow it.
 func (x *contest) hedge(now int64) {
 	c := x.call
-	if retry.Expired(now, c.deadline) {
+	if retry.Expired(now, c.deadline) || !c.mayRunAgain() {
 		return
 	}
-	if !c.service.hedges.Take(now, c.limits.HedgePercent) {
+	if !c.service.hedges.Take(now, c.limits.HedgePercent, 0) {
 		c.service.Counters.hedgesDenied.Inc()
 		return
 	}
@@ -207,7 +210,7 @@
 		}
 		return 0, false
 	}
-	if c.sent == 1 && c.service.retries.Take(now, c.limits.RetryPercent) {
+	if c.sent == 1 && c.mayRunAgain() && c.service.retries.Take(now, c.limits.RetryPercent, c.limits.RetryFloor) {
 		if server := x.serverAfterSilence(); server != nil {
 			c.service.Counters.retries.Inc()
 			x.first.cancel(errDeadline)
@@ -227,7 +230,7 @@
 func (x *contest) serverAfterSilence() *routing.Server {
 	c := x.call
 	if x.first.reused.Load() {
-		c.proxy.config.Servers.DropIdle(c.route.Service)
+		c.proxy.config.Servers.DropIdle(c.target)
 	}
 	server := c.choose()
 	if server == nil && x.first.reused.Load() {
--- a/pkg/proxy/servers.go
+++ b/pkg/proxy/servers.go
@@ -50,6 +50,8 @@
 // Transports is the Servers of a gateway: two http.Transports for each service.
 type Transports struct {
 	services map[string]*serviceTransports
+	// shared carries requests to services that are not in the map.
+	shared *serviceTransports
 }
 
 type serviceTransports struct {
@@ -78,9 +80,35 @@
 	return t
 }
 
+// TransportLimits bound the connections of NewSharedTransports.
+type TransportLimits struct {
+	// Connections is the number of connections to one server.
+	Connections int
+	// Idle and FreshIdle are how long a connection may be idle before a request
+	// that may be repeated, and before any other, is sent on it.
+	Idle, FreshIdle time.Duration
+}
+
+// NewSharedTransports serves services that are not known in advance with the
+// same two transports.
+func NewSharedTransports(limits TransportLimits) *Transports {
+	half := max(1, limits.Connections/2)
+	return &Transports{shared: &serviceTransports{
+		ordinary: newTransport(false, half, limits.Idle),
+		fresh:    newTransport(false, half, limits.FreshIdle),
+	}}
+}
+
+func (t *Transports) of(service string) *serviceTransports {
+	if transports, ok := t.services[service]; ok {
+		return transports
+	}
+	return t.shared
+}
+
 // RoundTrip implements Servers.
 func (t *Transports) RoundTrip(service string, fresh bool, request *http.Request) (*http.Response, error) {
-	transports := t.services[service]
+	transports := t.of(service)
 	if transports.http2 {
 		// HTTP/2 has no Upgrade. A server may ignore the header, so leaving it out
 		// gives the caller a valid answer.
@@ -103,7 +131,7 @@
 
 // DropIdle implements Servers.
 func (t *Transports) DropIdle(service string) {
-	transports := t.services[service]
+	transports := t.of(service)
 	now := time.Now().UnixNano()
 	last := transports.droppedAt.Load()
 	if now-last >= int64(dropInterval) && transports.droppedAt.CompareAndSwap(last, now) {
@@ -117,6 +145,10 @@
 		transports.ordinary.CloseIdleConnections()
 		transports.fresh.CloseIdleConnections()
 	}
+	if t.shared != nil {
+		t.shared.ordinary.CloseIdleConnections()
+		t.shared.fresh.CloseIdleConnections()
+	}
 }
 
 func newTransport(http2 bool, connections int, idle time.Duration) *http.Transport {
--- a/pkg/proxy/upgrade.go
+++ b/pkg/proxy/upgrade.go
@@ -50,7 +50,7 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Time{})
-	if writeSwitch(buffered.Writer, c.requestID, a.response) != nil {
+	if c.writeSwitch(buffered.Writer, a.response) != nil {
 		c.proxy.config.Metrics.callerLeft.Inc()
 		return
 	}
@@ -58,12 +58,12 @@
 	c.join(conn, buffered.Reader, server)
 }
 
-func writeSwitch(w *bufio.Writer, requestID string, response *http.Response) error {
+func (c *call) writeSwitch(w *bufio.Writer, response *http.Response) error {
 	header := http.Header{}
-	copyAnswerHeader(header, response.Header)
+	copyAnswerHeader(c.proxy.config.Dialect, header, response.Header)
 	header.Set("Connection", "Upgrade")
 	header.Set("Upgrade", response.Header.Get("Upgrade"))
-	header.Set(requestIDHeader, requestID)
+	c.proxy.config.Dialect.SetRequestID(header, c.requestID)
 	_, err := w.WriteString("HTTP/1.1 101 Switching Protocols\r\n")
 	if err != nil {
 		return err
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -75,14 +75,15 @@
 }
 
 // Take reports whether an extra attempt may be sent now, and counts it if so.
-func (b *Budget) Take(now int64, percent float64) bool {
+// base is allowed in 10 s on top of the percentage of the calls.
+func (b *Budget) Take(now int64, percent, base float64) bool {
 	if percent <= 0 {
 		return false
 	}
 	epoch := epochOf(now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	allowed := max(b.Floor, int64(float64(sum(&b.calls, epoch, callBuckets))*percent/100))
+	allowed := max(b.Floor, int64(base+float64(sum(&b.calls, epoch, callBuckets))*percent/100))
 	if sum(&b.spent, epoch, spentBuckets)+1 > allowed {
 		return false
 	}
--- a/pkg/retry/outcome.go
+++ b/pkg/retry/outcome.go
@@ -45,6 +45,28 @@
 	ends
 )
 
+// String returns the name used in logs and metrics.
+func (e End) String() string {
+	switch e {
+	case Answered:
+		return "answered"
+	case NeverWritten:
+		return "never_written"
+	case RefusedNotRun:
+		return "refused_not_run"
+	case Shed:
+		return "shed"
+	case ServerError:
+		return "server_error"
+	case Broken:
+		return "broken"
+	case TimedOut:
+		return "timed_out"
+	default:
+		return "cancelled"
+	}
+}
+
 // Observation is what the transport reports about an attempt.
 type Observation struct {
 	// Written says that at least one byte of the request may have been written.
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -30,7 +30,7 @@
 				budget.Call(now)
 				calls = append(calls, now)
 			}
-			if !budget.Take(now, percent) {
+			if !budget.Take(now, percent, 0) {
 				continue
 			}
 			spent = append(spent, now)
@@ -45,14 +45,14 @@
 // A budget that is too tight gives no retries at all.
 func TestBudgetGrantsTheRatioAndTheFloor(t *testing.T) {
 	budget := retry.Budget{Floor: 1}
-	assert.Assert(t, budget.Take(1e9, 10))
-	assert.Assert(t, !budget.Take(2e9, 10))
-	assert.Assert(t, budget.Take(13e9, 10))
+	assert.Assert(t, budget.Take(1e9, 10, 0))
+	assert.Assert(t, !budget.Take(2e9, 10, 0))
+	assert.Assert(t, budget.Take(13e9, 10, 0))
 	for range 200 {
 		budget.Call(30e9)
 	}
 	granted := 0
-	for budget.Take(31e9, 10) {
+	for budget.Take(31e9, 10, 0) {
 		granted++
 	}
 	assert.Equal(t, granted, 20)
--- a/pkg/routing/routes.go
+++ b/pkg/routing/routes.go
@@ -2,59 +2,110 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"strings"
+	"time"
 
 	"balsamhill/pkg/preset"
 )
 
-// Route maps requests to a service and a class.
+// Route maps requests to one service, or to several by weight, and to a class.
 type Route struct {
+	// Name identifies the route in logs; it may be empty.
+	Name       string
 	Host       string
 	PathPrefix string
 	Methods    []string
-	Service    string
-	Class      preset.Class
+	// Service receives all calls unless Backends is set.
+	Service string
+	// Backends share the calls in proportion to their weights.
+	Backends []preset.Backend
+	Class    preset.Class
+	// ClassDecides says that the class alone tells whether a call may run more
+	// than once, whatever its method and headers.
+	ClassDecides bool
+	// Timeout is the time from arrival to the answer, 0 for the class's.
+	Timeout time.Duration
+	// Target is the time within which an answer has its full worth, 0 if unknown.
+	Target time.Duration
+	// MaxAttempts is the largest number of servers that may run one call, 0 for
+	// the default.
+	MaxAttempts int
+	// Priority is the rank of the route's calls; 0 is the highest.
+	Priority int
+}
+
+// ChooseService returns the service of one call.
+func (r *Route) ChooseService(random *rand.Rand) string {
+	total := 0.0
+	for _, backend := range r.Backends {
+		total += backend.Weight
+	}
+	if total <= 0 {
+		return r.Service
+	}
+	left := random.Float64() * total
+	for _, backend := range r.Backends {
+		left -= backend.Weight
+		if left < 0 {
+			return backend.Service
+		}
+	}
+	return r.Backends[len(r.Backends)-1].Service
 }
 
 // RouteTable finds the route of a request. It is immutable.
 type RouteTable struct {
-	routes []Route
+	// byHost holds the routes of each host in lower case; "" holds those that
+	// match any host. Within a host, the most specific route comes first.
+	byHost map[string][]Route
 }
 
 // NewRouteTable orders routes so that the most specific match comes first: with
 // a host before without, longer prefixes before shorter ones, with methods
 // before without.
 func NewRouteTable(routes []Route) *RouteTable {
-	sorted := slices.Clone(routes)
-	slices.SortStableFunc(sorted, func(a, b Route) int {
-		return cmp.Or(
-			cmp.Compare(len(b.Host), len(a.Host)),
-			cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)),
-			cmp.Compare(len(b.Methods), len(a.Methods)),
-		)
-	})
-	return &RouteTable{routes: sorted}
+	table := &RouteTable{byHost: make(map[string][]Route)}
+	for _, route := range routes {
+		host := strings.ToLower(route.Host)
+		table.byHost[host] = append(table.byHost[host], route)
+	}
+	for _, routes := range table.byHost {
+		slices.SortStableFunc(routes, func(a, b Route) int {
+			return cmp.Or(
+				cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)),
+				cmp.Compare(len(b.Methods), len(a.Methods)),
+			)
+		})
+	}
+	return table
 }
 
 // Match returns the route of a request. The host may carry a port.
-func (t *RouteTable) Match(method, host, path string) (Route, bool) {
-	name, _, found := strings.Cut(host, ":")
-	if !found {
-		name = host
+func (t *RouteTable) Match(method, host, path string) (*Route, bool) {
+	name, _, _ := strings.Cut(host, ":")
+	name = strings.ToLower(name)
+	if route := firstMatch(t.byHost[name], method, path); route != nil {
+		return route, true
 	}
-	for _, route := range t.routes {
-		if route.matches(method, name, path) {
-			return route, true
-		}
+	if name == "" {
+		return nil, false
 	}
-	return Route{}, false
+	route := firstMatch(t.byHost[""], method, path)
+	return route, route != nil
 }
 
-func (r Route) matches(method, host, path string) bool {
-	if r.Host != "" && !strings.EqualFold(r.Host, host) {
-		return false
+func firstMatch(routes []Route, method, path string) *Route {
+	for i := range routes {
+		if routes[i].matches(method, path) {
+			return &routes[i]
+		}
 	}
+	return nil
+}
+
+func (r *Route) matches(method, path string) bool {
 	if !matchesPrefix(path, r.PathPrefix) {
 		return false
 	}
--- a/pkg/routing/server.go
+++ b/pkg/routing/server.go
@@ -64,7 +64,14 @@
 	// Penalty is added to the expected latency, in nanoseconds, for the distance
 	// between this gateway and the server.
 	Penalty int64
-	Stats   *Stats
+	// ByteNanos is the price of a byte between this gateway and the server; see
+	// preset.Tuning.
+	ByteNanos float64
+	// Slots is how many requests the server runs at once, 0 for the service's value.
+	Slots int
+	// ColdUntil is the time at which the server has warmed up, 0 if it is warm.
+	ColdUntil int64
+	Stats     *Stats
 }
 
 // Stats are a gateway's observations of one server. Traffic goroutines and the
@@ -74,6 +81,13 @@
 	// reported is the requests in flight of the last load report.
 	reported   atomic.Int64
 	reportedAt atomic.Int64
+	// pace is the reported time that work takes in permille of the usual, 0 if
+	// the server does not report it.
+	pace atomic.Int64
+	// ownReportedAt is the time of the last report that this gateway read itself.
+	ownReportedAt atomic.Int64
+	// silent says that the server does not answer probes.
+	silent atomic.Bool
 	// sentSinceReport counts own dispatches that the last report does not hold.
 	sentSinceReport atomic.Int64
 	// peersInFlight is the sum of other gateways' own requests in flight.
@@ -130,14 +144,59 @@
 	s.Sheds.Add(1)
 }
 
-// Report records a load report: the requests in flight at the server from all
-// gateways.
+// Report records a load report of an answer to this gateway: the requests in
+// flight at the server from all gateways.
 func (s *Stats) Report(now, inFlight int64) {
+	s.ownReportedAt.Store(now)
+	s.setReport(now, inFlight)
+}
+
+// ReportFromPeer records a load report that another gateway read, unless a newer
+// one is known.
+func (s *Stats) ReportFromPeer(at, inFlight, permille int64) {
+	if at <= s.reportedAt.Load() {
+		return
+	}
+	s.setReport(at, inFlight)
+	if permille > 0 {
+		s.ReportPace(permille)
+	}
+}
+
+func (s *Stats) setReport(at, inFlight int64) {
 	s.reported.Store(inFlight)
-	s.reportedAt.Store(now)
+	s.reportedAt.Store(at)
 	s.sentSinceReport.Store(0)
 }
 
+// OwnReportedAt returns the time of the last report that this gateway read
+// itself, 0 if none.
+func (s *Stats) OwnReportedAt() int64 {
+	return s.ownReportedAt.Load()
+}
+
+// SetSilent records whether the server leaves probes unanswered.
+func (s *Stats) SetSilent(silent bool) {
+	s.silent.Store(silent)
+}
+
+// Silent reports whether the server leaves probes unanswered.
+func (s *Stats) IsSilent() bool {
+	return s.silent.Load()
+}
+
+// PacePermille returns the pace of the last report in permille of the usual, 0
+// if there was none.
+func (s *Stats) PacePermille() int64 {
+	return s.pace.Load()
+}
+
+// ReportPace records how long work takes on the server at this moment, in
+// permille of the usual. It belongs to the last Report.
+func (s *Stats) ReportPace(permille int64) {
+	s.pace.Store(permille)
+}
+
 // InFlight returns this gateway's own requests in flight.
 func (s *Stats) InFlight() int64 {
 	return s.inFlight.Load()
--- a/pkg/routing/snapshot.go
+++ b/pkg/routing/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"balsamhill/pkg/preset"
 )
@@ -9,8 +10,12 @@
 // Snapshot is everything that a call needs to know. It is immutable; the
 // control loop publishes a new one after each change.
 type Snapshot struct {
-	Version  preset.Version
+	Version preset.Version
+	// Routes is nil if the routes come from the settings.
+	Routes   *RouteTable
 	Services map[string]*ServiceView
+	// ServersByID holds the servers of all services.
+	ServersByID map[string]*Server
 }
 
 // ServiceView is one service in a snapshot.
@@ -26,6 +31,8 @@
 	// LastResort holds servers that are only noticed as leaving. They are used if
 	// Local and Remote are empty.
 	LastResort []*Server
+	// All holds Local and Remote, for policies that weigh distance themselves.
+	All []*Server
 	// SpillShare is the share of calls, 0 to 1, that go to Remote although Local
 	// is not empty.
 	SpillShare float64
@@ -44,6 +51,11 @@
 	// Slots is the number of requests that a server of the service runs at once;
 	// ServiceView.Choose sets it.
 	Slots int
+	// Work is the expected time of the call on an idle server at its usual pace,
+	// in nanoseconds, 0 if unknown.
+	Work int64
+	// Bytes is the expected size of the bodies of the call and its answer.
+	Bytes int64
 }
 
 // Policy chooses one of the candidates, which are not empty. Implementations
@@ -65,6 +77,9 @@
 // Choose returns a server, or nil if none is available that has not been tried.
 func (v *ServiceView) Choose(pick Pick) *Server {
 	pick.Slots = v.Slots
+	if _, spans := v.policy.(Paced); spans {
+		return v.choosePaced(pick)
+	}
 	first, second := v.Local, v.Remote
 	if len(first) == 0 || (len(second) > 0 && v.SpillShare > 0 && pick.Rand.Float64() < v.SpillShare) {
 		first, second = second, first
@@ -82,6 +97,18 @@
 	return server
 }
 
+func (v *ServiceView) choosePaced(pick Pick) *Server {
+	candidates := v.All
+	if len(candidates) == 0 {
+		candidates = v.LastResort
+	}
+	server := v.policy.Choose(candidates, pick)
+	if server != nil {
+		server.Stats.markChosen(pick.Now)
+	}
+	return server
+}
+
 func (v *ServiceView) chooseFrom(candidates []*Server, pick Pick) *Server {
 	if len(candidates) == 0 {
 		return nil
@@ -133,6 +160,7 @@
 			view.Remote = append(view.Remote, server)
 		}
 	}
+	view.All = slices.Concat(view.Local, view.Remote)
 	return view
 }
 
@@ -149,6 +177,8 @@
 		return PowerOfTwo{}
 	case preset.PolicyWeightedLoad:
 		return WeightedLoad{}
+	case preset.PolicyPaced:
+		return Paced{}
 	default:
 		return HotCold{}
 	}
--- a/pkg/strictjson/strictjson.go
+++ b/pkg/strictjson/strictjson.go
@@ -133,24 +133,28 @@
 
 func (d *Document) decodeStruct(field string, value *hujson.Value, target reflect.Value) {
 	d.eachMember(field, value, func(name string, path string, member *hujson.ObjectMember) {
-		known := fieldNames(target.Type())
-		index := slices.Index(known, name)
-		if index < 0 {
-			d.report(path, &member.Name, "unknown field; accepted are %s", strings.Join(known, ", "))
+		names, indexes := fieldNames(target.Type())
+		position := slices.Index(names, name)
+		if position < 0 {
+			d.report(path, &member.Name, "unknown field; accepted are %s", strings.Join(names, ", "))
 			return
 		}
-		d.decode(path, &member.Value, target.Field(index))
+		d.decode(path, &member.Value, target.Field(indexes[position]))
 	})
 }
 
-// fieldNames returns the JSON names of a struct's fields in their order.
-func fieldNames(t reflect.Type) []string {
-	names := make([]string, 0, t.NumField())
+// fieldNames returns the JSON names of a struct's fields in their order, with
+// their indexes. Fields that are not part of documents are left out.
+func fieldNames(t reflect.Type) (names []string, indexes []int) {
 	for i := range t.NumField() {
 		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		if name == "-" {
+			continue
+		}
 		names = append(names, name)
+		indexes = append(indexes, i)
 	}
-	return names
+	return names, indexes
 }
 
 // decodeMap lets an entry that exists already keep the fields that the document
