--- /dev/null
+++ b/pkg/proxy/budget_test.go
@@ -0,0 +1,97 @@
+package proxy_test
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"balsamhill/pkg/preset"
+	"balsamhill/pkg/proxy"
+	"balsamhill/pkg/routing"
+)
+
+// routesOf replaces the routes of a bench by one whose class decides.
+func routesOf(route routing.Route) func(*proxy.Config) {
+	route.Service = serviceName
+	route.PathPrefix = "/"
+	route.ClassDecides = true
+	return func(config *proxy.Config) {
+		config.Routes = routing.NewRouteTable([]routing.Route{route})
+	}
+}
+
+// TestResetsDoNotEscapeTheRetryBudget guards against http.Transport sending a
+// fetch again by itself when a server that is full resets its kept connections:
+// a hunted day counted four arrivals of one request at one server that no budget
+// had allowed.
+func TestResetsDoNotEscapeTheRetryBudget(t *testing.T) {
+	var arrivals atomic.Int64
+	var full atomic.Bool
+	address := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		if !full.Load() {
+			_, _ = w.Write([]byte("ok"))
+			return
+		}
+		arrivals.Add(1)
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+	})
+	b := newBench(t, setup{
+		adjust: routesOf(routing.Route{Class: preset.ClassFetch}),
+		limits: func(limits map[preset.Class]preset.Limits) {
+			fetch := limits[preset.ClassFetch]
+			fetch.RetryPercent, fetch.HedgePercent = 0, 0
+			limits[preset.ClassFetch] = fetch
+		},
+	}, address)
+	response, err := http.Get(b.url + "/fetch")
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	full.Store(true)
+	response, err = http.Get(b.url + "/fetch")
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+	assert.Equal(t, arrivals.Load(), int64(1))
+}
+
+// TestAttemptLimitOfRoute guards against a hedge, or a retry after silence, that
+// runs a call on more servers than its route allows.
+func TestAttemptLimitOfRoute(t *testing.T) {
+	tests := []struct {
+		desc  string
+		limit int
+		want  int64
+	}{
+		{"one attempt", 1, 1},
+		{"two attempts", 2, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			var arrivals atomic.Int64
+			hang := func(_ http.ResponseWriter, r *http.Request) {
+				arrivals.Add(1)
+				<-r.Context().Done()
+			}
+			b := newBench(t, setup{
+				adjust: routesOf(routing.Route{Class: preset.ClassFetch, MaxAttempts: test.limit}),
+				limits: func(limits map[preset.Class]preset.Limits) {
+					fetch := limits[preset.ClassFetch]
+					fetch.TimeoutMillis = 400
+					limits[preset.ClassFetch] = fetch
+				},
+			}, startServer(t, hang), startServer(t, hang), startServer(t, hang))
+			response, err := http.Get(b.url + "/fetch")
+			assert.NilError(t, err)
+			assert.NilError(t, response.Body.Close())
+			assert.Equal(t, response.StatusCode, http.StatusGatewayTimeout)
+			assert.Equal(t, arrivals.Load(), test.want)
+		})
+	}
+}
