Wait for a free slot at the gateway, and hedge by the reported pace

A call on a route with a target now waits up to an eighth of the target for a slot other than a last one, and is refused as not run when all servers have queues. Hedges on such routes follow the pace that the server reports while it works, and go only to a server with a free slot that can still answer in time.

Conclusion: queues belong to the gateway, where the next slot of any server serves them.

--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -67,9 +67,9 @@
 }
 
 const (
-	// hedgePercent is the part of the retry budget for hedges; the rest is for
-	// retries after failures.
-	hedgePercent = 12.0
+	// hedgePercent is how much of the calls may be hedged. Hedges also count
+	// against the retry budget, of which the rest stays for retries after failures.
+	hedgePercent = 15.0
 	// mostGateways is the number of gateways among which the burst of the retry
 	// budget is shared without agreement.
 	mostGateways = 24
@@ -93,7 +93,6 @@
 		limits.RetryErrors = true
 		limits.HedgePercent = 0
 		if class == preset.ClassFetch {
-			limits.RetryPercent = terms.RetryPercent - hedgePercent
 			limits.HedgePercent = hedgePercent
 		}
 		p.Classes[class] = limits
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -145,10 +145,8 @@
 	if !c.passGuard() {
 		return
 	}
-	server := c.choose()
+	server := c.chooseFirst()
 	if server == nil {
-		c.leaveGuard()
-		c.refuseWithoutServer()
 		return
 	}
 	var won *attempt
@@ -191,6 +189,62 @@
 	return server
 }
 
+const (
+	// roomPoll is how often a call that waits for a free slot looks again; loads
+	// are reported about every 20 ms.
+	roomPoll = 5 * time.Millisecond
+	// roomShare is the share of a route's target that a call may wait for room.
+	roomShare = 8
+)
+
+// chooseFirst chooses the server of the first attempt, or refuses the call. On a
+// route with a target the call waits for a while if no server has a free slot:
+// servers slow down when they are full, and the next slot of a service becomes
+// free long before the queue of one server is worked off.
+func (c *call) chooseFirst() *routing.Server {
+	limit := c.arrived + int64(c.route.Target)/roomShare
+	for {
+		server := c.choose()
+		if server == nil {
+			c.leaveGuard()
+			c.refuseWithoutServer()
+			return nil
+		}
+		now := c.proxy.config.Now()
+		room := routing.RoomFree
+		if c.route.Target > 0 {
+			room = c.view.RoomOf(server, now)
+		}
+		switch {
+		case room == routing.RoomFree || now >= limit && room != routing.RoomNone:
+			return server
+		case now >= limit:
+			c.leaveGuard()
+			c.proxy.config.Metrics.full.Inc()
+			c.refuse(http.StatusServiceUnavailable, "all servers of "+c.target+" are full")
+			return nil
+		}
+		c.tried = c.tried[:0]
+		if !c.pause(roomPoll) {
+			c.leaveGuard()
+			c.refuse(http.StatusServiceUnavailable, "the caller left")
+			return nil
+		}
+	}
+}
+
+// pause waits and reports whether the caller is still there.
+func (c *call) pause(wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-c.base.Done():
+		return false
+	}
+}
+
 // pick describes the call to the policy.
 func (c *call) pick(random *rand.Rand) routing.Pick {
 	return routing.Pick{
--- a/pkg/proxy/metrics.go
+++ b/pkg/proxy/metrics.go
@@ -25,6 +25,7 @@
 	tooLarge   *metrics.Counter
 	badBody    *metrics.Counter
 	unframed   *metrics.Counter
+	full       *metrics.Counter
 	guardBusy  *metrics.Counter
 	guardBlock *metrics.Counter
 	shed       map[admission.Verdict]*metrics.Counter
@@ -74,6 +75,7 @@
 		tooLarge:   calls("body_too_large"),
 		badBody:    calls("body_failed"),
 		unframed:   calls("unframed_answer"),
+		full:       calls("servers_full"),
 		guardBusy:  calls("crash_guard_busy"),
 		guardBlock: calls("crash_guard_blocked"),
 		shed: map[admission.Verdict]*metrics.Counter{
--- a/pkg/proxy/race.go
+++ b/pkg/proxy/race.go
@@ -33,6 +33,8 @@
 	timer    *time.Timer
 	mayHedge bool
 	hedged   bool
+	// watch follows the first attempt on routes with a target, else nil.
+	watch *paceWatch
 }
 
 // maxRacers is the largest number of attempts of one call.
@@ -66,6 +68,14 @@
 	x.patience = retry.FirstByteWait(started, c.deadline)
 	wait := x.patience
 	hedgeAfter, known := c.service.latency.HedgeAfter(started)
+	if c.route.Target > 0 {
+		// The reported pace tells earlier than the time since the start.
+		known = false
+		x.watch = c.newPaceWatch(x.first)
+	}
+	if x.watch != nil {
+		wait = min(wait, paceLook)
+	}
 	if known && c.limits.HedgePercent > 0 && retry.MayHedge(c.safety, safeMethod(c.r.Method)) {
 		x.mayHedge = true
 		wait = min(wait, hedgeAfter)
@@ -83,6 +93,11 @@
 		return
 	}
 	now := x.call.proxy.config.Now()
+	if left := time.Duration(x.first.started-now) + x.patience; x.watch != nil && x.call.sent == 1 && left > 0 {
+		x.look(now)
+		x.timer.Reset(min(paceLook, left))
+		return
+	}
 	if x.mayHedge && x.call.sent == 1 {
 		x.mayHedge = false
 		x.hedge(now)
--- a/pkg/routing/paced.go
+++ b/pkg/routing/paced.go
@@ -60,8 +60,8 @@
 	if work <= 0 {
 		work = pacedDefaultWork
 	}
-	slots := float64(max(1, slotsOf(server, pick.Slots)))
-	inFlight := server.Stats.EstimatedInFlight(pick.Now)
+	slots := float64(slotsOf(server, pick.Slots))
+	inFlight := server.Stats.loadNow(pick.Now)
 	work *= server.Stats.Pace(pick.Now, mean)
 	if server.ColdUntil > pick.Now {
 		work *= coldFactor
@@ -80,13 +80,74 @@
 	return work + float64(server.Penalty) + server.ByteNanos*float64(pick.Bytes)
 }
 
+// Expected returns the expected time to the answer of a call on a server in
+// nanoseconds, without the price of the bytes.
+func (v *ServiceView) Expected(server *Server, pick Pick) int64 {
+	pick.Slots = v.Slots
+	pick.Bytes = 0
+	return int64(pacedTime(server, pick, meanPace(v.All)))
+}
+
 func slotsOf(server *Server, usual int) int {
 	if server.Slots > 0 {
 		return server.Slots
 	}
-	return usual
+	return max(1, usual)
+}
+
+// loadHalfLife is the age in nanoseconds at which the requests in flight of a
+// report count half. Reports come every few tens of milliseconds, so older ones
+// are those of a server that nobody measures.
+const loadHalfLife = 250e6
+
+// loadNow is the number of requests at the server: those of the last report and
+// the own ones since.
+func (s *Stats) loadNow(now int64) float64 {
+	own := s.inFlight.Load()
+	reportedAt := s.reportedAt.Load()
+	if reportedAt == 0 {
+		return float64(own)
+	}
+	faded := float64(s.reported.Load()) * math.Exp2(-float64(max(0, now-reportedAt))/loadHalfLife)
+	// Requests that ended without a report are no longer in flight.
+	sent := min(own, max(0, s.sentSinceReport.Load()))
+	return max(float64(own), faded+float64(sent))
+}
+
+// Room says how a server can take one more call.
+type Room int
+
+const (
+	// RoomFree means that a slot other than the last one is free.
+	RoomFree Room = iota
+	// RoomLast means that only the last slot is free. Servers slow down there.
+	RoomLast
+	// RoomQueue means that the call would wait at the server.
+	RoomQueue
+	// RoomNone means that as many calls wait at the server as it has slots.
+	RoomNone
+)
+
+// RoomOf returns the room on a server.
+func (v *ServiceView) RoomOf(server *Server, now int64) Room {
+	slots := float64(slotsOf(server, v.Slots))
+	after := server.Stats.loadNow(now) + 1
+	switch {
+	case after <= max(1, slots-1):
+		return RoomFree
+	case after <= slots:
+		return RoomLast
+	case after <= queuedPerSlot*slots:
+		return RoomQueue
+	default:
+		return RoomNone
+	}
 }
 
+// queuedPerSlot is how many calls per slot a server may have before it counts as
+// full.
+const queuedPerSlot = 1.5
+
 // Pace returns the factor by which work takes longer than usual on the server.
 // Old reports fade towards the mean.
 func (s *Stats) Pace(now int64, mean float64) float64 {
