--- a/pkg/proxy/paced_test.go
+++ b/pkg/proxy/paced_test.go
@@ -211,6 +211,7 @@
 	b := pacedBench(t, preset.ClassFetch, startServer(t, first), startServer(t, answer))
 	b.servers[1].Penalty = int64(200 * time.Millisecond)
 	for _, server := range b.servers {
+		server.Stats.Report(1<<62, 0)
 		server.Stats.ReportPace(1000)
 	}
 	for range 15 {
