Shrink the datagrams, and keep them within failure domains in large regions

Messages now carry hashes, describe the sender twice a second, and bring marks when they changed. From 17 gateways in a region on, only gateways of a failure domain talk, strong machines measure, and weak ones wait 0.4 s for a peer before their first read of the store. Changes of a table are read at most each 150 ms.

--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -144,6 +144,7 @@
 		switch a := action.(type) {
 		case control.Publish:
 			e.snapshot.Store(a.Snapshot)
+			e.view.Store(newServerView(a.Snapshot))
 		case control.PresetAdopted:
 			e.counters.adoptions.Inc()
 			e.log.Info("configuration in force", "revision", a.Version.Revision, "previous", a.Previous,
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -48,6 +48,23 @@
 	maxHeaderBytes = 64 << 10
 )
 
+// strongShare is the share of a core from which a machine works for others.
+const strongShare = 0.3
+
+// serverView is a snapshot with its servers by the keys of reports.
+type serverView struct {
+	snapshot *routing.Snapshot
+	byKey    map[uint32]*routing.Server
+}
+
+func newServerView(snapshot *routing.Snapshot) *serverView {
+	view := &serverView{snapshot: snapshot, byKey: make(map[uint32]*routing.Server, len(snapshot.ServersByID))}
+	for id, server := range snapshot.ServersByID {
+		view.byKey[gossip.ServerKey(id)] = server
+	}
+	return view
+}
+
 // Edge is one gateway. Create it with New and run it with Run.
 type Edge struct {
 	settings *Settings
@@ -62,7 +79,9 @@
 	servers *registry.Registry
 	events  chan tableEvent
 
-	snapshot  atomic.Pointer[routing.Snapshot]
+	snapshot atomic.Pointer[routing.Snapshot]
+	// view is the snapshot with its servers by the keys of reports.
+	view      atomic.Pointer[serverView]
 	listRead  atomic.Bool
 	stopping  atomic.Bool
 	storeView storeView
@@ -70,6 +89,13 @@
 
 	peersMu sync.Mutex
 	peers   *gossip.Peers
+	// assignment says which servers this gateway measures.
+	assignment atomic.Pointer[gossip.Assignment]
+	assignedAt atomic.Int64
+	// greet says that a gateway joined that knows nothing of this one yet.
+	greet atomic.Bool
+	// membersRead says that the addresses of the other gateways were read.
+	membersRead atomic.Bool
 
 	proxy     *proxy.Proxy
 	transport *proxy.Transports
@@ -82,7 +108,6 @@
 	feedListener    net.Listener
 	datagrams       *net.UDPConn
 	traffic         *http.Server
-	joined          chan struct{}
 }
 
 // New opens the listeners and prepares a gateway.
@@ -100,6 +125,7 @@
 			Address:       net.JoinHostPort(s.IP, strconv.Itoa(s.InternalPort)),
 			Region:        s.Region,
 			FailureDomain: s.FailureDomain,
+			Strong:        s.CPUShare >= strongShare,
 		},
 		state: control.NewState(control.Config{
 			VMID: s.ID, Region: s.Region, FailureDomain: s.FailureDomain,
@@ -108,7 +134,6 @@
 		servers: registry.New(s.Regions),
 		events:  make(chan tableEvent, eventQueue),
 		metrics: metrics.NewSet(),
-		joined:  make(chan struct{}, 1),
 		transport: proxy.NewSharedTransports(proxy.TransportLimits{
 			Connections: connectionsPerServer, Idle: idleLimit, FreshIdle: freshIdleLimit,
 		}),
--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -14,14 +14,17 @@
 
 	"balsamhill/pkg/feed"
 	"balsamhill/pkg/gossip"
-	"balsamhill/pkg/routing"
 )
 
 const (
 	// sendInterval is how often new load reports go to the peers.
 	sendInterval = 20 * time.Millisecond
-	// heartbeatInterval is how often a message goes out without new reports.
+	// heartbeatInterval is how often a message goes out without new reports, and
+	// idleHeartbeat how often from a gateway that does not measure for others.
 	heartbeatInterval = 100 * time.Millisecond
+	idleHeartbeat     = 500 * time.Millisecond
+	// introduceInterval is how often a message describes its sender.
+	introduceInterval = 500 * time.Millisecond
 	// maxTableBytes bounds a table that another gateway hands over.
 	maxTableBytes = 16 << 20
 	tablePath     = "/table/"
@@ -59,11 +62,14 @@
 
 // sender builds and sends messages. It belongs to one goroutine.
 type sender struct {
-	edge     *Edge
-	sequence uint64
-	sentAt   int64
-	told     map[string]told
-	buffer   []byte
+	edge         *Edge
+	sequence     uint64
+	sentAt       int64
+	introducedAt int64
+	markedAt     int64
+	marks        []feed.Mark
+	told         map[string]told
+	buffer       []byte
 }
 
 // told is what the peers know of a server.
@@ -75,36 +81,70 @@
 func (s *sender) tick() {
 	e := s.edge
 	now := e.now()
-	reports := s.newReports(now)
-	if len(reports) == 0 && now-s.sentAt < int64(heartbeatInterval) {
+	assignment := e.refreshAssignment(now)
+	interval := heartbeatInterval
+	var reports []gossip.Report
+	if assignment.Tells() {
+		reports = s.newReports(now, assignment)
+	} else {
+		interval = idleHeartbeat
+	}
+	marks, changed := s.currentMarks(now)
+	if len(reports) == 0 && !changed && !e.greet.Load() && now-s.sentAt < int64(interval) {
 		return
 	}
 	s.sentAt = now
 	message := gossip.Message{
-		Sender:         e.self,
+		Key:            gossip.KeyOf(e.self.ID),
+		Incarnation:    e.self.Incarnation,
 		Stopping:       e.stopping.Load(),
 		StoreReachable: !e.storeView.unreachable.Load(),
+		Interval:       interval,
 	}
-	for _, w := range e.watchers {
-		mark, _ := w.mark(now)
-		message.Marks = append(message.Marks, mark)
+	greet := e.greet.Swap(false)
+	if changed || greet || now-s.markedAt >= int64(heartbeatInterval) {
+		s.markedAt = now
+		message.Marks = marks
+	}
+	if greet || now-s.introducedAt >= int64(introduceInterval) || s.introducedAt == 0 {
+		s.introducedAt = now
+		message.Introduction = &e.self
 	}
+	s.send(now, &message, reports)
+}
+
+func (s *sender) send(now int64, message *gossip.Message, reports []gossip.Report) {
+	e := s.edge
 	e.peersMu.Lock()
 	targets := e.peers.Targets(now)
 	e.peersMu.Unlock()
 	for first := true; first || len(reports) > 0; first = false {
 		s.sequence++
 		message.Sequence = s.sequence
-		part := reports[:min(len(reports), reportsPerMessage)]
-		reports = reports[len(part):]
-		message.Reports = part
+		message.Reports = reports[:min(len(reports), reportsPerMessage)]
+		reports = reports[len(message.Reports):]
 		s.buffer = message.Marshal(s.buffer[:0])
 		e.sendTo(targets, s.buffer)
+		message.Marks, message.Introduction = nil, nil
+	}
+}
+
+// currentMarks returns what this gateway holds of the tables, and whether it
+// holds more than the peers were told.
+func (s *sender) currentMarks(now int64) (marks []feed.Mark, changed bool) {
+	for i, w := range s.edge.watchers {
+		mark, _ := w.mark(now)
+		marks = append(marks, mark)
+		if i >= len(s.marks) || s.marks[i].Changed != mark.Changed {
+			changed = true
+		}
 	}
+	s.marks = marks
+	return marks, changed
 }
 
-// reportsPerMessage keeps messages below gossip.MaxBytes.
-const reportsPerMessage = 30
+// reportsPerMessage keeps messages below the usual packet size.
+const reportsPerMessage = 45
 
 func (e *Edge) sendTo(targets []string, data []byte) {
 	for _, target := range targets {
@@ -122,16 +162,19 @@
 }
 
 // newReports returns what this gateway has learnt itself since the last message.
-func (s *sender) newReports(now int64) []gossip.Report {
-	snapshot := s.edge.snapshot.Load()
-	if snapshot == nil {
+func (s *sender) newReports(now int64, assignment *gossip.Assignment) []gossip.Report {
+	view := s.edge.view.Load()
+	if view == nil {
 		return nil
 	}
 	var reports []gossip.Report
-	for id, server := range snapshot.ServersByID {
+	for id, server := range view.snapshot.ServersByID {
 		known := s.told[id]
 		current := told{reportedAt: server.Stats.OwnReportedAt(), silent: known.silent}
-		if s.edge.measures(now, server) {
+		if current.reportedAt == known.reportedAt && !server.Stats.IsSilent() && !known.silent {
+			continue
+		}
+		if assignment.Measures(id, server.FailureDomain) {
 			current.silent = server.Stats.IsSilent()
 		}
 		if current == known || server.Region != s.edge.settings.Region {
@@ -139,7 +182,7 @@
 		}
 		s.told[id] = current
 		reports = append(reports, gossip.Report{
-			ServerID:     id,
+			Server:       gossip.ServerKey(id),
 			Age:          time.Duration(now - current.reportedAt),
 			InFlight:     int64(server.Stats.ReportedInFlight()),
 			PacePermille: server.Stats.PacePermille(),
@@ -149,10 +192,18 @@
 	return reports
 }
 
-func (e *Edge) measures(now int64, server *routing.Server) bool {
+// refreshAssignment returns who measures what, at most 100 ms old.
+func (e *Edge) refreshAssignment(now int64) *gossip.Assignment {
+	current := e.assignment.Load()
+	if current != nil && now-e.assignedAt.Load() < int64(heartbeatInterval) {
+		return current
+	}
 	e.peersMu.Lock()
-	defer e.peersMu.Unlock()
-	return e.peers.Measures(now, server.ID, server.FailureDomain)
+	fresh := e.peers.Assign(now)
+	e.peersMu.Unlock()
+	e.assignedAt.Store(now)
+	e.assignment.Store(&fresh)
+	return &fresh
 }
 
 // runReceiving takes messages in until the socket is closed.
@@ -181,24 +232,27 @@
 		return
 	}
 	if joined {
-		e.log.Info("gateway joined", "gateway", message.Sender.ID, "incarnation", message.Sender.Incarnation)
+		e.counters.joins.Inc()
+		e.greet.Store(true)
 	}
 	for i, mark := range message.Marks {
 		if i < len(e.watchers) {
 			e.watchers[i].confirm(now, mark)
 		}
 	}
-	snapshot := e.snapshot.Load()
-	if snapshot == nil {
+	view := e.view.Load()
+	if view == nil {
 		return
 	}
+	assignment := e.assignment.Load()
 	for _, report := range message.Reports {
-		server, ok := snapshot.ServersByID[report.ServerID]
+		server, ok := view.byKey[report.Server]
 		if !ok {
 			continue
 		}
 		server.Stats.ReportFromPeer(now-int64(report.Age), report.InFlight, report.PacePermille)
-		if !e.measures(now, server) {
+		if report.Silent != server.Stats.IsSilent() &&
+			(assignment == nil || !assignment.Measures(server.ID, server.FailureDomain)) {
 			server.Stats.SetSilent(report.Silent)
 		}
 	}
@@ -210,6 +264,7 @@
 	Address       string `json:"address"`
 	Region        string `json:"region"`
 	FailureDomain string `json:"failureDomain"`
+	Strong        bool   `json:"strong,omitempty"`
 }
 
 // joinRetry is the pause after a failed call.
@@ -220,7 +275,7 @@
 func (e *Edge) runJoin(ctx context.Context) {
 	value, err := json.Marshal(member{
 		Incarnation: e.self.Incarnation, Address: e.self.Address,
-		Region: e.self.Region, FailureDomain: e.self.FailureDomain,
+		Region: e.self.Region, FailureDomain: e.self.FailureDomain, Strong: e.self.Strong,
 	})
 	if err != nil {
 		panic(err)
@@ -264,9 +319,10 @@
 		}
 		e.peers.Learn(e.now(), gossip.Gateway{
 			ID: row.Key, Incarnation: m.Incarnation, Address: m.Address,
-			Region: m.Region, FailureDomain: m.FailureDomain,
+			Region: m.Region, FailureDomain: m.FailureDomain, Strong: m.Strong,
 		})
 	}
+	e.membersRead.Store(true)
 	return nil
 }
 
--- a/pkg/edge/explain.go
+++ b/pkg/edge/explain.go
@@ -50,6 +50,7 @@
 	messageBytes *metrics.Counter
 	probes       *metrics.Counter
 	probeErrors  *metrics.Counter
+	joins        *metrics.Counter
 }
 
 func newCounters(set *metrics.Set) *counters {
@@ -64,6 +65,7 @@
 		messageBytes: set.NewCounter("balsamhill_gossip_sent_bytes_total"),
 		probes:       set.NewCounter("balsamhill_probes_total"),
 		probeErrors:  set.NewCounter("balsamhill_probe_errors_total"),
+		joins:        set.NewCounter("balsamhill_gateways_joined_total"),
 	}
 }
 
--- a/pkg/edge/probes.go
+++ b/pkg/edge/probes.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"time"
 
-	"balsamhill/pkg/preset"
+	"balsamhill/pkg/gossip"
 	"balsamhill/pkg/routing"
 )
 
@@ -88,36 +88,39 @@
 	if snapshot == nil || e.stopping.Load() {
 		return
 	}
-	now := e.now()
+	assignment := e.assignment.Load()
+	if assignment == nil {
+		return
+	}
 	for id := range states {
 		if snapshot.ServersByID[id] == nil && !states[id].running {
 			delete(states, id)
 		}
 	}
 	for _, rule := range snapshot.Version.Routing.Services {
-		e.startServiceProbes(ctx, snapshot.Services[rule.Name], rule, now, states, results)
+		if view := snapshot.Services[rule.Name]; view != nil && rule.ProbePath != "" {
+			e.startServiceProbes(ctx, view.Local, rule.ProbePath, assignment, states, results)
+		}
 	}
 }
 
-func (e *Edge) startServiceProbes(ctx context.Context, view *routing.ServiceView, rule preset.ServiceRule, now int64,
-	states map[string]*probeState, results chan<- probeResult,
+func (e *Edge) startServiceProbes(ctx context.Context, servers []*routing.Server, path string,
+	assignment *gossip.Assignment, states map[string]*probeState, results chan<- probeResult,
 ) {
-	if view == nil || rule.ProbePath == "" {
-		return
-	}
-	for _, server := range view.Local {
+	now := e.now()
+	for _, server := range servers {
 		state := states[server.ID]
 		if state == nil {
 			state = &probeState{}
 			states[server.ID] = state
 		}
-		if state.running || !state.due(now, server) || !e.measures(now, server) {
+		if state.running || !state.due(now, server) || !assignment.Measures(server.ID, server.FailureDomain) {
 			continue
 		}
 		state.running = true
 		state.startedAt = now
 		e.counters.probes.Inc()
-		go e.probe(ctx, server, rule.ProbePath, results)
+		go e.probe(ctx, server, path, results)
 	}
 }
 
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -28,6 +28,13 @@
 	peerTimeout = 400 * time.Millisecond
 	// watchPause is how often a follower looks at the age of its view.
 	watchPause = 100 * time.Millisecond
+	// changePause is the time between a change and the next read of the store.
+	changePause = 150 * time.Millisecond
+	// startPause is how often a gateway that has just started looks for a peer that
+	// holds the table, and startWait how long it looks before it reads the store
+	// itself, counted from its start.
+	startPause = 10 * time.Millisecond
+	startWait  = 400 * time.Millisecond
 	// outageLength is the least time without the store that may make entries
 	// lapse.
 	outageLength = 300 * time.Millisecond
@@ -83,6 +90,10 @@
 	// wake is signalled when a peer holds changes that this gateway lacks.
 	wake chan struct{}
 
+	// readAfter is when the store is read again after a change, so that changes in
+	// quick succession come in one answer.
+	readAfter int64
+
 	mu     sync.Mutex
 	mirror feed.Mirror
 }
@@ -116,8 +127,12 @@
 		return 0
 	}
 	switch {
+	case !known && w.edge.waitsForPeer(now):
+		return startPause
 	case !known:
 		return w.readStore(ctx, readerBackoff)
+	case now < w.readAfter:
+		return time.Duration(w.readAfter - now)
 	case w.edge.isReader(now):
 		return w.changes(ctx, mark.AsOf, readerWait, readerBackoff)
 	case behind || mark.Age > int64(staleAge):
@@ -127,6 +142,17 @@
 	}
 }
 
+// waitsForPeer reports whether a gateway that has just started leaves the first
+// read to another one. Weak machines do, because large fleets have many of them.
+func (e *Edge) waitsForPeer(now int64) bool {
+	if e.self.Strong || now-int64(time.Second) > int64(startWait) {
+		return false
+	}
+	e.peersMu.Lock()
+	defer e.peersMu.Unlock()
+	return !e.membersRead.Load() || !e.peers.FirstReader()
+}
+
 func jitter(most time.Duration) time.Duration {
 	return rand.N(most)
 }
@@ -197,6 +223,7 @@
 	if len(rows) == 0 && !first {
 		return
 	}
+	w.readAfter = now + int64(changePause)
 	event := tableEvent{table: w.table, rows: rows, outageEnded: w.edge.storeView.lastOutage(), source: source}
 	select {
 	case w.edge.events <- event:
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -9,6 +9,7 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/encoding/protowire"
 
@@ -17,15 +18,21 @@
 
 // Message is one datagram.
 type Message struct {
-	Sender Gateway
+	// Key and Incarnation identify the sender; see KeyOf.
+	Key         uint64
+	Incarnation uint64
 	// Sequence rises with each message of an incarnation of the sender.
 	Sequence uint64
+	// Introduction describes the sender. Most messages leave it out.
+	Introduction *Gateway
 	// Stopping says that the sender is shutting down.
 	Stopping bool
 	// StoreReachable says that the sender's last call to the store succeeded.
 	StoreReachable bool
+	// Interval is how often the sender sends at least.
+	Interval time.Duration
 	// Marks says what the sender holds of the followed tables, in order of
-	// feed.Tables.
+	// feed.Tables. Messages without news leave it out.
 	Marks      []feed.Mark
 	Reports    []Report
 	Suspicions []Suspicion
@@ -40,11 +47,25 @@
 	Address       string
 	Region        string
 	FailureDomain string
+	// Strong says that the gateway's machine can work for others.
+	Strong bool
+}
+
+// KeyOf returns the key of a gateway, a hash of its ID.
+func KeyOf(id string) uint64 {
+	return xxhash.Sum64String(id)
+}
+
+// ServerKey returns the key of a server in reports, a hash of its ID. Servers of
+// the same key get each other's reports; with a thousand servers that happens in
+// one fleet of 8,000.
+func ServerKey(id string) uint32 {
+	return uint32(xxhash.Sum64String(id))
 }
 
 // Report is the load of a server as the sender saw it.
 type Report struct {
-	ServerID string
+	Server uint32
 	// Age is how long ago the server answered.
 	Age          time.Duration
 	InFlight     int64
@@ -56,22 +77,17 @@
 // Suspicion says that a connection broke while a request was in flight.
 type Suspicion struct {
 	Fingerprint uint64
-	ServerID    string
+	Server      uint32
 }
 
-// MaxBytes is the largest datagram that is sent; it fits the usual packet size
-// of 1,500 bytes with its headers.
-const MaxBytes = 1400
-
 // Field numbers of a message and its parts.
 const (
-	fieldID protowire.Number = iota + 1
+	fieldKey protowire.Number = iota + 1
 	fieldIncarnation
-	fieldAddress
-	fieldRegion
-	fieldDomain
 	fieldSequence
 	fieldFlags
+	fieldIntervalMillis
+	fieldIntroduction
 	fieldMark
 	fieldReport
 	fieldSuspicion
@@ -82,7 +98,15 @@
 	flagStoreReachable
 )
 
-// Field numbers within marks, reports and suspicions.
+// Field numbers within introductions, marks, reports and suspicions.
+const (
+	introductionID protowire.Number = iota + 1
+	introductionAddress
+	introductionRegion
+	introductionDomain
+	introductionStrong
+)
+
 const (
 	markChanged protowire.Number = iota + 1
 	markAsOf
@@ -104,11 +128,8 @@
 
 // Marshal appends the message to buffer.
 func (m *Message) Marshal(buffer []byte) []byte {
-	buffer = appendText(buffer, fieldID, m.Sender.ID)
-	buffer = appendNumber(buffer, fieldIncarnation, m.Sender.Incarnation)
-	buffer = appendText(buffer, fieldAddress, m.Sender.Address)
-	buffer = appendText(buffer, fieldRegion, m.Sender.Region)
-	buffer = appendText(buffer, fieldDomain, m.Sender.FailureDomain)
+	buffer = appendFixed64(buffer, fieldKey, m.Key)
+	buffer = appendNumber(buffer, fieldIncarnation, m.Incarnation)
 	buffer = appendNumber(buffer, fieldSequence, m.Sequence)
 	var flags uint64
 	if m.Stopping {
@@ -118,6 +139,10 @@
 		flags |= flagStoreReachable
 	}
 	buffer = appendNumber(buffer, fieldFlags, flags)
+	buffer = appendNumber(buffer, fieldIntervalMillis, uint64(max(0, m.Interval.Milliseconds())))
+	if m.Introduction != nil {
+		buffer = appendPart(buffer, fieldIntroduction, m.Introduction.marshal())
+	}
 	for _, mark := range m.Marks {
 		var part []byte
 		part = appendNumber(part, markChanged, mark.Changed)
@@ -130,16 +155,28 @@
 	}
 	for _, suspicion := range m.Suspicions {
 		var part []byte
-		part = appendNumber(part, suspicionFingerprint, suspicion.Fingerprint)
-		part = appendText(part, suspicionServer, suspicion.ServerID)
+		part = appendFixed64(part, suspicionFingerprint, suspicion.Fingerprint)
+		part = appendFixed32(part, suspicionServer, suspicion.Server)
 		buffer = appendPart(buffer, fieldSuspicion, part)
 	}
 	return buffer
 }
 
-func (r *Report) marshal() []byte {
+func (g *Gateway) marshal() []byte {
 	var part []byte
-	part = appendText(part, reportServer, r.ServerID)
+	part = appendText(part, introductionID, g.ID)
+	part = appendText(part, introductionAddress, g.Address)
+	part = appendText(part, introductionRegion, g.Region)
+	part = appendText(part, introductionDomain, g.FailureDomain)
+	if g.Strong {
+		part = appendNumber(part, introductionStrong, 1)
+	}
+	return part
+}
+
+func (r *Report) marshal() []byte {
+	part := make([]byte, 0, reportBytes)
+	part = appendFixed32(part, reportServer, r.Server)
 	part = appendNumber(part, reportAgeMicros, micros(r.Age))
 	part = appendNumber(part, reportInFlight, uint64(max(0, r.InFlight)))
 	part = appendNumber(part, reportPace, uint64(max(0, r.PacePermille)))
@@ -149,6 +186,19 @@
 	return part
 }
 
+// reportBytes is the usual size of a report.
+const reportBytes = 24
+
+func appendFixed64(buffer []byte, field protowire.Number, number uint64) []byte {
+	buffer = protowire.AppendTag(buffer, field, protowire.Fixed64Type)
+	return protowire.AppendFixed64(buffer, number)
+}
+
+func appendFixed32(buffer []byte, field protowire.Number, number uint32) []byte {
+	buffer = protowire.AppendTag(buffer, field, protowire.Fixed32Type)
+	return protowire.AppendFixed32(buffer, number)
+}
+
 func micros(d time.Duration) uint64 {
 	return uint64(max(0, d.Microseconds()))
 }
@@ -174,29 +224,32 @@
 	err := eachField(data, func(field protowire.Number, number uint64, text []byte) error {
 		return m.set(field, number, text)
 	})
-	if err == nil && m.Sender.ID == "" {
+	if err == nil && m.Key == 0 {
 		err = eris.New("message without a sender")
 	}
+	if m.Introduction != nil {
+		m.Introduction.Incarnation = m.Incarnation
+	}
 	return m, err
 }
 
 func (m *Message) set(field protowire.Number, number uint64, text []byte) error {
 	switch field {
-	case fieldID:
-		m.Sender.ID = string(text)
+	case fieldKey:
+		m.Key = number
 	case fieldIncarnation:
-		m.Sender.Incarnation = number
-	case fieldAddress:
-		m.Sender.Address = string(text)
-	case fieldRegion:
-		m.Sender.Region = string(text)
-	case fieldDomain:
-		m.Sender.FailureDomain = string(text)
+		m.Incarnation = number
 	case fieldSequence:
 		m.Sequence = number
 	case fieldFlags:
 		m.Stopping = number&flagStopping != 0
 		m.StoreReachable = number&flagStoreReachable != 0
+	case fieldIntervalMillis:
+		m.Interval = time.Duration(min(number, uint64(maxInterval/time.Millisecond))) * time.Millisecond
+	case fieldIntroduction:
+		introduction, err := unmarshalIntroduction(text)
+		m.Introduction = &introduction
+		return err
 	case fieldMark:
 		mark, err := unmarshalMark(text)
 		m.Marks = append(m.Marks, mark)
@@ -213,6 +266,26 @@
 	return nil
 }
 
+func unmarshalIntroduction(data []byte) (Gateway, error) {
+	var gateway Gateway
+	err := eachField(data, func(field protowire.Number, number uint64, text []byte) error {
+		switch field {
+		case introductionID:
+			gateway.ID = string(text)
+		case introductionAddress:
+			gateway.Address = string(text)
+		case introductionRegion:
+			gateway.Region = string(text)
+		case introductionDomain:
+			gateway.FailureDomain = string(text)
+		case introductionStrong:
+			gateway.Strong = number != 0
+		}
+		return nil
+	})
+	return gateway, err
+}
+
 func unmarshalMark(data []byte) (feed.Mark, error) {
 	var mark feed.Mark
 	err := eachField(data, func(field protowire.Number, number uint64, _ []byte) error {
@@ -231,10 +304,10 @@
 
 func unmarshalReport(data []byte) (Report, error) {
 	var report Report
-	err := eachField(data, func(field protowire.Number, number uint64, text []byte) error {
+	err := eachField(data, func(field protowire.Number, number uint64, _ []byte) error {
 		switch field {
 		case reportServer:
-			report.ServerID = string(text)
+			report.Server = uint32(number)
 		case reportAgeMicros:
 			report.Age = duration(number)
 		case reportInFlight:
@@ -251,23 +324,24 @@
 
 func unmarshalSuspicion(data []byte) (Suspicion, error) {
 	var suspicion Suspicion
-	err := eachField(data, func(field protowire.Number, number uint64, text []byte) error {
+	err := eachField(data, func(field protowire.Number, number uint64, _ []byte) error {
 		switch field {
 		case suspicionFingerprint:
 			suspicion.Fingerprint = number
 		case suspicionServer:
-			suspicion.ServerID = string(text)
+			suspicion.Server = uint32(number)
 		}
 		return nil
 	})
 	return suspicion, err
 }
 
-// maxNumber bounds numbers of a report, and maxAge the ages, so that absurd ones
-// cannot upset estimates.
+// maxNumber bounds numbers of a report, and maxAge and maxInterval the times, so
+// that absurd ones cannot upset estimates.
 const (
-	maxNumber = 10_000_000
-	maxAge    = time.Hour
+	maxNumber   = 10_000_000
+	maxAge      = time.Hour
+	maxInterval = 10 * time.Second
 )
 
 func bounded(number uint64) int64 {
@@ -293,6 +367,12 @@
 			number, n = protowire.ConsumeVarint(data)
 		case protowire.BytesType:
 			text, n = protowire.ConsumeBytes(data)
+		case protowire.Fixed64Type:
+			number, n = protowire.ConsumeFixed64(data)
+		case protowire.Fixed32Type:
+			var short uint32
+			short, n = protowire.ConsumeFixed32(data)
+			number = uint64(short)
 		default:
 			n = protowire.ConsumeFieldValue(field, kind, data)
 		}
--- a/pkg/gossip/peers.go
+++ b/pkg/gossip/peers.go
@@ -11,17 +11,22 @@
 )
 
 const (
-	// Life is how long a peer counts as alive after its last message. Messages
-	// come at least every 100 ms; a machine with a processor quota may stand still
-	// for a tenth of a second.
-	Life = 600 * time.Millisecond
+	// minLife is how long a peer counts as alive after its last message at least:
+	// a machine with a processor quota may stand still for a tenth of a second.
+	minLife = 600 * time.Millisecond
+	// livesPerInterval is how many of its intervals a peer may miss.
+	livesPerInterval = 4
 	// forgetAfter is how long the address of a silent peer is kept.
 	forgetAfter = 30 * time.Second
 	// silentInterval is how often a silent peer gets a message.
 	silentInterval = time.Second
-	// MaxMarkAge is the age from which a gateway's view of a table no longer
-	// makes it a reader that others rely on.
-	MaxMarkAge = 2500 * time.Millisecond
+	// wideRegion is the number of gateways of a region up to which all of them
+	// talk to each other. In larger regions only the gateways of a failure domain
+	// do, because messages grow with the square of their number.
+	wideRegion = 16
+	// fewMeasurers is the number of gateways that measure for the others in a large
+	// failure domain without strong machines.
+	fewMeasurers = 4
 )
 
 // peer is what is known of another gateway.
@@ -29,6 +34,7 @@
 	gateway        Gateway
 	heardAt        int64
 	sequence       uint64
+	interval       time.Duration
 	stopping       bool
 	storeReachable bool
 	marks          []feed.Mark
@@ -36,76 +42,95 @@
 	sentAt         int64
 }
 
-// Peers is the table of the other gateways. It is not safe for concurrent use.
+// Peers is the table of the other gateways of the region. It is not safe for
+// concurrent use.
 type Peers struct {
 	self  Gateway
-	peers map[string]*peer
+	peers map[uint64]*peer
 }
 
 // NewPeers returns a table without peers.
 func NewPeers(self Gateway) *Peers {
-	return &Peers{self: self, peers: make(map[string]*peer)}
+	return &Peers{self: self, peers: make(map[uint64]*peer)}
 }
 
 // Learn takes in a gateway that another source named, such as the store. It gets
 // messages, but counts as alive only after its own message.
 func (p *Peers) Learn(now int64, gateway Gateway) {
-	known := p.peers[gateway.ID]
 	if gateway.ID == p.self.ID || gateway.Region != p.self.Region {
 		return
 	}
+	key := KeyOf(gateway.ID)
+	known := p.peers[key]
 	if known == nil || gateway.Incarnation > known.gateway.Incarnation {
-		p.peers[gateway.ID] = &peer{gateway: gateway, markedAt: now}
+		p.peers[key] = &peer{gateway: gateway, markedAt: now}
 	}
 }
 
 // Hear takes a message in and reports whether it is newer than the last one of
-// its sender. joined says that the sender was not alive before.
+// its sender. joined says that the sender was not alive before. Messages of
+// unknown senders do not count until one brings an introduction.
 func (p *Peers) Hear(now int64, message *Message) (newer, joined bool) {
-	sender := message.Sender
-	if sender.ID == p.self.ID || sender.Region != p.self.Region {
-		return false, false
+	if introduction := message.Introduction; introduction != nil {
+		p.Learn(now, *introduction)
 	}
-	known := p.peers[sender.ID]
-	if known != nil && sender.Incarnation < known.gateway.Incarnation {
+	known := p.peers[message.Key]
+	if known == nil || message.Incarnation != known.gateway.Incarnation {
 		return false, false
 	}
-	if known == nil || sender.Incarnation > known.gateway.Incarnation {
-		known = &peer{}
-		p.peers[sender.ID] = known
-	}
 	if known.heardAt != 0 && message.Sequence <= known.sequence {
 		return false, false
 	}
 	joined = !known.alive(now)
-	known.gateway = sender
 	known.heardAt = now
 	known.sequence = message.Sequence
+	known.interval = message.Interval
 	known.stopping = message.Stopping
 	known.storeReachable = message.StoreReachable
-	known.marks = message.Marks
-	known.markedAt = now
+	if len(message.Marks) > 0 {
+		known.marks = message.Marks
+		known.markedAt = now
+	}
 	return true, joined
 }
 
 func (p *peer) alive(now int64) bool {
-	return p.heardAt != 0 && now-p.heardAt <= int64(Life)
+	return p.heardAt != 0 && now-p.heardAt <= int64(max(minLife, livesPerInterval*p.interval))
+}
+
+// works reports whether the peer can work for others.
+func (p *peer) works(now int64) bool {
+	return p.alive(now) && !p.stopping
+}
+
+// Wide reports whether only the gateways of a failure domain talk to each other.
+func (p *Peers) Wide() bool {
+	return len(p.peers)+1 > wideRegion
+}
+
+// near reports whether a gateway is one that this one talks to.
+func (p *Peers) near(gateway Gateway, wide bool) bool {
+	return !wide || gateway.FailureDomain == p.self.FailureDomain
 }
 
 // Targets returns the addresses that get the next message: all live peers, and
 // now and then silent ones, which may have lost contact for a while.
 func (p *Peers) Targets(now int64) []string {
 	var addresses []string
-	for id, peer := range p.peers {
+	wide := p.Wide()
+	for key, peer := range p.peers {
 		if !peer.alive(now) {
 			if now-max(peer.heardAt, peer.markedAt) > int64(forgetAfter) {
-				delete(p.peers, id)
+				delete(p.peers, key)
 				continue
 			}
 			if peer.sentAt != 0 && now-peer.sentAt < int64(silentInterval) {
 				continue
 			}
 		}
+		if !p.near(peer.gateway, wide) {
+			continue
+		}
 		peer.sentAt = now
 		addresses = append(addresses, peer.gateway.Address)
 	}
@@ -113,24 +138,49 @@
 	return addresses
 }
 
-// Alive returns how many peers are alive.
+// Alive returns how many peers are alive that this gateway talks to.
 func (p *Peers) Alive(now int64) int {
 	count := 0
+	wide := p.Wide()
 	for _, peer := range p.peers {
-		if peer.alive(now) {
+		if peer.alive(now) && p.near(peer.gateway, wide) {
 			count++
 		}
 	}
 	return count
 }
 
-// IsReader reports whether this gateway reads the store for its region: it has
-// the highest rank among the gateways that are alive and reach the store.
+// place is a gateway's place in an order of preference: strong machines first,
+// then by rendezvous hash, so that a change of the gateways moves little.
+type place struct {
+	strong bool
+	hash   uint64
+	id     string
+}
+
+func placeOf(thing string, gateway Gateway) place {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(thing)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(gateway.ID)
+	return place{strong: gateway.Strong, hash: digest.Sum64(), id: gateway.ID}
+}
+
+func (p place) before(other place) bool {
+	if p.strong != other.strong {
+		return p.strong
+	}
+	return cmp.Or(cmp.Compare(p.hash, other.hash), cmp.Compare(p.id, other.id)) > 0
+}
+
+// IsReader reports whether this gateway reads the store for those that it talks
+// to: it has the first place among the ones that are alive and reach the store.
 func (p *Peers) IsReader(now int64, storeReachable bool) bool {
-	own := rank("reader", p.self.ID)
+	wide := p.Wide()
+	own := placeOf("reader", p.self)
 	anyReaches := storeReachable
 	for _, peer := range p.peers {
-		if peer.alive(now) && !peer.stopping && peer.storeReachable {
+		if peer.works(now) && peer.storeReachable && p.near(peer.gateway, wide) {
 			anyReaches = true
 		}
 	}
@@ -138,10 +188,23 @@
 		return false
 	}
 	for _, peer := range p.peers {
-		if !peer.alive(now) || peer.stopping || (anyReaches && !peer.storeReachable) {
+		if !peer.works(now) || !p.near(peer.gateway, wide) || (anyReaches && !peer.storeReachable) {
 			continue
 		}
-		if outranks(rank("reader", peer.gateway.ID), peer.gateway.ID, own, p.self.ID) {
+		if placeOf("reader", peer.gateway).before(own) {
+			return false
+		}
+	}
+	return true
+}
+
+// FirstReader reports whether this gateway is the one to read the store before
+// any messages were exchanged, judged by the peers that the store named.
+func (p *Peers) FirstReader() bool {
+	wide := p.Wide()
+	own := placeOf("reader", p.self)
+	for _, peer := range p.peers {
+		if p.near(peer.gateway, wide) && placeOf("reader", peer.gateway).before(own) {
 			return false
 		}
 	}
@@ -152,7 +215,7 @@
 // its index in feed.Tables, and its mark with the age at this moment.
 func (p *Peers) Newest(now int64, table int) (address string, mark feed.Mark, ok bool) {
 	bestID := ""
-	for id, peer := range p.peers {
+	for _, peer := range p.peers {
 		if !peer.alive(now) || table >= len(peer.marks) || peer.marks[table].AsOf == 0 {
 			continue
 		}
@@ -161,49 +224,86 @@
 		better := cmp.Or(
 			cmp.Compare(candidate.Changed, mark.Changed),
 			cmp.Compare(candidate.AsOf, mark.AsOf),
-			cmp.Compare(bestID, id),
+			cmp.Compare(bestID, peer.gateway.ID),
 		) > 0
 		if !ok || better {
-			address, mark, ok, bestID = peer.gateway.Address, candidate, true, id
+			address, mark, ok, bestID = peer.gateway.Address, candidate, true, peer.gateway.ID
 		}
 	}
 	return address, mark, ok
 }
 
-// Measures reports whether this gateway probes a server for its region: it has
-// the highest rank for the server among the live gateways of the server's
-// failure domain, or of the region if there are none.
-func (p *Peers) Measures(now int64, serverID, failureDomain string) bool {
-	local := p.self.FailureDomain == failureDomain
-	own := rank(serverID, p.self.ID)
-	best := true
+// Assignment says which gateways probe which servers. It is immutable.
+type Assignment struct {
+	self Gateway
+	wide bool
+	// measurers are the gateways that probe for the others, by failure domain.
+	measurers map[string][]Gateway
+	all       []Gateway
+}
+
+// Assign divides the servers among the gateways that are alive. In a small region
+// all of them measure. In a large one the servers of a failure domain are left to
+// its own gateways, of which only the strong ones measure, or a few if there is
+// none.
+func (p *Peers) Assign(now int64) Assignment {
+	a := Assignment{self: p.self, wide: p.Wide(), measurers: make(map[string][]Gateway)}
+	candidates := []Gateway{p.self}
 	for _, peer := range p.peers {
-		if !peer.alive(now) || peer.stopping {
-			continue
+		if peer.works(now) && p.near(peer.gateway, a.wide) {
+			candidates = append(candidates, peer.gateway)
 		}
-		peerLocal := peer.gateway.FailureDomain == failureDomain
-		if local && !peerLocal {
-			continue
-		}
-		if peerLocal && !local {
-			return false
-		}
-		if outranks(rank(serverID, peer.gateway.ID), peer.gateway.ID, own, p.self.ID) {
-			best = false
+	}
+	if a.wide {
+		candidates = measurersOf(candidates)
+	}
+	for _, gateway := range candidates {
+		a.measurers[gateway.FailureDomain] = append(a.measurers[gateway.FailureDomain], gateway)
+	}
+	a.all = candidates
+	return a
+}
+
+// measurersOf returns the strong gateways, or a few if there is none.
+func measurersOf(gateways []Gateway) []Gateway {
+	slices.SortFunc(gateways, func(a, b Gateway) int {
+		if placeOf("measurer", a).before(placeOf("measurer", b)) {
+			return -1
 		}
+		return 1
+	})
+	strong := 0
+	for strong < len(gateways) && gateways[strong].Strong {
+		strong++
 	}
-	return best
+	if strong == 0 {
+		strong = fewMeasurers
+	}
+	return gateways[:min(strong, len(gateways))]
 }
 
-// rank is the rendezvous hash of a gateway for a thing.
-func rank(thing, gateway string) uint64 {
-	digest := xxhash.New()
-	_, _ = digest.WriteString(thing)
-	_, _ = digest.Write([]byte{0})
-	_, _ = digest.WriteString(gateway)
-	return digest.Sum64()
+// Measures reports whether this gateway probes a server: it has the first place
+// for it among the measurers of the server's failure domain, or of the region if
+// there are none.
+func (a Assignment) Measures(serverID, failureDomain string) bool {
+	if a.wide && failureDomain != a.self.FailureDomain {
+		return false
+	}
+	candidates := a.measurers[failureDomain]
+	if len(candidates) == 0 {
+		candidates = a.all
+	}
+	var first Gateway
+	for i, gateway := range candidates {
+		if i == 0 || placeOf(serverID, gateway).before(placeOf(serverID, first)) {
+			first = gateway
+		}
+	}
+	return first.ID == a.self.ID
 }
 
-func outranks(rank uint64, id string, other uint64, otherID string) bool {
-	return cmp.Or(cmp.Compare(rank, other), cmp.Compare(id, otherID)) > 0
+// Tells reports whether this gateway tells others what it learns of servers: in
+// a large region only measurers do.
+func (a Assignment) Tells() bool {
+	return !a.wide || slices.ContainsFunc(a.all, func(g Gateway) bool { return g.ID == a.self.ID })
 }
--- /dev/null
+++ b/pkg/registry/registry_test.go
@@ -0,0 +1,75 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"balsamhill/pkg/platform"
+)
+
+const second = int64(time.Second)
+
+func ids(r *Registry) []string {
+	var list []string
+	for _, vm := range r.Servers() {
+		list = append(list, vm.ID)
+	}
+	return list
+}
+
+// TestMissingEntries guards against servers that are dropped because their
+// entries lapsed while the store was away, and against servers that left and
+// stay in use.
+func TestMissingEntries(t *testing.T) {
+	tests := []struct {
+		desc string
+		run  func(*Registry)
+		want []string
+	}{
+		{"left in normal operation", func(r *Registry) { r.Remove(10*second, "a") }, []string{"b"}},
+		{"lapsed during an outage", func(r *Registry) {
+			r.OutageEnded(10 * second)
+			r.Remove(10*second, "a")
+			r.Expire(11 * second)
+		}, []string{"a", "b"}},
+		{"lapsed and came back", func(r *Registry) {
+			r.OutageEnded(10 * second)
+			r.Remove(10*second, "a")
+			r.Put(Entry{ID: "a", Started: 1})
+			r.Expire(20 * second)
+		}, []string{"a", "b"}},
+		{"still missing 2.2 s after the return", func(r *Registry) {
+			r.OutageEnded(10 * second)
+			r.Remove(10*second, "a")
+			r.Expire(10*second + int64(LapseGrace))
+		}, []string{"b"}},
+		{"left long after the return", func(r *Registry) {
+			r.OutageEnded(10 * second)
+			r.Remove(13*second, "a")
+		}, []string{"b"}},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			r := New(nil)
+			r.Put(Entry{ID: "a", Started: 1})
+			r.Put(Entry{ID: "b", Started: 1})
+			test.run(r)
+			assert.DeepEqual(t, ids(r), test.want)
+		})
+	}
+}
+
+// TestOldIncarnation guards against a delayed entry of a server's earlier start
+// that replaces the present one.
+func TestOldIncarnation(t *testing.T) {
+	r := New(map[string]string{"d": "r"})
+	assert.Equal(t, r.Put(Entry{ID: "a", Started: 2, FailureDomain: "d", Slots: 4}), true)
+	assert.Equal(t, r.Put(Entry{ID: "a", Started: 1, Leaving: true}), false)
+	assert.Equal(t, r.Put(Entry{ID: "a", Started: 2, FailureDomain: "d", Slots: 4}), false)
+	vm := r.Servers()[0]
+	assert.Equal(t, vm.State, platform.VMLive)
+	assert.Equal(t, vm.Region, "r")
+	assert.Equal(t, vm.Slots, 4)
+}
