--- a/cmd/balsamhilld/platform.go
+++ b/cmd/balsamhilld/platform.go
@@ -6,9 +6,12 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/google/subcommands"
 
+	"balsamhill/pkg/boundedlog"
 	"balsamhill/platform"
 )
 
@@ -22,6 +25,7 @@
 Runs one gateway with the settings, the store and the server entries of the
 users' platform; docs/platform.md describes it. The path of the settings file is
 in the environment variable BALSAMHILL_NODE_FILE. Logs go to standard output.
+SIGHUP reads the settings again; SIGTERM shuts down gracefully.
 
 `
 }
@@ -29,8 +33,12 @@
 func (*platformCommand) SetFlags(*flag.FlagSet) {}
 
 func (*platformCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	log := slog.New(slog.NewJSONHandler(os.Stdout, nil))
-	err := platform.Run(ctx, log)
+	writer := boundedlog.NewWriter(os.Stdout)
+	defer writer.Close()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	err := platform.Run(ctx, reload, slog.New(boundedlog.New(writer, nil)))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "balsamhilld:", err)
 		return subcommands.ExitFailure
--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -84,7 +84,7 @@
 // version turns a document into the preset that is in force with it.
 func (e *Edge) version(document *Document) preset.Version {
 	p := preset.Default("platform", preset.KindOrdinary)
-	terms := e.settings.Terms
+	terms := e.terms.Load()
 	for _, class := range preset.Classes() {
 		limits := p.Classes[class]
 		limits.MaxBodyBytes = document.MaxBodyBytes
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -68,11 +68,13 @@
 // Edge is one gateway. Create it with New and run it with Run.
 type Edge struct {
 	settings *Settings
-	store    Store
-	codec    Codec
-	log      *slog.Logger
-	started  time.Time
-	self     gossip.Gateway
+	// terms are those of the last settings that were read.
+	terms   atomic.Pointer[Terms]
+	store   Store
+	codec   Codec
+	log     *slog.Logger
+	started time.Time
+	self    gossip.Gateway
 
 	// The control goroutine owns state and servers.
 	state   *control.State
@@ -96,16 +98,20 @@
 	greet atomic.Bool
 	// membersRead says that the addresses of the other gateways were read.
 	membersRead atomic.Bool
+	directory   directory
 
 	proxy     *proxy.Proxy
 	transport *proxy.Transports
-	probes    *http.Transport
-	metrics   *metrics.Set
-	counters  *counters
+	// answered counts usual answers, for the sample of them that is logged.
+	answered atomic.Uint64
+	probes   *http.Transport
+	metrics  *metrics.Set
+	counters *counters
 
 	trafficListener net.Listener
 	readyListener   net.Listener
 	feedListener    net.Listener
+	meetingListener net.Listener
 	datagrams       *net.UDPConn
 	traffic         *http.Server
 }
@@ -138,6 +144,7 @@
 			Connections: connectionsPerServer, Idle: idleLimit, FreshIdle: freshIdleLimit,
 		}),
 	}
+	e.terms.Store(&s.Terms)
 	e.peers = gossip.NewPeers(e.self)
 	e.counters = newCounters(e.metrics)
 	e.probes = newProbeTransport()
@@ -179,6 +186,12 @@
 	if err != nil {
 		return eris.Wrap(err, "open listener for gateways")
 	}
+	if e.settings.Meeting != "" {
+		e.meetingListener, err = net.Listen("tcp", e.settings.Meeting)
+		if err != nil {
+			return eris.Wrap(err, "open listener for new gateways")
+		}
+	}
 	address, err := net.ResolveUDPAddr("udp", e.self.Address)
 	if err != nil {
 		return eris.Wrap(err, "address for datagrams")
@@ -219,6 +232,9 @@
 	group.Add(func() error { e.runReceiving(); return nil }, func(error) { _ = e.datagrams.Close() })
 	addServer(&http.Server{Handler: e.readyHandler(), IdleTimeout: callerIdle}, e.readyListener)
 	addServer(&http.Server{Handler: e.feedHandler(), IdleTimeout: callerIdle}, e.feedListener)
+	if e.meetingListener != nil {
+		addServer(&http.Server{Handler: e.meetingHandler(), IdleTimeout: callerIdle}, e.meetingListener)
+	}
 	group.Add(func() error { return e.serveTraffic(ctx) }, func(error) { _ = e.traffic.Close() })
 	err := group.Run()
 	e.transport.CloseIdleConnections()
@@ -228,6 +244,13 @@
 	return err
 }
 
+// Reload puts the terms of new settings in force. They count from the next
+// version of the configuration on; addresses only change with a restart.
+func (e *Edge) Reload(s *Settings) {
+	old := e.terms.Swap(&s.Terms)
+	e.log.Info("settings read again", "changed", *old != s.Terms)
+}
+
 // ready reports whether the gateway can take callers.
 func (e *Edge) ready() bool {
 	return e.snapshot.Load() != nil && e.listRead.Load() && !e.stopping.Load()
--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -49,7 +50,9 @@
 func (e *Edge) runSending(ctx context.Context) {
 	ticker := time.NewTicker(sendInterval)
 	defer ticker.Stop()
-	sender := &sender{edge: e, told: make(map[string]told)}
+	sender := &sender{
+		edge: e, told: make(map[string]told), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
 	for {
 		select {
 		case <-ticker.C:
@@ -70,8 +73,12 @@
 	marks        []feed.Mark
 	told         map[string]told
 	buffer       []byte
+	random       *rand.Rand
 }
 
+// othersPerMessage is how many other gateways an introduction describes.
+const othersPerMessage = 2
+
 // told is what the peers know of a server.
 type told struct {
 	reportedAt int64
@@ -109,6 +116,9 @@
 	if greet || now-s.introducedAt >= int64(introduceInterval) || s.introducedAt == 0 {
 		s.introducedAt = now
 		message.Introduction = &e.self
+		e.peersMu.Lock()
+		message.Others = e.peers.Some(now, othersPerMessage, s.random)
+		e.peersMu.Unlock()
 	}
 	s.send(now, &message, reports)
 }
@@ -125,7 +135,7 @@
 		reports = reports[len(message.Reports):]
 		s.buffer = message.Marshal(s.buffer[:0])
 		e.sendTo(targets, s.buffer)
-		message.Marks, message.Introduction = nil, nil
+		message.Marks, message.Introduction, message.Others = nil, nil, nil
 	}
 }
 
@@ -258,74 +268,6 @@
 	}
 }
 
-// member is a row of the table Members.
-type member struct {
-	Incarnation   uint64 `json:"incarnation"`
-	Address       string `json:"address"`
-	Region        string `json:"region"`
-	FailureDomain string `json:"failureDomain"`
-	Strong        bool   `json:"strong,omitempty"`
-}
-
-// joinRetry is the pause after a failed call.
-const joinRetry = 500 * time.Millisecond
-
-// runJoin leaves this gateway's address in the store and learns those of the
-// others. Gateways that start later introduce themselves with a message.
-func (e *Edge) runJoin(ctx context.Context) {
-	value, err := json.Marshal(member{
-		Incarnation: e.self.Incarnation, Address: e.self.Address,
-		Region: e.self.Region, FailureDomain: e.self.FailureDomain, Strong: e.self.Strong,
-	})
-	if err != nil {
-		panic(err)
-	}
-	e.untilDone(ctx, func(ctx context.Context) error { return e.store.Put(ctx, Members, e.self.ID, value) })
-	e.untilDone(ctx, e.readMembers)
-	<-ctx.Done()
-}
-
-// untilDone repeats a call until it succeeds or ctx ends.
-func (e *Edge) untilDone(ctx context.Context, call func(context.Context) error) {
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err := call(callCtx)
-		cancel()
-		e.counters.storeCall(Members, err)
-		if err == nil {
-			return
-		}
-		e.log.Warn("cannot join the other gateways yet", "error", err)
-		select {
-		case <-time.After(joinRetry + jitter(joinRetry)):
-		case <-ctx.Done():
-		}
-	}
-}
-
-func (e *Edge) readMembers(ctx context.Context) error {
-	batch, err := e.store.Read(ctx, Members)
-	if err != nil {
-		return err
-	}
-	e.peersMu.Lock()
-	defer e.peersMu.Unlock()
-	for _, row := range batch.Rows {
-		var m member
-		err := json.Unmarshal(row.Value, &m)
-		if err != nil {
-			e.log.Warn("row of a gateway cannot be read", "gateway", row.Key, "error", err)
-			continue
-		}
-		e.peers.Learn(e.now(), gossip.Gateway{
-			ID: row.Key, Incarnation: m.Incarnation, Address: m.Address,
-			Region: m.Region, FailureDomain: m.FailureDomain, Strong: m.Strong,
-		})
-	}
-	e.membersRead.Store(true)
-	return nil
-}
-
 // feedHandler hands tables over to other gateways.
 func (e *Edge) feedHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/pkg/edge/explain.go
+++ b/pkg/edge/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -31,6 +32,28 @@
 		"attempts", event.Attempts, "took", event.Took.String(), "revision", event.Revision)
 }
 
+// sampleEvery is how many usual answers there are for each one that is logged.
+const sampleEvery = 200
+
+// CallAnswered implements proxy.Observer. Answers that came late, after a repeat
+// or with a failure have their line; of the others one in sampleEvery has.
+func (o observer) CallAnswered(event proxy.AnswerEvent) {
+	o.edge.counters.answered(event)
+	if !event.Late() && event.Attempts <= 1 && event.Status < http.StatusInternalServerError &&
+		o.edge.answered.Add(1)%sampleEvery != 0 {
+		return
+	}
+	o.edge.log.Info("call answered", "request", event.RequestID, "route", event.Route, "service", event.Service,
+		"server", event.ServerID, "status", event.Status, "attempts", event.Attempts, "late", event.Late(),
+		"took", event.Took.String(), "target", event.Target.String(), "revision", event.Revision)
+}
+
+// CallerLeft implements proxy.Observer.
+func (o observer) CallerLeft(event proxy.AnswerEvent) {
+	o.edge.log.Info("caller left", "request", event.RequestID, "route", event.Route, "service", event.Service,
+		"attempts", event.Attempts, "took", event.Took.String(), "revision", event.Revision)
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
@@ -69,6 +92,19 @@
 	}
 }
 
+// answered records the latency of an answer.
+func (c *counters) answered(event proxy.AnswerEvent) {
+	outcome := "in_time"
+	switch {
+	case event.Status >= http.StatusInternalServerError:
+		outcome = "failed"
+	case event.Late():
+		outcome = "late"
+	}
+	c.set.GetOrCreateHistogram(fmt.Sprintf(`balsamhill_answer_seconds{service=%q,outcome=%q}`, event.Service, outcome)).
+		Update(event.Took.Seconds())
+}
+
 func (c *counters) storeCall(table feed.Table, err error) {
 	c.set.GetOrCreateCounter(fmt.Sprintf(`balsamhill_store_calls_total{table=%q,result=%q}`, table, result(err))).Inc()
 }
--- a/pkg/edge/stop.go
+++ b/pkg/edge/stop.go
@@ -36,7 +36,7 @@
 	e.stopping.Store(true)
 	e.log.Info("graceful shutdown started", "inFlight", e.proxy.InFlight())
 	time.Sleep(stopNotice)
-	ctx, cancel := context.WithDeadline(ctx, begun.Add(e.settings.Terms.StopGrace-stopReserve))
+	ctx, cancel := context.WithDeadline(ctx, begun.Add(e.terms.Load().StopGrace-stopReserve))
 	defer cancel()
 	err := e.traffic.Shutdown(ctx)
 	err = errors.Join(err, e.proxy.Wait(ctx))
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -21,9 +21,14 @@
 	// time of a read it stays below the bounds of 2.5 s on configurations and
 	// leaving servers.
 	staleAge = 1900 * time.Millisecond
-	// readerBackoff and followerBackoff are the pauses after a failed call.
+	// readerBackoff is the pause of a reader after a failed call. The others leave
+	// it to the reader to find the store again and pause for followerBackoff first,
+	// then twice as long each time up to maxBackoff.
 	readerBackoff   = 200 * time.Millisecond
 	followerBackoff = time.Second
+	maxBackoff      = 8 * time.Second
+	// firstReadBackoff is the first pause of a gateway that knows nothing yet.
+	firstReadBackoff = 300 * time.Millisecond
 	// peerTimeout bounds a read from another gateway.
 	peerTimeout = 400 * time.Millisecond
 	// watchPause is how often a follower looks at the age of its view.
@@ -93,6 +98,8 @@
 	// readAfter is when the store is read again after a change, so that changes in
 	// quick succession come in one answer.
 	readAfter int64
+	// backoff is the last pause after a failure, 0 after a success.
+	backoff time.Duration
 
 	mu     sync.Mutex
 	mirror feed.Mirror
@@ -129,14 +136,16 @@
 	switch {
 	case !known && w.edge.waitsForPeer(now):
 		return startPause
-	case !known:
+	case !known && w.edge.isReader(now):
 		return w.readStore(ctx, readerBackoff)
+	case !known:
+		return w.readStore(ctx, w.growBackoff(firstReadBackoff))
 	case now < w.readAfter:
 		return time.Duration(w.readAfter - now)
 	case w.edge.isReader(now):
 		return w.changes(ctx, mark.AsOf, readerWait, readerBackoff)
 	case behind || mark.Age > int64(staleAge):
-		return w.changes(ctx, mark.AsOf, 0, followerBackoff+jitter(followerBackoff))
+		return w.changes(ctx, mark.AsOf, 0, w.growBackoff(followerBackoff))
 	default:
 		return watchPause
 	}
@@ -153,6 +162,13 @@
 	return !e.membersRead.Load() || !e.peers.FirstReader()
 }
 
+// growBackoff returns the pause after the next failure, with jitter. A success
+// resets it.
+func (w *watcher) growBackoff(least time.Duration) time.Duration {
+	w.backoff = min(max(least, 2*w.backoff), maxBackoff)
+	return w.backoff/2 + jitter(w.backoff)
+}
+
 func jitter(most time.Duration) time.Duration {
 	return rand.N(most)
 }
@@ -209,6 +225,7 @@
 		return backoff
 	}
 	w.edge.storeSucceeded(now)
+	w.backoff = 0
 	w.take(ctx, batch, "store")
 	return 0
 }
--- /dev/null
+++ b/pkg/gossip/gossip_test.go
@@ -0,0 +1,212 @@
+package gossip
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"balsamhill/pkg/feed"
+)
+
+func drawMessage(t *rapid.T) Message {
+	m := Message{
+		Key:            rapid.Uint64Min(1).Draw(t, "key"),
+		Incarnation:    rapid.Uint64().Draw(t, "incarnation"),
+		Sequence:       rapid.Uint64().Draw(t, "sequence"),
+		Stopping:       rapid.Bool().Draw(t, "stopping"),
+		StoreReachable: rapid.Bool().Draw(t, "reachable"),
+		Interval:       time.Duration(rapid.IntRange(0, 10_000).Draw(t, "interval")) * time.Millisecond,
+	}
+	if rapid.Bool().Draw(t, "introduced") {
+		m.Introduction = &Gateway{
+			ID: "g", Incarnation: m.Incarnation, Address: "10.0.0.1:1", Region: "r", FailureDomain: "d",
+			Strong: rapid.Bool().Draw(t, "strong"),
+		}
+	}
+	for range rapid.IntRange(0, 2).Draw(t, "others") {
+		m.Others = append(m.Others, Gateway{ID: rapid.String().Draw(t, "id"), Incarnation: rapid.Uint64().Draw(t, "inc")})
+	}
+	for range rapid.IntRange(0, 2).Draw(t, "marks") {
+		m.Marks = append(m.Marks, feed.Mark{
+			Changed: rapid.Uint64().Draw(t, "changed"), AsOf: rapid.Uint64().Draw(t, "as of"),
+			Age: rapid.Int64Range(0, 3600e6).Draw(t, "age") * 1000,
+		})
+	}
+	for range rapid.IntRange(0, 5).Draw(t, "reports") {
+		m.Reports = append(m.Reports, Report{
+			Server: rapid.Uint32().Draw(t, "server"), Age: time.Duration(rapid.IntRange(0, 1e6).Draw(t, "age")) * time.Microsecond,
+			InFlight: rapid.Int64Range(0, 1000).Draw(t, "in flight"), PacePermille: rapid.Int64Range(0, 10_000).Draw(t, "pace"),
+			Silent: rapid.Bool().Draw(t, "silent"),
+		})
+	}
+	for range rapid.IntRange(0, 2).Draw(t, "suspicions") {
+		m.Suspicions = append(m.Suspicions, Suspicion{
+			Fingerprint: rapid.Uint64().Draw(t, "fingerprint"), Server: rapid.Uint32().Draw(t, "server"),
+		})
+	}
+	return m
+}
+
+// TestMessageSurvivesTheWire guards against a field that is lost or misread.
+func TestMessageSurvivesTheWire(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := drawMessage(t)
+		got, err := Unmarshal(m.Marshal(nil))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, m)
+	})
+}
+
+// FuzzUnmarshal guards against a datagram of another writer that stops the
+// process or brings figures that upset estimates.
+func FuzzUnmarshal(f *testing.F) {
+	m := Message{Key: 1, Introduction: &Gateway{ID: "g"}, Reports: []Report{{Server: 1, PacePermille: 7000}}}
+	f.Add(m.Marshal(nil))
+	f.Add([]byte{0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		got, err := Unmarshal(data)
+		if err != nil {
+			return
+		}
+		for _, report := range got.Reports {
+			if report.PacePermille < 0 || report.PacePermille > maxNumber || report.Age < 0 || report.Age > maxAge {
+				t.Fatalf("unbounded report %+v", report)
+			}
+		}
+		if got.Interval < 0 || got.Interval > maxInterval {
+			t.Fatalf("interval %s", got.Interval)
+		}
+	})
+}
+
+func gateway(i int, domain string, strong bool) Gateway {
+	return Gateway{
+		ID: fmt.Sprintf("g%d", i), Incarnation: 1, Address: fmt.Sprintf("10.0.0.%d:1", i),
+		Region: "r", FailureDomain: domain, Strong: strong,
+	}
+}
+
+// fleet returns the tables of gateways that all hear each other.
+func fleet(now int64, gateways []Gateway) []*Peers {
+	tables := make([]*Peers, len(gateways))
+	for i, self := range gateways {
+		tables[i] = NewPeers(self)
+		for _, other := range gateways {
+			tables[i].Hear(now, heard(other, 1))
+		}
+	}
+	return tables
+}
+
+func heard(g Gateway, sequence uint64) *Message {
+	return &Message{
+		Key: KeyOf(g.ID), Incarnation: g.Incarnation, Sequence: sequence, Introduction: &g,
+		StoreReachable: true, Interval: 100 * time.Millisecond,
+	}
+}
+
+// TestEachServerHasOneMeasurer guards against servers that nobody probes, or that
+// are probed by several gateways: the probes of a server are limited for the
+// whole fleet.
+func TestEachServerHasOneMeasurer(t *testing.T) {
+	const now = int64(10e9)
+	tests := []struct {
+		desc      string
+		perDomain int
+		strong    int
+	}{
+		{"small region", 4, 4},
+		{"large region with strong machines", 30, 2},
+		{"large region without strong machines", 30, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			var gateways []Gateway
+			for i := range 2 * test.perDomain {
+				gateways = append(gateways, gateway(i, fmt.Sprint("d", i%2), i/2 < test.strong))
+			}
+			tables := fleet(now, gateways)
+			for server := range 100 {
+				measurers := 0
+				for i, table := range tables {
+					if table.Assign(now).Measures(fmt.Sprint("s", server), fmt.Sprint("d", server%2)) {
+						measurers++
+						assert.Equal(t, gateways[i].FailureDomain, fmt.Sprint("d", server%2))
+						assert.Assert(t, test.strong == 0 || gateways[i].Strong)
+					}
+				}
+				assert.Equal(t, measurers, 1, "server %d", server)
+			}
+		})
+	}
+}
+
+// TestOneReader guards against two readers, and against a reader that does not
+// reach the store while another gateway does.
+func TestOneReader(t *testing.T) {
+	const now = int64(10e9)
+	var gateways []Gateway
+	for i := range 9 {
+		gateways = append(gateways, gateway(i, fmt.Sprint("d", i%2), true))
+	}
+	tables := fleet(now, gateways)
+	reader := -1
+	for i, table := range tables {
+		if table.IsReader(now, true) {
+			assert.Equal(t, reader, -1)
+			reader = i
+		}
+	}
+	assert.Assert(t, reader >= 0)
+	assert.Equal(t, tables[reader].IsReader(now, false), false)
+	for i, table := range tables {
+		cut := heard(gateways[reader], 2)
+		cut.StoreReachable = false
+		table.Hear(now, cut)
+		_ = i
+	}
+	readers := 0
+	for i, table := range tables {
+		if i != reader && table.IsReader(now, true) {
+			readers++
+		}
+	}
+	assert.Equal(t, readers, 1)
+}
+
+// TestSilentPeerIsNotAlive guards against work that stays with a gateway that was
+// cut off, killed or frozen.
+func TestSilentPeerIsNotAlive(t *testing.T) {
+	now := int64(10e9)
+	p := NewPeers(gateway(0, "d", true))
+	p.Hear(now, heard(gateway(1, "d", true), 1))
+	assert.Equal(t, p.Alive(now), 1)
+	assert.Equal(t, p.Alive(now+int64(minLife)+1), 0)
+	p.Hear(now+int64(time.Second), heard(gateway(1, "d", true), 1))
+	assert.Equal(t, p.Alive(now+int64(time.Second)), 0, "a repeated message revives nobody")
+	p.Hear(now+int64(time.Second), heard(gateway(1, "d", true), 2))
+	assert.Equal(t, p.Alive(now+int64(time.Second)), 1)
+	assert.DeepEqual(t, p.Targets(now+int64(time.Minute)), []string(nil))
+}
+
+// TestGroupsFindTogether guards against gateways of a region that never learn of
+// each other because they met at different seeds: one that knows both is enough.
+func TestGroupsFindTogether(t *testing.T) {
+	const now = int64(10e9)
+	random := rand.New(rand.NewPCG(1, 2))
+	bridge := NewPeers(gateway(0, "d", true))
+	for i := 1; i < 9; i++ {
+		bridge.Hear(now, heard(gateway(i, "d", true), 1))
+	}
+	newcomer := NewPeers(gateway(9, "d", true))
+	for sequence := range 40 {
+		m := heard(gateway(0, "d", true), uint64(sequence+1))
+		m.Others = bridge.Some(now, 2, random)
+		newcomer.Hear(now, m)
+	}
+	assert.Equal(t, len(newcomer.Targets(now)), 9)
+}
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -25,6 +25,9 @@
 	Sequence uint64
 	// Introduction describes the sender. Most messages leave it out.
 	Introduction *Gateway
+	// Others describes gateways that the sender hears from, so that all gateways
+	// of a region come to know each other.
+	Others []Gateway
 	// Stopping says that the sender is shutting down.
 	Stopping bool
 	// StoreReachable says that the sender's last call to the store succeeded.
@@ -91,6 +94,7 @@
 	fieldMark
 	fieldReport
 	fieldSuspicion
+	fieldOther
 )
 
 const (
@@ -105,6 +109,7 @@
 	introductionRegion
 	introductionDomain
 	introductionStrong
+	introductionIncarnation
 )
 
 const (
@@ -143,6 +148,11 @@
 	if m.Introduction != nil {
 		buffer = appendPart(buffer, fieldIntroduction, m.Introduction.marshal())
 	}
+	for i := range m.Others {
+		part := m.Others[i].marshal()
+		part = appendNumber(part, introductionIncarnation, m.Others[i].Incarnation)
+		buffer = appendPart(buffer, fieldOther, part)
+	}
 	for _, mark := range m.Marks {
 		var part []byte
 		part = appendNumber(part, markChanged, mark.Changed)
@@ -250,6 +260,10 @@
 		introduction, err := unmarshalIntroduction(text)
 		m.Introduction = &introduction
 		return err
+	case fieldOther:
+		other, err := unmarshalIntroduction(text)
+		m.Others = append(m.Others, other)
+		return err
 	case fieldMark:
 		mark, err := unmarshalMark(text)
 		m.Marks = append(m.Marks, mark)
@@ -280,6 +294,8 @@
 			gateway.FailureDomain = string(text)
 		case introductionStrong:
 			gateway.Strong = number != 0
+		case introductionIncarnation:
+			gateway.Incarnation = number
 		}
 		return nil
 	})
--- a/pkg/gossip/peers.go
+++ b/pkg/gossip/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -74,6 +76,9 @@
 	if introduction := message.Introduction; introduction != nil {
 		p.Learn(now, *introduction)
 	}
+	for _, other := range message.Others {
+		p.Learn(now, other)
+	}
 	known := p.peers[message.Key]
 	if known == nil || message.Incarnation != known.gateway.Incarnation {
 		return false, false
@@ -150,6 +155,29 @@
 	return count
 }
 
+// Some returns up to n live peers, chosen at random, to tell others of.
+func (p *Peers) Some(now int64, n int, random *rand.Rand) []Gateway {
+	var alive []Gateway
+	for _, key := range slices.Sorted(maps.Keys(p.peers)) {
+		if p.peers[key].alive(now) {
+			alive = append(alive, p.peers[key].gateway)
+		}
+	}
+	random.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	return alive[:min(n, len(alive))]
+}
+
+// Live returns the live peers.
+func (p *Peers) Live(now int64) []Gateway {
+	var alive []Gateway
+	for _, peer := range p.peers {
+		if peer.alive(now) {
+			alive = append(alive, peer.gateway)
+		}
+	}
+	return alive
+}
+
 // place is a gateway's place in an order of preference: strong machines first,
 // then by rendezvous hash, so that a change of the gateways moves little.
 type place struct {
--- a/pkg/proxy/deliver.go
+++ b/pkg/proxy/deliver.go
@@ -55,6 +55,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	c.proxy.config.Metrics.answered.Inc()
+	if observer := c.proxy.config.Observer; observer != nil {
+		observer.CallAnswered(c.answerEvent(a))
+	}
 	deliverTrailers(c.proxy.config.Dialect, header, a.response.Trailer)
 }
 
--- a/pkg/proxy/load.go
+++ b/pkg/proxy/load.go
@@ -63,6 +63,30 @@
 	AttemptFailed(AttemptEvent)
 	// CallRefused is told of each answer in place of a server.
 	CallRefused(RefusalEvent)
+	// CallAnswered is told of each server's answer that was passed on.
+	CallAnswered(AnswerEvent)
+	// CallerLeft is told of each call whose caller left before the answer.
+	CallerLeft(AnswerEvent)
+}
+
+// AnswerEvent describes the end of a call with a server's answer, or without one
+// if its caller left.
+type AnswerEvent struct {
+	RequestID string
+	Route     string
+	Service   string
+	ServerID  string
+	Status    int
+	Attempts  int
+	Took      time.Duration
+	// Target is the route's target, 0 if it has none.
+	Target   time.Duration
+	Revision uint64
+}
+
+// Late reports whether the answer came after the route's target.
+func (e AnswerEvent) Late() bool {
+	return e.Target > 0 && e.Took > e.Target
 }
 
 // AttemptEvent describes a failed attempt.
@@ -96,6 +120,24 @@
 	Revision  uint64
 }
 
+// answerEvent describes the call for the observer; a is nil without an answer.
+func (c *call) answerEvent(a *attempt) AnswerEvent {
+	event := AnswerEvent{
+		RequestID: c.requestID,
+		Route:     c.route.Name,
+		Service:   c.target,
+		Attempts:  c.sent,
+		Took:      time.Duration(c.proxy.config.Now() - c.arrived),
+		Target:    c.route.Target,
+		Revision:  c.revision,
+	}
+	if a != nil {
+		event.ServerID = a.server.ID
+		event.Status = a.response.StatusCode
+	}
+	return event
+}
+
 // observe tells the observer of an attempt that failed.
 func (c *call) observe(a *attempt) {
 	observer := c.proxy.config.Observer
--- a/pkg/proxy/outcome.go
+++ b/pkg/proxy/outcome.go
@@ -59,6 +59,10 @@
 	if observer == nil {
 		return
 	}
+	if c.r.Context().Err() != nil {
+		observer.CallerLeft(c.answerEvent(nil))
+		return
+	}
 	observer.CallRefused(RefusalEvent{
 		RequestID: c.requestID,
 		Route:     c.route.Name,
