--- a/pkg/crashguard/guard.go
+++ b/pkg/crashguard/guard.go
@@ -10,8 +10,9 @@
 	// BlockTime is how long a fingerprint stays blocked, and how long a single
 	// suspicion is kept.
 	BlockTime = 10 * time.Minute
-	// blockingServers is the number of different servers that must have broken.
-	blockingServers = 2
+	// BlockingServers is the number of different servers that must have broken if
+	// the deployment does not say.
+	BlockingServers = 2
 	// MaxSuspects bounds the fingerprints under suspicion. A server that dies with
 	// 250 connections adds at most 250, so the bound covers the death of 65
 	// servers within BlockTime.
@@ -33,7 +34,7 @@
 
 // suspect is a fingerprint under suspicion.
 type suspect struct {
-	// servers that broke, at most blockingServers.
+	// servers that broke, at most as many as block.
 	servers []string
 	// until is when the suspicion or the block ends.
 	until int64
@@ -41,8 +42,17 @@
 	trying bool
 }
 
-func (s *suspect) blocked() bool {
-	return len(s.servers) >= blockingServers
+func (g *Guard) blocked(s *suspect) bool {
+	return len(s.servers) >= g.limits.Servers
+}
+
+// Limits say when and for how long a fingerprint is blocked.
+type Limits struct {
+	// Servers is the number of different servers that must have broken.
+	Servers int
+	// Block is how long a fingerprint stays blocked, and how long a single suspicion
+	// is kept.
+	Block time.Duration
 }
 
 // Guard keeps the suspicions of one gateway. It is safe for concurrent use. While
@@ -52,11 +62,11 @@
 // which a suspicion reaches all of them, and a caller that sends again only after
 // the former send has failed, at least a time s later: at most
 //
-//	min(2*G, 2 + floor(d/s))
+//	min(n*G, n + floor(d/s))
 //
-// because every send that starts more than d after the second broken server finds
-// the fingerprint blocked, and a gateway that has heard nothing blocks after two
-// of its own. With d = 0 that is 2. Sends at the same time add to the bound one
+// where n is Limits.Servers, because every send that starts more than d after the
+// n-th broken server finds the fingerprint blocked, and a gateway that has heard
+// nothing blocks after n of its own. With d = 0 that is n. Sends at the same time add to the bound one
 // server for each send that is in flight when the second suspicion arrives at its
 // gateway; a gateway with one suspicion has at most one such send that it admitted
 // after the suspicion, apart from the following case. Done does not say when its
@@ -64,6 +74,7 @@
 // ends, it ends the isolation of a later attempt too, so that each such attempt can
 // admit one more.
 type Guard struct {
+	limits Limits
 	// suspected is the number of suspects.
 	suspected atomic.Int64
 
@@ -75,7 +86,12 @@
 
 // New returns a guard without suspicions.
 func New() *Guard {
-	return &Guard{suspects: make(map[Fingerprint]*suspect)}
+	return NewWithLimits(Limits{Servers: BlockingServers, Block: BlockTime})
+}
+
+// NewWithLimits returns a guard without suspicions that blocks by other limits.
+func NewWithLimits(limits Limits) *Guard {
+	return &Guard{limits: limits, suspects: make(map[Fingerprint]*suspect)}
 }
 
 // Admit reports whether a request with this fingerprint may be sent now. Now is in
@@ -91,7 +107,7 @@
 	switch {
 	case s == nil:
 		return Allowed
-	case s.blocked():
+	case g.blocked(s):
 		return Blocked
 	case s.trying:
 		return Busy
@@ -117,7 +133,7 @@
 		// An answer that arrives while the fingerprint is blocked belongs to an
 		// attempt that was under way before; the block stays, because two servers
 		// broke.
-		if s != nil && !s.blocked() {
+		if s != nil && !g.blocked(s) {
 			g.remove(fingerprint)
 		}
 	case EndedBroken:
@@ -169,7 +185,7 @@
 			continue
 		}
 		status.Suspected++
-		if s.blocked() {
+		if g.blocked(s) {
 			status.Blocked++
 		}
 	}
@@ -198,17 +214,17 @@
 		g.suspects[fingerprint] = s
 		g.suspected.Add(1)
 	}
-	if s.blocked() {
+	if g.blocked(s) {
 		return false
 	}
 	for _, known := range s.servers {
 		if known == serverID {
-			s.until = now + int64(BlockTime)
+			s.until = now + int64(g.limits.Block)
 			return false
 		}
 	}
 	s.servers = append(s.servers, serverID)
-	s.until = now + int64(BlockTime)
+	s.until = now + int64(g.limits.Block)
 	return true
 }
 
@@ -228,8 +244,8 @@
 			g.remove(fingerprint)
 			return
 		}
-		if !found || (!single && !s.blocked()) {
-			victim, found, single = fingerprint, true, !s.blocked()
+		if !found || (!single && !g.blocked(s)) {
+			victim, found, single = fingerprint, true, !g.blocked(s)
 		}
 		looked++
 		if looked >= looks {
--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -28,6 +28,7 @@
 		case event := <-e.events:
 			e.apply(event)
 		case <-ticker.C:
+			e.guard.Expire(e.now())
 			if e.servers.Expire(e.now()) {
 				e.applyServers()
 			}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"balsamhill/pkg/control"
+	"balsamhill/pkg/crashguard"
 	"balsamhill/pkg/feed"
 	"balsamhill/pkg/gossip"
 	"balsamhill/pkg/proxy"
@@ -44,6 +45,12 @@
 	// that no caller that keeps to them is cut.
 	headerTimeout = 10 * time.Second
 	callerIdle    = 5 * time.Minute
+	// crashesToBlock is the number of servers that must have broken on a request
+	// before it is refused: connections also break for other reasons, and a request
+	// seldom meets three of them.
+	crashesToBlock = 3
+	// crashBlock is how long such a request is refused.
+	crashBlock = time.Minute
 	// maxHeaderBytes is above the limit of any configuration.
 	maxHeaderBytes = 64 << 10
 )
@@ -100,6 +107,7 @@
 	membersRead atomic.Bool
 	directory   directory
 
+	guard     *crashguard.Guard
 	proxy     *proxy.Proxy
 	transport *proxy.Transports
 	// answered counts usual answers, for the sample of them that is logged.
@@ -151,7 +159,9 @@
 	for index, table := range feed.Tables() {
 		e.watchers = append(e.watchers, newWatcher(e, table, index))
 	}
+	e.guard = crashguard.NewWithLimits(crashguard.Limits{Servers: crashesToBlock, Block: crashBlock})
 	e.proxy = proxy.New(proxy.Config{
+		CrashGuard:      e.guard,
 		Dialect:         codec.Dialect(),
 		Snapshot:        e.snapshot.Load,
 		Servers:         e.transport,
--- /dev/null
+++ b/pkg/edge/edge_test.go
@@ -0,0 +1,296 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"balsamhill/pkg/feed"
+	"balsamhill/pkg/loadreport"
+	"balsamhill/pkg/preset"
+	"balsamhill/pkg/proxy"
+	"balsamhill/pkg/registry"
+)
+
+// fakeStore is a store in memory.
+type fakeStore struct {
+	mu      sync.Mutex
+	down    bool
+	version uint64
+	rows    map[feed.Table]map[string]feed.Row
+	changed chan struct{}
+	calls   int
+}
+
+var errDown = errors.New("the store is down")
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{rows: map[feed.Table]map[string]feed.Row{}, changed: make(chan struct{})}
+}
+
+func (s *fakeStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *fakeStore) countCalls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *fakeStore) write(table feed.Table, key string, value []byte, deleted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rows[table] == nil {
+		s.rows[table] = map[string]feed.Row{}
+	}
+	s.version++
+	s.rows[table][key] = feed.Row{Key: key, Value: value, Version: s.version, Deleted: deleted}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) after(table feed.Table, version uint64) (batch feed.Batch, changed chan struct{}, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return feed.Batch{}, nil, errDown
+	}
+	for _, row := range s.rows[table] {
+		if row.Version > version {
+			batch.Rows = append(batch.Rows, row)
+		}
+	}
+	batch.AsOf = s.version
+	return batch, s.changed, nil
+}
+
+func (s *fakeStore) called() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+}
+
+func (s *fakeStore) Read(_ context.Context, table feed.Table) (feed.Batch, error) {
+	s.called()
+	batch, _, err := s.after(table, 0)
+	batch.Full = true
+	return batch, err
+}
+
+func (s *fakeStore) Changes(ctx context.Context, table feed.Table, after uint64, wait time.Duration) (feed.Batch, error) {
+	s.called()
+	deadline := time.After(wait)
+	for {
+		batch, changed, err := s.after(table, after)
+		if err != nil || len(batch.Rows) > 0 {
+			return batch, err
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return batch, nil
+		case <-ctx.Done():
+			return feed.Batch{}, ctx.Err()
+		}
+	}
+}
+
+func (s *fakeStore) Put(_ context.Context, table feed.Table, key string, value []byte) error {
+	s.called()
+	s.mu.Lock()
+	down := s.down
+	s.mu.Unlock()
+	if down {
+		return errDown
+	}
+	s.write(table, key, value, false)
+	return nil
+}
+
+// fakeCodec reads revisions and addresses as plain text.
+type fakeCodec struct{}
+
+func (fakeCodec) DecodeConfig(row feed.Row) (*Document, error) {
+	revision, err := strconv.ParseUint(string(row.Value), 10, 64)
+	rule := preset.Rule{Host: "h", PathPrefix: "/", Class: preset.ClassFetch, Backends: []preset.Backend{{Service: "s", Weight: 1}}}
+	return &Document{Revision: revision, Routing: &preset.Routing{
+		Rules: []preset.Rule{rule}, Services: []preset.ServiceRule{{Name: "s"}},
+	}}, err
+}
+
+func (fakeCodec) DecodeEntry(row feed.Row) (registry.Entry, error) {
+	var entry registry.Entry
+	err := json.Unmarshal(row.Value, &entry)
+	return entry, err
+}
+
+func (fakeCodec) Dialect() proxy.Dialect { return nil }
+
+func (fakeCodec) ProbeAnswer(http.Header) (string, loadreport.Report, bool) {
+	return "", loadreport.Report{}, false
+}
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	return listener.Addr().(*net.TCPAddr).Port
+}
+
+// startEdge starts a gateway; its meeting address is a seed of the others.
+func startEdge(t *testing.T, id string, store Store, seeds ...string) *Edge {
+	t.Helper()
+	meeting := fmt.Sprintf("127.0.0.1:%d", freePort(t))
+	e, err := New(&Settings{
+		ID: id, IP: "127.0.0.1", Region: "r", FailureDomain: "d", Regions: map[string]string{"d": "r"},
+		Traffic: "127.0.0.1:0", Ready: "127.0.0.1:0", ReadyPath: "/ready", InternalPort: freePort(t),
+		Meeting: meeting, Seeds: seeds, CPUShare: 1,
+		Terms: Terms{StopGrace: 4 * time.Second, RetryPercent: 20, RetryBurst: 60},
+	}, store, fakeCodec{}, slog.New(slog.DiscardHandler))
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		assert.Check(t, e.Run(ctx))
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	return e
+}
+
+func eventually(t *testing.T, what string, limit time.Duration, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	t.Fatalf("%s did not happen within %s", what, limit)
+}
+
+func (e *Edge) revision() uint64 {
+	if snapshot := e.snapshot.Load(); snapshot != nil {
+		return snapshot.Version.Revision
+	}
+	return 0
+}
+
+func (e *Edge) knows(server string) bool {
+	snapshot := e.snapshot.Load()
+	return snapshot != nil && snapshot.ServersByID[server] != nil
+}
+
+func entry(id string, started uint64) []byte {
+	value, _ := json.Marshal(registry.Entry{
+		ID: id, Service: "s", Address: "127.0.0.1:1", FailureDomain: "d", Slots: 4, Started: started,
+	})
+	return value
+}
+
+// TestStartWithoutStore guards against a gateway that cannot serve because the
+// store is away when it starts, although another one holds all that it needs.
+func TestStartWithoutStore(t *testing.T) {
+	store := newFakeStore()
+	store.write(feed.Config, "config", []byte("1"), false)
+	store.write(feed.Servers, "a", entry("a", 1), false)
+	first := startEdge(t, "first", store)
+	eventually(t, "first is ready", 5*time.Second, first.ready)
+	store.setDown(true)
+	second := startEdge(t, "second", store, first.settings.Meeting)
+	eventually(t, "second is ready", 5*time.Second, second.ready)
+	assert.Equal(t, second.revision(), uint64(1))
+	assert.Assert(t, second.knows("a"))
+}
+
+// TestChangesReachAllInTime guards against a gateway that misses a change or a
+// departure, also one that no longer hears the gateway that reads the store.
+func TestChangesReachAllInTime(t *testing.T) {
+	store := newFakeStore()
+	store.write(feed.Config, "config", []byte("1"), false)
+	store.write(feed.Servers, "a", entry("a", 1), false)
+	first := startEdge(t, "first", store)
+	second := startEdge(t, "second", store, first.settings.Meeting)
+	all := func(done func(e *Edge) bool) func() bool {
+		return func() bool { return done(first) && done(second) }
+	}
+	eventually(t, "both are ready", 5*time.Second, all((*Edge).ready))
+	eventually(t, "they hear each other", 5*time.Second, all(func(e *Edge) bool {
+		e.peersMu.Lock()
+		defer e.peersMu.Unlock()
+		return e.peers.Alive(e.now()) == 1
+	}))
+	store.write(feed.Config, "config", []byte("5"), false)
+	store.write(feed.Servers, "a", nil, true)
+	eventually(t, "the change is in force", 2500*time.Millisecond, all(func(e *Edge) bool { return e.revision() == 5 && !e.knows("a") }))
+	reader, follower := first, second
+	if second.isReader(second.now()) {
+		reader, follower = second, first
+	}
+	assert.NilError(t, reader.datagrams.Close())
+	store.write(feed.Config, "config", []byte("6"), false)
+	eventually(t, "the change is in force without the reader", 2500*time.Millisecond, func() bool { return follower.revision() == 6 })
+}
+
+// TestOldVersionIsNotTaken guards against a configuration that goes back because
+// a peer or the store hands out an older one.
+func TestOldVersionIsNotTaken(t *testing.T) {
+	store := newFakeStore()
+	store.write(feed.Config, "config", []byte("7"), false)
+	e := startEdge(t, "only", store)
+	eventually(t, "version 7", 5*time.Second, func() bool { return e.revision() == 7 })
+	store.write(feed.Config, "config", []byte("3"), false)
+	store.write(feed.Servers, "b", entry("b", 1), false)
+	eventually(t, "the next change", 5*time.Second, func() bool { return e.knows("b") })
+	assert.Equal(t, e.revision(), uint64(7))
+}
+
+// TestOutageCostsFewCalls guards against a fleet that floods a store that is away.
+func TestOutageCostsFewCalls(t *testing.T) {
+	store := newFakeStore()
+	store.write(feed.Config, "config", []byte("1"), false)
+	e := startEdge(t, "only", store)
+	eventually(t, "a configuration", 5*time.Second, func() bool { return e.revision() == 1 })
+	store.setDown(true)
+	before := store.countCalls()
+	time.Sleep(2 * time.Second)
+	// The reader asks for two tables five times a second.
+	assert.Assert(t, store.countCalls()-before <= 30, "%d calls", store.countCalls()-before)
+	store.setDown(false)
+	store.write(feed.Config, "config", []byte("2"), false)
+	eventually(t, "the change after the outage", 2*time.Second, func() bool { return e.revision() == 2 })
+}
+
+// TestReadiness guards against callers that are sent to a gateway that knows
+// nothing yet, or that is stopping.
+func TestReadiness(t *testing.T) {
+	store := newFakeStore()
+	store.setDown(true)
+	e := startEdge(t, "only", store)
+	status := func() int {
+		w := httptest.NewRecorder()
+		e.readyHandler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/ready", nil))
+		return w.Code
+	}
+	assert.Equal(t, status(), http.StatusServiceUnavailable)
+	store.setDown(false)
+	store.write(feed.Config, "config", []byte("1"), false)
+	eventually(t, "ready", 5*time.Second, func() bool { return status() == http.StatusOK })
+	e.stopping.Store(true)
+	assert.Equal(t, status(), http.StatusServiceUnavailable)
+	e.stopping.Store(false)
+}
--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"balsamhill/pkg/crashguard"
 	"balsamhill/pkg/feed"
 	"balsamhill/pkg/gossip"
 )
@@ -97,7 +98,8 @@
 		interval = idleHeartbeat
 	}
 	marks, changed := s.currentMarks(now)
-	if len(reports) == 0 && !changed && !e.greet.Load() && now-s.sentAt < int64(interval) {
+	suspicions := e.guard.Outgoing()
+	if len(reports) == 0 && len(suspicions) == 0 && !changed && !e.greet.Load() && now-s.sentAt < int64(interval) {
 		return
 	}
 	s.sentAt = now
@@ -107,6 +109,7 @@
 		Stopping:       e.stopping.Load(),
 		StoreReachable: !e.storeView.unreachable.Load(),
 		Interval:       interval,
+		Suspicions:     wireSuspicions(suspicions),
 	}
 	greet := e.greet.Swap(false)
 	if changed || greet || now-s.markedAt >= int64(heartbeatInterval) {
@@ -135,10 +138,27 @@
 		reports = reports[len(message.Reports):]
 		s.buffer = message.Marshal(s.buffer[:0])
 		e.sendTo(targets, s.buffer)
-		message.Marks, message.Introduction, message.Others = nil, nil, nil
+		message.Marks, message.Introduction, message.Others, message.Suspicions = nil, nil, nil, nil
 	}
 }
 
+// suspicionsPerMessage keeps messages below the usual packet size.
+const suspicionsPerMessage = 20
+
+// wireSuspicions returns the gateway's own suspicions. Those of peers are not
+// passed on, because their senders reach the same gateways.
+func wireSuspicions(suspicions []crashguard.Suspicion) []gossip.Suspicion {
+	var own []gossip.Suspicion
+	for _, suspicion := range suspicions {
+		if suspicion.From == "" && len(own) < suspicionsPerMessage {
+			own = append(own, gossip.Suspicion{
+				Fingerprint: uint64(suspicion.Fingerprint), Server: gossip.ServerKey(suspicion.ServerID),
+			})
+		}
+	}
+	return own
+}
+
 // currentMarks returns what this gateway holds of the tables, and whether it
 // holds more than the peers were told.
 func (s *sender) currentMarks(now int64) (marks []feed.Mark, changed bool) {
@@ -254,6 +274,11 @@
 	if view == nil {
 		return
 	}
+	for _, suspicion := range message.Suspicions {
+		if server, ok := view.byKey[suspicion.Server]; ok {
+			e.guard.Heard(now, crashguard.Fingerprint(suspicion.Fingerprint), server.ID, "peer")
+		}
+	}
 	assignment := e.assignment.Load()
 	for _, report := range message.Reports {
 		server, ok := view.byKey[report.Server]
--- a/pkg/proxy/keyed.go
+++ b/pkg/proxy/keyed.go
@@ -175,6 +175,11 @@
 	writeField(digest, c.target)
 	writeField(digest, c.r.Method)
 	writeField(digest, c.r.URL.Path)
+	if c.route.ClassDecides {
+		// Paths of such routes are shared by many callers, and a request that comes
+		// again comes from the same one.
+		writeField(digest, c.peer.String())
+	}
 	switch {
 	case c.key != "":
 		writeField(digest, c.key)
