--- a/pkg/routing/paced.go
+++ b/pkg/routing/paced.go
@@ -146,7 +146,7 @@
 
 // queuedPerSlot is how many calls per slot a server may have before it counts as
 // full.
-const queuedPerSlot = 1.5
+const queuedPerSlot = 1.0
 
 // Pace returns the factor by which work takes longer than usual on the server.
 // Old reports fade towards the mean.
