Use near servers first, and assume the mean load of servers nobody measures

Calls that found no room among the known ones filled the unknown ones. The subset now prefers near servers, all servers of the own domain are measured, and an unmeasured server is taken to be as loaded as the others.

Weak machines wait longer for seeds and peers at their start.

--- a/pkg/control/control_test.go
+++ b/pkg/control/control_test.go
@@ -227,3 +227,28 @@
 		})
 	}
 }
+
+// TestSubsetPrefersNearServers guards against a gateway of a large service that
+// uses servers of other failure domains and regions while near ones are left to
+// nobody: on a large site that spread calls over servers that nobody measured.
+func TestSubsetPrefersNearServers(t *testing.T) {
+	s := NewState(Config{VMID: "g", Region: "r1", FailureDomain: "d1"})
+	for i := range 3 * subsetSize {
+		region, domain := "r1", "d1"
+		switch i % 6 {
+		case 0, 1:
+			domain = "d2"
+		case 2, 3, 4:
+			region, domain = "r2", "d3"
+		}
+		s.AddFixedServer("s", platform.VM{ID: fmt.Sprint("server", i), Region: region, FailureDomain: domain})
+	}
+	s.runSubsetSystem(1)
+	used := map[string]int{}
+	for _, row := range s.sortedServers() {
+		if !row.outsideSubset {
+			used[row.failureDomain]++
+		}
+	}
+	assert.DeepEqual(t, used, map[string]int{"d1": subsetSize / 2, "d2": subsetSize / 2})
+}
--- a/pkg/control/subset.go
+++ b/pkg/control/subset.go
@@ -10,10 +10,10 @@
 // only some, so that connections to servers don't grow with both numbers.
 const subsetSize = 64
 
-// runSubsetSystem chooses the servers that this gateway uses, by rendezvous
-// hashing (Thaler and Ravishankar, IEEE/ACM ToN 1998): a change of one server
-// moves at most one place of the subset. Servers that get no work anyway don't
-// take places.
+// runSubsetSystem chooses the servers that this gateway uses: near ones first, and
+// among equally near ones by rendezvous hashing (Thaler and Ravishankar, IEEE/ACM
+// ToN 1998), so that a change of one server moves at most one place of the subset.
+// Servers that get no work anyway don't take places.
 func (s *State) runSubsetSystem(now int64) {
 	byService := make(map[string][]*serverRow)
 	for _, row := range s.sortedServers() {
@@ -36,13 +36,29 @@
 		ranks[row] = rendezvousRank(s.config.VMID, row.id)
 	}
 	slices.SortFunc(rows, func(a, b *serverRow) int {
-		return cmp.Or(cmp.Compare(ranks[b], ranks[a]), cmp.Compare(a.id, b.id))
+		return cmp.Or(
+			cmp.Compare(s.distance(a), s.distance(b)),
+			cmp.Compare(ranks[b], ranks[a]),
+			cmp.Compare(a.id, b.id),
+		)
 	})
 	for _, row := range rows[subsetSize:] {
 		row.outsideSubset = true
 	}
 }
 
+// distance orders servers by their price: own failure domain, own region, others.
+func (s *State) distance(row *serverRow) int {
+	switch {
+	case row.region != s.config.Region:
+		return 2
+	case row.failureDomain != s.config.FailureDomain:
+		return 1
+	default:
+		return 0
+	}
+}
+
 // rendezvousRank hashes a pair. FNV alone spreads the last bytes badly, so its
 // result goes through the finalizer of MurmurHash3 (Appleby, public domain).
 func rendezvousRank(gateway, server string) uint64 {
--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -71,9 +71,6 @@
 	// hedgePercent is how much of the calls may be hedged. Hedges also count
 	// against the retry budget, of which the rest stays for retries after failures.
 	hedgePercent = 15.0
-	// mostGateways is the number of gateways among which the burst of the retry
-	// budget is shared without agreement.
-	mostGateways = 24
 	// domainByteNanos and regionByteNanos are the price of a byte; see
 	// preset.Tuning. 60 KB to another failure domain cost as much as half a second.
 	domainByteNanos = 8000
@@ -90,7 +87,6 @@
 		limits := p.Classes[class]
 		limits.MaxBodyBytes = document.MaxBodyBytes
 		limits.RetryPercent = terms.RetryPercent
-		limits.RetryFloor = terms.RetryBurst / mostGateways
 		limits.RetryErrors = true
 		limits.HedgePercent = 0
 		if class == preset.ClassFetch {
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -101,6 +101,8 @@
 	// assignment says which servers this gateway measures.
 	assignment atomic.Pointer[gossip.Assignment]
 	assignedAt atomic.Int64
+	// regionSize is the number of known gateways of the region.
+	regionSize atomic.Int64
 	// greet says that a gateway joined that knows nothing of this one yet.
 	greet atomic.Bool
 	// membersRead says that the addresses of the other gateways were read.
@@ -170,6 +172,7 @@
 		BufferAnswer:    bufferAnswer,
 		KeepBody:        keepBody,
 		ReplaceRefusals: true,
+		RetryBase:       e.retryBase,
 		Observer:        observer{e},
 	})
 	e.traffic = &http.Server{
@@ -216,6 +219,26 @@
 	return int64(time.Since(e.started) + time.Second)
 }
 
+const (
+	// fewestGateways is the least number among which the burst of the retry budget
+	// is shared; a gateway may not know all others yet.
+	fewestGateways = 24
+	// unknownShare makes up for gateways that a gateway does not know of, in its own
+	// region and where the other regions are larger.
+	unknownShare = 1.25
+)
+
+// retryBase returns this gateway's share of the burst of the retry budget. The
+// shares of all gateways stay below it without agreement.
+func (e *Edge) retryBase() float64 {
+	regions := make(map[string]bool)
+	for _, region := range e.settings.Regions {
+		regions[region] = true
+	}
+	gateways := float64(e.regionSize.Load()) * float64(len(regions)) * unknownShare
+	return e.terms.Load().RetryBurst / max(fewestGateways, gateways)
+}
+
 // Run serves until ctx ends, and then until the requests in flight are complete
 // or the time to stop is over.
 func (e *Edge) Run(ctx context.Context) error {
--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -230,7 +230,9 @@
 	}
 	e.peersMu.Lock()
 	fresh := e.peers.Assign(now)
+	known := e.peers.Known()
 	e.peersMu.Unlock()
+	e.regionSize.Store(int64(known))
 	e.assignedAt.Store(now)
 	e.assignment.Store(&fresh)
 	return &fresh
--- a/pkg/edge/join.go
+++ b/pkg/edge/join.go
@@ -46,7 +46,7 @@
 	joinRetry = 500 * time.Millisecond
 	// seedRounds is how often the seeds are asked before the store is: all
 	// machines start within 0.3 s, in any order.
-	seedRounds = 4
+	seedRounds = 10
 	seedPause  = 100 * time.Millisecond
 	// firstMeetingCheck and meetingCheck are how long after the start, and how
 	// often, the reader looks for gateways that it does not hear from.
--- a/pkg/edge/probes.go
+++ b/pkg/edge/probes.go
@@ -99,7 +99,7 @@
 	}
 	for _, rule := range snapshot.Version.Routing.Services {
 		if view := snapshot.Services[rule.Name]; view != nil && rule.ProbePath != "" {
-			e.startServiceProbes(ctx, view.Local, rule.ProbePath, assignment, states, results)
+			e.startServiceProbes(ctx, view.Servers, rule.ProbePath, assignment, states, results)
 		}
 	}
 }
@@ -109,6 +109,9 @@
 ) {
 	now := e.now()
 	for _, server := range servers {
+		if server.Region != e.settings.Region {
+			continue
+		}
 		state := states[server.ID]
 		if state == nil {
 			state = &probeState{}
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -39,7 +39,7 @@
 	// holds the table, and startWait how long it looks before it reads the store
 	// itself, counted from its start.
 	startPause = 10 * time.Millisecond
-	startWait  = 400 * time.Millisecond
+	startWait  = 1500 * time.Millisecond
 	// outageLength is the least time without the store that may make entries
 	// lapse.
 	outageLength = 300 * time.Millisecond
--- a/pkg/gossip/peers.go
+++ b/pkg/gossip/peers.go
@@ -108,9 +108,15 @@
 	return p.alive(now) && !p.stopping
 }
 
+// Known returns the number of gateways of the region that this one knows of, with
+// itself.
+func (p *Peers) Known() int {
+	return len(p.peers) + 1
+}
+
 // Wide reports whether only the gateways of a failure domain talk to each other.
 func (p *Peers) Wide() bool {
-	return len(p.peers)+1 > wideRegion
+	return p.Known() > wideRegion
 }
 
 // near reports whether a gateway is one that this one talks to.
--- a/pkg/preset/preset.go
+++ b/pkg/preset/preset.go
@@ -69,9 +69,6 @@
 	RetryPercent float64 `json:"retryPercent"`
 	// HedgePercent is the budget for hedges in percent of recent calls.
 	HedgePercent float64 `json:"hedgePercent"`
-	// RetryFloor is added to the budget for retries: attempts in 10 s whatever
-	// the traffic. 0 means that the budget is at least one attempt.
-	RetryFloor float64 `json:"-"`
 	// RetryErrors allows another attempt of an idempotent call after a 5xx answer.
 	RetryErrors bool `json:"-"`
 }
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -329,7 +329,7 @@
 	if retry.Expired(now, c.deadline) || c.base.Err() != nil {
 		return false
 	}
-	if !c.service.retries.Take(now, c.limits.RetryPercent, c.limits.RetryFloor) {
+	if !c.service.retries.Take(now, c.limits.RetryPercent, c.retryBase()) {
 		c.service.Counters.retriesDenied.Inc()
 		return false
 	}
@@ -344,6 +344,13 @@
 	maxSends = 4
 )
 
+func (c *call) retryBase() float64 {
+	if c.proxy.config.RetryBase == nil {
+		return 0
+	}
+	return c.proxy.config.RetryBase()
+}
+
 // mayRunAgain reports whether the route allows another server to run the call.
 func (c *call) mayRunAgain() bool {
 	return c.sent-c.refused < c.maxAttempts() && c.sent < maxSends
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -32,6 +32,9 @@
 	// KeepBody is how many bytes of a streamed body are kept, so that it can be
 	// sent to another server after a refusal.
 	KeepBody int
+	// RetryBase returns how many attempts in 10 s the retry budget of a service
+	// allows whatever the traffic. It may be nil, for one.
+	RetryBase func() float64
 	// Observer may be nil.
 	Observer Observer
 	// Snapshot returns the published snapshot, nil before the first.
--- a/pkg/routing/paced.go
+++ b/pkg/routing/paced.go
@@ -36,7 +36,7 @@
 
 // Choose implements Policy. It returns nil if all candidates were tried.
 func (Paced) Choose(candidates []*Server, pick Pick) *Server {
-	mean := meanPace(candidates)
+	mean := meanOf(candidates, pick.Now)
 	var best *Server
 	bestTime := math.Inf(1)
 	for _, server := range candidates {
@@ -55,14 +55,14 @@
 
 // pacedTime is the expected time to the answer in nanoseconds, with the price of
 // the bytes added.
-func pacedTime(server *Server, pick Pick, mean float64) float64 {
+func pacedTime(server *Server, pick Pick, mean means) float64 {
 	work := float64(pick.Work)
 	if work <= 0 {
 		work = pacedDefaultWork
 	}
 	slots := float64(slotsOf(server, pick.Slots))
-	inFlight := server.Stats.loadNow(pick.Now)
-	work *= server.Stats.Pace(pick.Now, mean)
+	inFlight := server.Stats.loadNow(pick.Now, mean.load)
+	work *= server.Stats.Pace(pick.Now, mean.pace)
 	if server.ColdUntil > pick.Now {
 		work *= coldFactor
 	}
@@ -85,7 +85,7 @@
 func (v *ServiceView) Expected(server *Server, pick Pick) int64 {
 	pick.Slots = v.Slots
 	pick.Bytes = 0
-	return int64(pacedTime(server, pick, meanPace(v.All)))
+	return int64(pacedTime(server, pick, meanOf(v.All, pick.Now)))
 }
 
 func slotsOf(server *Server, usual int) int {
@@ -96,22 +96,23 @@
 }
 
 // loadHalfLife is the age in nanoseconds at which the requests in flight of a
-// report count half. Reports come every few tens of milliseconds, so older ones
-// are those of a server that nobody measures.
+// report count half against the mean of the service. Reports come every few tens
+// of milliseconds, so older ones are those of a server that nobody measures here.
 const loadHalfLife = 250e6
 
 // loadNow is the number of requests at the server: those of the last report and
-// the own ones since.
-func (s *Stats) loadNow(now int64) float64 {
+// the own ones since. A server without a fresh report is taken to be as loaded as
+// the others: gateways that believed it idle would all fill it unseen.
+func (s *Stats) loadNow(now int64, mean float64) float64 {
 	own := s.inFlight.Load()
-	reportedAt := s.reportedAt.Load()
-	if reportedAt == 0 {
-		return float64(own)
+	trust := 0.0
+	if reportedAt := s.reportedAt.Load(); reportedAt != 0 {
+		trust = math.Exp2(-float64(max(0, now-reportedAt)) / loadHalfLife)
 	}
-	faded := float64(s.reported.Load()) * math.Exp2(-float64(max(0, now-reportedAt))/loadHalfLife)
+	reported := mean + (float64(s.reported.Load())-mean)*trust
 	// Requests that ended without a report are no longer in flight.
 	sent := min(own, max(0, s.sentSinceReport.Load()))
-	return max(float64(own), faded+float64(sent))
+	return max(float64(own), reported+float64(sent)*trust)
 }
 
 // Room says how a server can take one more call.
@@ -131,7 +132,7 @@
 // RoomOf returns the room on a server.
 func (v *ServiceView) RoomOf(server *Server, now int64) Room {
 	slots := float64(slotsOf(server, v.Slots))
-	after := server.Stats.loadNow(now) + 1
+	after := server.Stats.loadNow(now, meanOf(v.All, now).load) + 1
 	switch {
 	case after <= max(1, slots-1):
 		return RoomFree
@@ -165,18 +166,38 @@
 	return float64(s.pace.Load()) / usualPermille
 }
 
-// meanPace is the mean of the reported paces, 1 if there are none.
-func meanPace(servers []*Server) float64 {
-	sum, count := 0.0, 0
+// means are what is expected of a server that nobody has measured.
+type means struct {
+	// pace is the mean of the reported paces, 1 if there are none.
+	pace float64
+	// load is the mean of the fresh reports of requests in flight.
+	load float64
+}
+
+// freshReport is the age in nanoseconds up to which a report counts for the mean
+// load.
+const freshReport = 500e6
+
+func meanOf(servers []*Server, now int64) means {
+	paces, paceCount := 0.0, 0
+	loads, loadCount := 0.0, 0
 	for _, server := range servers {
-		permille := server.Stats.pace.Load()
-		if permille != 0 {
-			sum += float64(permille)
-			count++
+		stats := server.Stats
+		if permille := stats.pace.Load(); permille != 0 {
+			paces += float64(permille)
+			paceCount++
 		}
+		if at := stats.reportedAt.Load(); at != 0 && now-at <= freshReport {
+			loads += float64(stats.reported.Load())
+			loadCount++
+		}
+	}
+	mean := means{pace: 1}
+	if paceCount > 0 {
+		mean.pace = paces / float64(paceCount) / usualPermille
 	}
-	if count == 0 {
-		return 1
+	if loadCount > 0 {
+		mean.load = loads / float64(loadCount)
 	}
-	return sum / float64(count) / usualPermille
+	return mean
 }
