--- a/cmd/balsamhilld/platform.go
+++ b/cmd/balsamhilld/platform.go
@@ -15,12 +15,14 @@
 	"balsamhill/platform"
 )
 
-type platformCommand struct{}
+type platformCommand struct {
+	metricsPort int
+}
 
 func (*platformCommand) Name() string     { return "platform" }
 func (*platformCommand) Synopsis() string { return "run one gateway on the users' platform" }
 func (*platformCommand) Usage() string {
-	return `balsamhilld platform
+	return `balsamhilld platform [-metrics PORT]
 
 Runs one gateway with the settings, the store and the server entries of the
 users' platform; docs/platform.md describes it. The path of the settings file is
@@ -30,15 +32,20 @@
 `
 }
 
-func (*platformCommand) SetFlags(*flag.FlagSet) {}
+func (c *platformCommand) SetFlags(f *flag.FlagSet) {
+	f.IntVar(&c.metricsPort, "metrics", 0, "port of the machine's address for /metrics; 0 serves them between gateways only")
+}
 
-func (*platformCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *platformCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	writer := boundedlog.NewWriter(os.Stdout)
 	defer writer.Close()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
-	err := platform.Run(ctx, reload, slog.New(boundedlog.New(writer, nil)))
+	log := slog.New(boundedlog.New(writer, nil))
+	// net/http writes some lines to the standard logger.
+	slog.SetDefault(log)
+	err := platform.Run(ctx, platform.Options{Reload: reload, MetricsPort: c.metricsPort, Log: log})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "balsamhilld:", err)
 		return subcommands.ExitFailure
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -265,6 +265,9 @@
 	group.Add(func() error { e.runReceiving(); return nil }, func(error) { _ = e.datagrams.Close() })
 	addServer(&http.Server{Handler: e.readyHandler(), IdleTimeout: callerIdle}, e.readyListener)
 	addServer(&http.Server{Handler: e.feedHandler(), IdleTimeout: callerIdle}, e.feedListener)
+	if e.settings.MetricsPort != 0 {
+		addLoop(e.serveMetrics)
+	}
 	if e.meetingListener != nil {
 		addServer(&http.Server{Handler: e.meetingHandler(), IdleTimeout: callerIdle}, e.meetingListener)
 	}
--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -314,9 +314,7 @@
 			_ = json.NewEncoder(writer).Encode(batch)
 		})
 	}
-	mux.HandleFunc("GET /metrics", func(writer http.ResponseWriter, _ *http.Request) {
-		e.metrics.WritePrometheus(writer)
-	})
+	mux.Handle("GET /metrics", e.metricsHandler())
 	return mux
 }
 
--- a/pkg/edge/explain.go
+++ b/pkg/edge/explain.go
@@ -1,13 +1,19 @@
 package edge
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
+	"strconv"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"balsamhill/pkg/feed"
 	"balsamhill/pkg/proxy"
+	"balsamhill/pkg/routing"
 )
 
 // observer logs calls that did not go as usual.
@@ -113,6 +119,72 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf(`balsamhill_gateway_reads_total{result=%q}`, result(err))).Inc()
 }
 
+// serveMetrics serves /metrics until ctx ends. A gateway whose port is taken goes
+// on without it.
+func (e *Edge) serveMetrics(ctx context.Context) {
+	address := net.JoinHostPort(e.settings.IP, strconv.Itoa(e.settings.MetricsPort))
+	server := &http.Server{Addr: address, Handler: e.metricsHandler(), IdleTimeout: callerIdle}
+	go func() {
+		err := server.ListenAndServe()
+		if !errors.Is(err, http.ErrServerClosed) {
+			e.log.Warn("metrics are not served", "address", address, "error", err)
+		}
+	}()
+	<-ctx.Done()
+	_ = server.Close()
+}
+
+func (e *Edge) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		e.writeGauges()
+		e.metrics.WritePrometheus(w)
+	})
+	return mux
+}
+
+// writeGauges brings the gauges up to date: what the gateway believes, and how
+// old it is.
+func (e *Edge) writeGauges() {
+	now := e.now()
+	for _, w := range e.watchers {
+		mark, known := w.mark(now)
+		if known {
+			e.metrics.GetOrCreateGauge(fmt.Sprintf(`balsamhill_table_age_seconds{table=%q}`, w.table), nil).
+				Set(float64(mark.Age) / float64(time.Second))
+		}
+	}
+	e.peersMu.Lock()
+	alive := e.peers.Alive(now)
+	e.peersMu.Unlock()
+	e.metrics.GetOrCreateGauge("balsamhill_gateways_alive", nil).Set(float64(alive))
+	snapshot := e.snapshot.Load()
+	if snapshot == nil {
+		return
+	}
+	e.metrics.GetOrCreateGauge("balsamhill_config_revision", nil).Set(float64(snapshot.Version.Revision))
+	for name, view := range snapshot.Services {
+		e.metrics.GetOrCreateGauge(fmt.Sprintf(`balsamhill_servers_usable{service=%q}`, name), nil).Set(float64(view.Usable()))
+		e.metrics.GetOrCreateGauge(fmt.Sprintf(`balsamhill_report_age_seconds{service=%q}`, name), nil).Set(meanReportAge(now, view))
+	}
+}
+
+// meanReportAge is the mean age in seconds of the load reports of the servers in
+// use, 0 if there are none.
+func meanReportAge(now int64, view *routing.ServiceView) float64 {
+	sum, count := 0.0, 0
+	for _, server := range view.All {
+		if at := server.Stats.ReportedAt(); at != 0 {
+			sum += float64(now-at) / float64(time.Second)
+			count++
+		}
+	}
+	if count == 0 {
+		return 0
+	}
+	return sum / float64(count)
+}
+
 func result(err error) string {
 	if err != nil {
 		return "error"
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -35,6 +35,8 @@
 	Seeds   []string
 	// InternalPort is the port for datagrams and reads between gateways.
 	InternalPort int
+	// MetricsPort is a port of IP for /metrics, 0 for none.
+	MetricsPort int
 	// MemoryBytes bounds the memory of the process.
 	MemoryBytes int64
 	// CPUShare is the share of a core that the process gets.
