--- a/pkg/edge/explain.go
+++ b/pkg/edge/explain.go
@@ -35,7 +35,8 @@
 func (o observer) CallRefused(event proxy.RefusalEvent) {
 	o.edge.log.Info("call refused", "request", event.RequestID, "route", event.Route, "service", event.Service,
 		"status", event.Status, "outcome", string(event.Outcome), "detail", event.Detail,
-		"attempts", event.Attempts, "took", event.Took.String(), "revision", event.Revision)
+		"attempts", event.Attempts, "took", event.Took.String(), "revision", event.Revision,
+		"usable", event.Usable, "meanInFlight", event.MeanInFlight)
 }
 
 // sampleEvery is how many usual answers there are for each one that is logged.
--- /dev/null
+++ b/pkg/explain/explain.go
@@ -0,0 +1,135 @@
+// Package explain follows one request through the logs of several gateways.
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Event is one line of a gateway's log that concerns a request.
+type Event struct {
+	Time time.Time `json:"time"`
+	// Source is the file, or what stands before the line's JSON object.
+	Source  string         `json:"source"`
+	Message string         `json:"message"`
+	Fields  map[string]any `json:"fields"`
+}
+
+// Story is what the logs say of a request.
+type Story struct {
+	Request string  `json:"request"`
+	Events  []Event `json:"events"`
+	// Skipped counts lines that are no log lines: truncated or foreign ones.
+	Skipped int `json:"skipped"`
+	// LeftOut counts lines that the gateways left out to bound their logs, so that
+	// events may be missing.
+	LeftOut int `json:"leftOut"`
+}
+
+// maxLine bounds a line; longer ones are skipped.
+const maxLine = 1 << 20
+
+// leftOutMessage is that of pkg/boundedlog.
+const leftOutMessage = "log lines left out"
+
+// Read adds what a log says of the story's request. A line may have a prefix, such
+// as a time and the name of a machine.
+func (s *Story) Read(source string, log io.Reader) error {
+	scanner := bufio.NewScanner(log)
+	scanner.Buffer(make([]byte, 0, 64<<10), maxLine)
+	for scanner.Scan() {
+		s.addLine(source, scanner.Bytes())
+	}
+	return eris.Wrapf(scanner.Err(), "read %s", source)
+}
+
+func (s *Story) addLine(source string, line []byte) {
+	start := bytes.IndexByte(line, '{')
+	if start < 0 {
+		if len(bytes.TrimSpace(line)) > 0 {
+			s.Skipped++
+		}
+		return
+	}
+	fields := map[string]any{}
+	err := json.Unmarshal(line[start:], &fields)
+	if err != nil {
+		s.Skipped++
+		return
+	}
+	message, _ := fields["msg"].(string)
+	if count, ok := fields["count"].(float64); ok && message == leftOutMessage {
+		s.LeftOut += int(count)
+	}
+	if request, _ := fields["request"].(string); request != s.Request {
+		return
+	}
+	text, _ := fields["time"].(string)
+	// A line without a readable time sorts first.
+	at, _ := time.Parse(time.RFC3339Nano, text)
+	if prefix := strings.Fields(string(line[:start])); len(prefix) > 0 {
+		source = prefix[len(prefix)-1]
+	}
+	for _, name := range []string{"msg", "time", "level", "request"} {
+		delete(fields, name)
+	}
+	s.Events = append(s.Events, Event{Time: at, Source: source, Message: message, Fields: fields})
+}
+
+// Sort orders the events by time. The clocks of machines differ, so lines of one
+// machine keep their order, and times of different machines are only a hint.
+func (s *Story) Sort() {
+	slices.SortStableFunc(s.Events, func(a, b Event) int { return a.Time.Compare(b.Time) })
+}
+
+// Write prints the story in words.
+func (s *Story) Write(w io.Writer) error {
+	var text strings.Builder
+	fmt.Fprintf(&text, "request %s: %d lines\n", s.Request, len(s.Events))
+	for _, event := range s.Events {
+		fmt.Fprintf(&text, "%s  %s  %s\n", event.Time.Format("15:04:05.000000"), event.Source, event.sentence())
+	}
+	if s.LeftOut > 0 {
+		fmt.Fprintf(&text, "%d lines were left out by the gateways; the request may have more\n", s.LeftOut)
+	}
+	if s.Skipped > 0 {
+		fmt.Fprintf(&text, "%d lines were not read: no log lines\n", s.Skipped)
+	}
+	_, err := io.WriteString(w, text.String())
+	return eris.Wrap(err, "write")
+}
+
+// sentence says in words what an event means.
+func (e Event) sentence() string {
+	f := func(name string) any {
+		if value, ok := e.Fields[name]; ok {
+			return value
+		}
+		return "?"
+	}
+	switch e.Message {
+	case "attempt failed":
+		return fmt.Sprintf("attempt %v at server %v of %v ended as %v after %v (%v); it was chosen with %v in flight and "+
+			"pace %v, reported %v before; configuration %v", f("attempt"), f("server"), f("service"), f("end"), f("took"),
+			f("error"), f("inFlight"), f("pace"), f("reportAge"), f("revision"))
+	case "call refused":
+		return fmt.Sprintf("answered %v in place of a server of %v after %v and %v attempts, outcome %v: %v; %v servers "+
+			"usable; configuration %v", f("status"), f("service"), f("took"), f("attempts"), f("outcome"), f("detail"),
+			f("usable"), f("revision"))
+	case "call answered":
+		return fmt.Sprintf("answer %v of server %v of %v passed on after %v and %v attempts (target %v, late: %v)",
+			f("status"), f("server"), f("service"), f("took"), f("attempts"), f("target"), f("late"))
+	case "caller left":
+		return fmt.Sprintf("the caller left after %v and %v attempts at %v", f("took"), f("attempts"), f("service"))
+	default:
+		return fmt.Sprintf("%s %v", e.Message, e.Fields)
+	}
+}
--- /dev/null
+++ b/pkg/explain/explain_test.go
@@ -0,0 +1,46 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const exampleLog = `  0.1 front-b {"time":"2026-01-01T00:00:02Z","msg":"call answered","request":"r1","status":200,"server":"i-2"}
+{"time":"2026-01-01T00:00:01Z","msg":"attempt failed","request":"r1","server":"i-1","end":"broken","attempt":1}
+{"time":"2026-01-01T00:00:01Z","msg":"call answered","request":"r2"}
+{"time":"2026-01-01T00:00:01Z","msg":"log lines left out","kind":"attempt failed","count":7}
+panic: something else
+{"time":"2026-01-01T00:00:0`
+
+// TestStory guards against lines of other requests, events out of order, and
+// truncated or foreign lines that stop the reading or vanish silently.
+func TestStory(t *testing.T) {
+	s := Story{Request: "r1"}
+	assert.NilError(t, s.Read("a.log", strings.NewReader(exampleLog)))
+	s.Sort()
+	assert.Equal(t, len(s.Events), 2)
+	assert.Equal(t, s.Events[0].Source, "a.log")
+	assert.Equal(t, s.Events[1].Source, "front-b")
+	assert.Equal(t, s.Skipped, 2)
+	assert.Equal(t, s.LeftOut, 7)
+	var text strings.Builder
+	assert.NilError(t, s.Write(&text))
+	for _, want := range []string{"attempt 1 at server i-1", "ended as broken", "answer 200 of server i-2", "7 lines were left out"} {
+		assert.Assert(t, strings.Contains(text.String(), want), text.String())
+	}
+}
+
+// FuzzLine guards against a line that stops the tool.
+func FuzzLine(f *testing.F) {
+	for line := range strings.Lines(exampleLog) {
+		f.Add(line)
+	}
+	f.Fuzz(func(t *testing.T, line string) {
+		s := Story{Request: "r1"}
+		s.addLine("x", []byte(line))
+		var text strings.Builder
+		assert.NilError(t, s.Write(&text))
+	})
+}
--- a/pkg/operator/run.go
+++ b/pkg/operator/run.go
@@ -24,6 +24,7 @@
 	commander.Register(&PresetCommand{Tool: tool}, "")
 	commander.Register(&StatusCommand{Tool: tool}, "")
 	commander.Register(&AuditCommand{Tool: tool}, "")
+	commander.Register(&ExplainCommand{Tool: tool}, "")
 	err := flags.Parse(args)
 	if errors.Is(err, flag.ErrHelp) {
 		return int(subcommands.ExitSuccess)
--- a/pkg/proxy/load.go
+++ b/pkg/proxy/load.go
@@ -118,6 +118,10 @@
 	Attempts  int
 	Took      time.Duration
 	Revision  uint64
+	// Usable is the number of servers that could be chosen, and MeanInFlight the
+	// mean of their fresh load reports.
+	Usable       int
+	MeanInFlight float64
 }
 
 // answerEvent describes the call for the observer; a is nil without an answer.
--- a/pkg/proxy/outcome.go
+++ b/pkg/proxy/outcome.go
@@ -63,16 +63,22 @@
 		observer.CallerLeft(c.answerEvent(nil))
 		return
 	}
+	usable, mean := c.candidates(), 0.0
+	if c.view != nil {
+		mean = c.view.MeanInFlight(c.proxy.config.Now())
+	}
 	observer.CallRefused(RefusalEvent{
-		RequestID: c.requestID,
-		Route:     c.route.Name,
-		Service:   c.target,
-		Status:    status,
-		Outcome:   outcome,
-		Detail:    detail,
-		Attempts:  c.sent,
-		Took:      time.Duration(c.proxy.config.Now() - c.arrived),
-		Revision:  c.revision,
+		Usable:       usable,
+		MeanInFlight: mean,
+		RequestID:    c.requestID,
+		Route:        c.route.Name,
+		Service:      c.target,
+		Status:       status,
+		Outcome:      outcome,
+		Detail:       detail,
+		Attempts:     c.sent,
+		Took:         time.Duration(c.proxy.config.Now() - c.arrived),
+		Revision:     c.revision,
 	})
 }
 
--- a/pkg/routing/paced.go
+++ b/pkg/routing/paced.go
@@ -88,6 +88,11 @@
 	return int64(pacedTime(server, pick, meanOf(v.All, pick.Now)))
 }
 
+// MeanInFlight returns the mean of the fresh load reports of the servers in use.
+func (v *ServiceView) MeanInFlight(now int64) float64 {
+	return meanOf(v.All, now).load
+}
+
 func slotsOf(server *Server, usual int) int {
 	if server.Slots > 0 {
 		return server.Slots
