--- a/pkg/control/publish.go
+++ b/pkg/control/publish.go
@@ -107,7 +107,6 @@
 			Timeout:      time.Duration(rule.TimeoutMillis) * time.Millisecond,
 			Target:       time.Duration(rule.TargetMillis) * time.Millisecond,
 			MaxAttempts:  rule.MaxAttempts,
-			Priority:     rule.Priority,
 		})
 	}
 	return routing.NewRouteTable(routes)
--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -7,6 +7,7 @@
 	"balsamhill/pkg/control"
 	"balsamhill/pkg/feed"
 	"balsamhill/pkg/preset"
+	"balsamhill/pkg/retry"
 )
 
 // tableEvent carries changed rows of a table to the control loop.
@@ -83,10 +84,15 @@
 func (e *Edge) version(document *Document) preset.Version {
 	p := preset.Default("platform", preset.KindOrdinary)
 	terms := e.terms.Load()
+	retryPercent := terms.RetryPercent
+	if terms.RetryWindow > 0 && terms.RetryWindow < retry.WindowNanos {
+		// Repeats of the whole window of the budget may fall into a shorter one.
+		retryPercent *= float64(terms.RetryWindow) / retry.WindowNanos
+	}
 	for _, class := range preset.Classes() {
 		limits := p.Classes[class]
 		limits.MaxBodyBytes = document.MaxBodyBytes
-		limits.RetryPercent = terms.RetryPercent
+		limits.RetryPercent = retryPercent
 		limits.RetryErrors = true
 		limits.HedgePercent = 0
 		if class == preset.ClassFetch {
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -75,6 +75,8 @@
 // Edge is one gateway. Create it with New and run it with Run.
 type Edge struct {
 	settings *Settings
+	// readerWait and staleAge follow from the bounds; see setBounds.
+	readerWait, staleAge time.Duration
 	// terms are those of the last settings that were read.
 	terms   atomic.Pointer[Terms]
 	store   Store
@@ -155,6 +157,7 @@
 		}),
 	}
 	e.terms.Store(&s.Terms)
+	e.setBounds(s.Terms)
 	e.peers = gossip.NewPeers(e.self)
 	e.counters = newCounters(e.metrics)
 	e.probes = newProbeTransport()
--- a/pkg/edge/probes.go
+++ b/pkg/edge/probes.go
@@ -14,9 +14,12 @@
 const (
 	// probeTick is how often due probes are started.
 	probeTick = 10 * time.Millisecond
-	// probeInterval is how old the report of a server may grow before the next
-	// probe.
-	probeInterval = 30 * time.Millisecond
+	// leastProbeInterval is how old the report of a server may grow before the next
+	// probe; fresher ones are worth less than their probes.
+	leastProbeInterval = 30 * time.Millisecond
+	// probeShare is the part of the allowed probes that is used, because gateways
+	// may disagree for a moment about who measures a server.
+	probeShare = 0.6
 	// probeTimeout bounds a probe; a later answer would be stale.
 	probeTimeout = 250 * time.Millisecond
 	// silentProbes is the number of failed probes in a row from which a server
@@ -108,6 +111,7 @@
 	assignment *gossip.Assignment, states map[string]*probeState, results chan<- probeResult,
 ) {
 	now := e.now()
+	interval := probeInterval(e.terms.Load().ProbesPerS)
 	for _, server := range servers {
 		if server.Region != e.settings.Region {
 			continue
@@ -117,7 +121,7 @@
 			state = &probeState{}
 			states[server.ID] = state
 		}
-		if state.running || !state.due(now, server) || !assignment.Measures(server.ID, server.FailureDomain) {
+		if state.running || !state.due(now, server, interval) || !assignment.Measures(server.ID, server.FailureDomain) {
 			continue
 		}
 		state.running = true
@@ -127,12 +131,20 @@
 	}
 }
 
-func (s *probeState) due(now int64, server *routing.Server) bool {
+// probeInterval returns the time between two probes of a server.
+func probeInterval(allowedPerSecond float64) time.Duration {
+	if allowedPerSecond <= 0 {
+		return leastProbeInterval
+	}
+	return max(leastProbeInterval, time.Duration(float64(time.Second)/(probeShare*allowedPerSecond)))
+}
+
+func (s *probeState) due(now int64, server *routing.Server, interval time.Duration) bool {
 	if s.failures >= silentProbes {
 		return now-s.startedAt >= int64(silentProbeInterval)
 	}
 	last := max(s.startedAt, server.Stats.ReportedAt())
-	return now-last >= int64(probeInterval)
+	return now-last >= int64(interval)
 }
 
 // probe asks a server for its load.
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -37,11 +37,8 @@
 	InternalPort int
 	// MetricsPort is a port of IP for /metrics, 0 for none.
 	MetricsPort int
-	// MemoryBytes bounds the memory of the process.
-	MemoryBytes int64
 	// CPUShare is the share of a core that the process gets.
 	CPUShare float64
-	LinkMbps float64
 	Terms    Terms
 }
 
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -12,15 +12,17 @@
 )
 
 const (
-	// readerWait is how long the reader of a region lets the store wait for
+	// defaultBound is the bound on configurations and leaving servers if the
+	// platform does not say.
+	defaultBound = 2500 * time.Millisecond
+	// readerWaitPercent of the bound is how long a reader lets the store wait for
 	// changes. Each answer confirms the table, so it bounds the age of the view.
-	readerWait = 1200 * time.Millisecond
+	readerWaitPercent = 48
+	// stalePercent of the bound is the age from which a gateway reads the store
+	// itself; the rest is for that read.
+	stalePercent = 76
 	// callTimeout is added to the wait for the store's answer.
 	callTimeout = 600 * time.Millisecond
-	// staleAge is the age from which a gateway reads the store itself. With the
-	// time of a read it stays below the bounds of 2.5 s on configurations and
-	// leaving servers.
-	staleAge = 1900 * time.Millisecond
 	// readerBackoff is the pause of a reader after a failed call. The others leave
 	// it to the reader to find the store again and pause for followerBackoff first,
 	// then twice as long each time up to maxBackoff.
@@ -45,6 +47,16 @@
 	outageLength = 300 * time.Millisecond
 )
 
+// setBounds derives the ages of the tables from the bounds of the platform.
+func (e *Edge) setBounds(terms Terms) {
+	bound := min(terms.ConfigBound, terms.DrainBound)
+	if bound <= 0 {
+		bound = defaultBound
+	}
+	e.readerWait = bound * readerWaitPercent / 100
+	e.staleAge = bound * stalePercent / 100
+}
+
 // storeView is what the last calls to the store showed. It is safe for
 // concurrent use.
 type storeView struct {
@@ -130,7 +142,7 @@
 	mark, known := w.mark(now)
 	address, newest, ok := w.edge.newestPeer(now, w.index)
 	behind := ok && (!known || newest.Changed > mark.AsOf)
-	if behind && newest.Age < int64(staleAge) && w.readPeer(ctx, address, mark.AsOf) {
+	if behind && newest.Age < int64(w.edge.staleAge) && w.readPeer(ctx, address, mark.AsOf) {
 		return 0
 	}
 	switch {
@@ -143,8 +155,8 @@
 	case now < w.readAfter:
 		return time.Duration(w.readAfter - now)
 	case w.edge.isReader(now):
-		return w.changes(ctx, mark.AsOf, readerWait, readerBackoff)
-	case behind || mark.Age > int64(staleAge):
+		return w.changes(ctx, mark.AsOf, w.edge.readerWait, readerBackoff)
+	case behind || mark.Age > int64(w.edge.staleAge):
 		return w.changes(ctx, mark.AsOf, 0, w.growBackoff(followerBackoff))
 	default:
 		return watchPause
--- a/pkg/preset/routing.go
+++ b/pkg/preset/routing.go
@@ -22,8 +22,6 @@
 	// TargetMillis is the time within which an answer has its full worth.
 	TargetMillis int64
 	MaxAttempts  int
-	// Priority is the rank of the route's calls; 0 is the highest.
-	Priority int
 }
 
 // Backend is a service that receives a share of a route's calls.
--- a/pkg/routing/routes.go
+++ b/pkg/routing/routes.go
@@ -32,8 +32,6 @@
 	// MaxAttempts is the largest number of servers that may run one call, 0 for
 	// the default.
 	MaxAttempts int
-	// Priority is the rank of the route's calls; 0 is the highest.
-	Priority int
 }
 
 // ChooseService returns the service of one call.
