--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -2,17 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"net/netip"
-	"strconv"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"balsamhill/pkg/crashguard"
 	"balsamhill/pkg/feed"
 	"balsamhill/pkg/gossip"
@@ -27,9 +20,6 @@
 	idleHeartbeat     = 500 * time.Millisecond
 	// introduceInterval is how often a message describes its sender.
 	introduceInterval = 500 * time.Millisecond
-	// maxTableBytes bounds a table that another gateway hands over.
-	maxTableBytes = 16 << 20
-	tablePath     = "/table/"
 )
 
 func (e *Edge) newestPeer(now int64, table int) (string, feed.Mark, bool) {
@@ -294,53 +284,3 @@
 		}
 	}
 }
-
-// feedHandler hands tables over to other gateways.
-func (e *Edge) feedHandler() http.Handler {
-	mux := http.NewServeMux()
-	for _, w := range e.watchers {
-		mux.HandleFunc("GET "+tablePath+string(w.table), func(writer http.ResponseWriter, r *http.Request) {
-			after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-			if err != nil {
-				http.Error(writer, "after is not a version", http.StatusBadRequest)
-				return
-			}
-			batch, known := w.after(after)
-			if !known {
-				http.Error(writer, "the table is not known yet", http.StatusServiceUnavailable)
-				return
-			}
-			// An error here means that the other gateway has gone away.
-			_ = json.NewEncoder(writer).Encode(batch)
-		})
-	}
-	mux.Handle("GET /metrics", e.metricsHandler())
-	return mux
-}
-
-// peerClient reads tables from other gateways.
-var peerClient = &http.Client{Transport: &http.Transport{
-	DialContext:         (&net.Dialer{Timeout: peerTimeout}).DialContext,
-	DisableCompression:  true,
-	MaxIdleConnsPerHost: 1,
-	IdleConnTimeout:     10 * time.Second,
-}}
-
-func fetchFromPeer(ctx context.Context, address string, table feed.Table, after uint64) (feed.Batch, error) {
-	url := "http://" + address + tablePath + string(table) + "?after=" + strconv.FormatUint(after, 10)
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return feed.Batch{}, eris.Wrap(err, "build read of a table")
-	}
-	response, err := peerClient.Do(request)
-	if err != nil {
-		return feed.Batch{}, eris.Wrap(err, "read a table")
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return feed.Batch{}, eris.Errorf("the gateway answered %d", response.StatusCode)
-	}
-	var batch feed.Batch
-	err = json.NewDecoder(io.LimitReader(response.Body, maxTableBytes)).Decode(&batch)
-	return batch, eris.Wrap(err, "decode a table")
-}
--- /dev/null
+++ b/pkg/edge/observer.go
@@ -0,0 +1,59 @@
+package edge
+
+import (
+	"net/http"
+
+	"balsamhill/pkg/proxy"
+)
+
+// observer logs calls that did not go as usual.
+type observer struct {
+	edge *Edge
+}
+
+var _ proxy.Observer = observer{}
+
+// AttemptFailed implements proxy.Observer.
+func (o observer) AttemptFailed(event proxy.AttemptEvent) {
+	o.edge.log.Info("attempt failed", "request", event.RequestID, "route", event.Route, "service", event.Service,
+		"server", event.ServerID, "attempt", event.Attempt, "end", event.End.String(), "took", event.Took.String(),
+		"error", errorText(event.Err), "inFlight", event.InFlight, "pace", event.Pace,
+		"reportAge", event.ReportAge.String(), "revision", event.Revision)
+}
+
+// CallRefused implements proxy.Observer.
+func (o observer) CallRefused(event proxy.RefusalEvent) {
+	o.edge.log.Info("call refused", "request", event.RequestID, "route", event.Route, "service", event.Service,
+		"status", event.Status, "outcome", string(event.Outcome), "detail", event.Detail,
+		"attempts", event.Attempts, "took", event.Took.String(), "revision", event.Revision,
+		"usable", event.Usable, "meanInFlight", event.MeanInFlight)
+}
+
+// sampleEvery is how many usual answers there are for each one that is logged.
+const sampleEvery = 200
+
+// CallAnswered implements proxy.Observer. Answers that came late, after a repeat
+// or with a failure have their line; of the others one in sampleEvery has.
+func (o observer) CallAnswered(event proxy.AnswerEvent) {
+	o.edge.counters.answered(event)
+	if !event.Late() && event.Attempts <= 1 && event.Status < http.StatusInternalServerError &&
+		o.edge.answered.Add(1)%sampleEvery != 0 {
+		return
+	}
+	o.edge.log.Info("call answered", "request", event.RequestID, "route", event.Route, "service", event.Service,
+		"server", event.ServerID, "status", event.Status, "attempts", event.Attempts, "late", event.Late(),
+		"took", event.Took.String(), "target", event.Target.String(), "revision", event.Revision)
+}
+
+// CallerLeft implements proxy.Observer.
+func (o observer) CallerLeft(event proxy.AnswerEvent) {
+	o.edge.log.Info("caller left", "request", event.RequestID, "route", event.Route, "service", event.Service,
+		"attempts", event.Attempts, "took", event.Took.String(), "revision", event.Revision)
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
