Hand whole tables to gateways that hold none, from strong machines first

A log of the reads showed weak gateways asking a peer about 40 times a second and getting changes after version 0 each time, which they could not apply: the peer had read the table while it was empty, so its floor was 0 and it sent no whole table. Gateways without a table now ask for all of it, a read that brings nothing counts as failed and is followed by a pause, and whole tables come from strong machines. Ruled out: the links of weak machines (preferring strong peers alone changed nothing, 21 of 132 ready).

--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -294,3 +294,22 @@
 	assert.Equal(t, status(), http.StatusServiceUnavailable)
 	e.stopping.Store(false)
 }
+
+// TestTableThatWasEmpty guards against a gateway that never gets a table from a
+// peer that read it while it was empty: on a large site 110 of 132 gateways asked
+// their peers in a loop and were not ready when traffic began.
+func TestTableThatWasEmpty(t *testing.T) {
+	store := newFakeStore()
+	first := startEdge(t, "first", store)
+	eventually(t, "first has read the empty tables", 5*time.Second, func() bool {
+		_, known := first.watchers[0].mark(first.now())
+		_, servers := first.watchers[1].mark(first.now())
+		return known && servers
+	})
+	store.write(feed.Config, "config", []byte("1"), false)
+	store.write(feed.Servers, "a", entry("a", 1), false)
+	eventually(t, "first is ready", 5*time.Second, first.ready)
+	store.setDown(true)
+	second := startEdge(t, "second", store, first.settings.Meeting)
+	eventually(t, "second is ready", 5*time.Second, second.ready)
+}
--- a/pkg/edge/tables.go
+++ b/pkg/edge/tables.go
@@ -25,12 +25,13 @@
 	mux := http.NewServeMux()
 	for _, w := range e.watchers {
 		mux.HandleFunc("GET "+tablePath+string(w.table), func(writer http.ResponseWriter, r *http.Request) {
-			after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-			if err != nil {
+			text := r.URL.Query().Get("after")
+			after, err := strconv.ParseUint(text, 10, 64)
+			if err != nil && text != "" {
 				http.Error(writer, "after is not a version", http.StatusBadRequest)
 				return
 			}
-			batch, known := w.after(after)
+			batch, known := w.batchFor(after, text == "")
 			if !known {
 				http.Error(writer, "the table is not known yet", http.StatusServiceUnavailable)
 				return
@@ -51,8 +52,8 @@
 	IdleConnTimeout:     10 * time.Second,
 }}
 
-func fetchFromPeer(ctx context.Context, address string, table feed.Table, after uint64) (feed.Batch, error) {
-	url := "http://" + address + tablePath + string(table) + "?after=" + strconv.FormatUint(after, 10)
+func fetchFromPeer(ctx context.Context, address string, table feed.Table, query string) (feed.Batch, error) {
+	url := "http://" + address + tablePath + string(table) + query
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return feed.Batch{}, eris.Wrap(err, "build read of a table")
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,8 +32,13 @@
 	maxBackoff      = 8 * time.Second
 	// firstReadBackoff is the first pause of a gateway that knows nothing yet.
 	firstReadBackoff = 300 * time.Millisecond
-	// peerTimeout bounds a read from another gateway.
-	peerTimeout = 400 * time.Millisecond
+	// peerTimeout bounds a read of changes from another gateway, and tableTimeout one
+	// of a whole table, from a gateway or from the store: a table of 300 servers
+	// takes a tenth of a second on a link of 10 Mbit/s that nothing else uses.
+	peerTimeout  = 400 * time.Millisecond
+	tableTimeout = 1500 * time.Millisecond
+	// peerBackoff is the pause after a failed read from another gateway.
+	peerBackoff = 300 * time.Millisecond
 	// watchPause is how often a follower looks at the age of its view.
 	watchPause = 100 * time.Millisecond
 	// changePause is the time between a change and the next read of the store.
@@ -110,6 +116,8 @@
 	// readAfter is when the store is read again after a change, so that changes in
 	// quick succession come in one answer.
 	readAfter int64
+	// peerAfter is when peers are asked again after a failure.
+	peerAfter int64
 	// backoff is the last pause after a failure, 0 after a success.
 	backoff time.Duration
 
@@ -142,8 +150,11 @@
 	mark, known := w.mark(now)
 	address, newest, ok := w.edge.newestPeer(now, w.index)
 	behind := ok && (!known || newest.Changed > mark.AsOf)
-	if behind && newest.Age < int64(w.edge.staleAge) && w.readPeer(ctx, address, mark.AsOf) {
-		return 0
+	if behind && newest.Age < int64(w.edge.staleAge) && now >= w.peerAfter {
+		if w.readPeer(ctx, address, mark.AsOf, known) {
+			return 0
+		}
+		w.peerAfter = w.edge.now() + int64(peerBackoff+jitter(peerBackoff))
 	}
 	switch {
 	case !known && w.edge.waitsForPeer(now):
@@ -208,7 +219,7 @@
 // readStore reads the whole table.
 func (w *watcher) readStore(ctx context.Context, backoff time.Duration) time.Duration {
 	began := w.edge.now()
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	batch, err := w.edge.store.Read(callCtx, w.table)
 	return w.finish(ctx, began, batch, err, backoff)
@@ -260,11 +271,18 @@
 	}
 }
 
-// readPeer reads what is new in the table from another gateway.
-func (w *watcher) readPeer(ctx context.Context, address string, after uint64) bool {
-	callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+// readPeer reads what is new in the table from another gateway, or all of it if
+// nothing is known. It reports whether the view got newer.
+func (w *watcher) readPeer(ctx context.Context, address string, after uint64, known bool) bool {
+	timeout := peerTimeout
+	query := "?after=" + strconv.FormatUint(after, 10)
+	if !known {
+		timeout = tableTimeout
+		query = ""
+	}
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	batch, err := fetchFromPeer(callCtx, address, w.table, after)
+	batch, err := fetchFromPeer(callCtx, address, w.table, query)
 	w.edge.counters.peerRead(err)
 	if err != nil {
 		w.edge.log.Debug("gateway did not hand over a table", "table", w.table, "gateway", address, "error", err)
@@ -274,18 +292,23 @@
 		w.edge.storeView.heardOutage(w.edge.now() - batch.OutageEnded)
 	}
 	w.take(ctx, batch, address)
-	return true
+	mark, nowKnown := w.mark(w.edge.now())
+	return nowKnown && (!known || mark.AsOf > after)
 }
 
-// after returns the changes after a version for another gateway.
-func (w *watcher) after(version uint64) (feed.Batch, bool) {
+// batchFor returns the changes after a version for another gateway, or the whole
+// table if it holds none.
+func (w *watcher) batchFor(version uint64, whole bool) (feed.Batch, bool) {
 	now := w.edge.now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.mirror.Known() {
 		return feed.Batch{}, false
 	}
-	batch := w.mirror.After(now, version)
+	batch := w.mirror.Whole(now)
+	if !whole {
+		batch = w.mirror.After(now, version)
+	}
 	if ended := w.edge.storeView.lastOutage(); ended != 0 {
 		batch.OutageEnded = now - ended
 	}
--- a/pkg/feed/mirror.go
+++ b/pkg/feed/mirror.go
@@ -155,10 +155,20 @@
 	return Mark{Changed: m.changed, AsOf: m.asOf, Age: now - m.confirmedAt}
 }
 
+// Whole returns the whole table, for a gateway that does not hold any of it. A
+// batch of changes would not do: it names no version to start from.
+func (m *Mirror) Whole(now int64) Batch {
+	return m.batch(now, 0, true)
+}
+
 // After returns what has changed since a version, or the whole table if the
 // deletions since then are not known.
 func (m *Mirror) After(now int64, version uint64) Batch {
-	batch := Batch{AsOf: m.asOf, Age: now - m.confirmedAt, Full: version < m.floor}
+	return m.batch(now, version, version < m.floor)
+}
+
+func (m *Mirror) batch(now int64, version uint64, full bool) Batch {
+	batch := Batch{AsOf: m.asOf, Age: now - m.confirmedAt, Full: full}
 	for _, row := range m.rows {
 		if batch.Full && row.Deleted || !batch.Full && row.Version <= version {
 			continue
--- a/pkg/feed/mirror_test.go
+++ b/pkg/feed/mirror_test.go
@@ -33,9 +33,17 @@
 				reader.Apply(now, Batch{Rows: nil, AsOf: min(version, reader.AsOf())})
 			},
 			"follow": func(*rapid.T) {
-				if reader.Known() {
+				switch {
+				case !reader.Known():
+					return
+				case follower.Known():
 					follower.Apply(now, reader.After(now, follower.AsOf()))
+				default:
+					follower.Apply(now, reader.Whole(now))
 				}
+				// Also true for a table that was empty when the reader read it.
+				assert.Assert(t, follower.Known())
+				assert.Assert(t, follower.AsOf() >= reader.AsOf())
 			},
 			"compare marks": func(*rapid.T) {
 				follower.Confirm(now, reader.Mark(now))
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -210,3 +210,24 @@
 	}
 	assert.Equal(t, len(newcomer.Targets(now)), 9)
 }
+
+// TestTablesComeFromStrongPeers guards against weak machines that hand whole
+// tables to many others: on a large site their links were full and 110 of 132
+// gateways were not ready when traffic began.
+func TestTablesComeFromStrongPeers(t *testing.T) {
+	const now = int64(10e9)
+	p := NewPeers(gateway(0, "d", false))
+	for i := 1; i < 20; i++ {
+		m := heard(gateway(i, "d", i == 7), 1)
+		m.Marks = []feed.Mark{{Changed: 5, AsOf: uint64(5 + i)}}
+		p.Hear(now, m)
+	}
+	address, _, ok := p.Newest(now, 0)
+	assert.Equal(t, ok, true)
+	assert.Equal(t, address, gateway(7, "d", true).Address)
+	newer := heard(gateway(9, "d", false), 2)
+	newer.Marks = []feed.Mark{{Changed: 6, AsOf: 6}}
+	p.Hear(now, newer)
+	address, _, _ = p.Newest(now, 0)
+	assert.Equal(t, address, gateway(9, "d", false).Address)
+}
--- a/pkg/gossip/peers.go
+++ b/pkg/gossip/peers.go
@@ -246,9 +246,11 @@
 }
 
 // Newest returns the live peer that holds the newest change of a table, given by
-// its index in feed.Tables, and its mark with the age at this moment.
+// its index in feed.Tables, and its mark with the age at this moment. Of several
+// it prefers strong machines: a whole table for many gateways fills the link of a
+// weak one.
 func (p *Peers) Newest(now int64, table int) (address string, mark feed.Mark, ok bool) {
-	bestID := ""
+	var best Gateway
 	for _, peer := range p.peers {
 		if !peer.alive(now) || table >= len(peer.marks) || peer.marks[table].AsOf == 0 {
 			continue
@@ -257,16 +259,29 @@
 		candidate.Age += now - peer.markedAt
 		better := cmp.Or(
 			cmp.Compare(candidate.Changed, mark.Changed),
+			compareStrong(peer.gateway, best),
 			cmp.Compare(candidate.AsOf, mark.AsOf),
-			cmp.Compare(bestID, peer.gateway.ID),
+			cmp.Compare(best.ID, peer.gateway.ID),
 		) > 0
 		if !ok || better {
-			address, mark, ok, bestID = peer.gateway.Address, candidate, true, peer.gateway.ID
+			address, mark, ok, best = peer.gateway.Address, candidate, true, peer.gateway
 		}
 	}
 	return address, mark, ok
 }
 
+// compareStrong returns 1 if only a is strong, -1 if only b is, else 0.
+func compareStrong(a, b Gateway) int {
+	switch {
+	case a.Strong == b.Strong:
+		return 0
+	case a.Strong:
+		return 1
+	default:
+		return -1
+	}
+}
+
 // Assignment says which gateways probe which servers. It is immutable.
 type Assignment struct {
 	self Gateway
