--- a/pkg/routing/paced.go
+++ b/pkg/routing/paced.go
@@ -128,9 +128,8 @@
 	RoomFree Room = iota
 	// RoomLast means that only the last slot is free. Servers slow down there.
 	RoomLast
-	// RoomQueue means that the call would wait at the server.
-	RoomQueue
-	// RoomNone means that as many calls wait at the server as it has slots.
+	// RoomNone means that all slots are taken, so that the call would wait at the
+	// server.
 	RoomNone
 )
 
@@ -143,17 +142,11 @@
 		return RoomFree
 	case after <= slots:
 		return RoomLast
-	case after <= queuedPerSlot*slots:
-		return RoomQueue
 	default:
 		return RoomNone
 	}
 }
 
-// queuedPerSlot is how many calls per slot a server may have before it counts as
-// full.
-const queuedPerSlot = 1.0
-
 // Pace returns the factor by which work takes longer than usual on the server.
 // Old reports fade towards the mean.
 func (s *Stats) Pace(now int64, mean float64) float64 {
--- a/pkg/routing/server.go
+++ b/pkg/routing/server.go
@@ -180,7 +180,7 @@
 	s.silent.Store(silent)
 }
 
-// Silent reports whether the server leaves probes unanswered.
+// IsSilent reports whether the server leaves probes unanswered.
 func (s *Stats) IsSilent() bool {
 	return s.silent.Load()
 }
