Make one piece serve where the platform code stood twice

Gateways are described by gossip.Gateway alone, also in the store and at the seeds (same JSON); names of ends come from retry.End; the TCP user timeout is set by one function; reports are recorded with their pace by Stats.ReportLoad; the number of regions is counted once instead of at each retry. Removed: Registry.Lapsed and the slots of a load report, which nobody read. The name of the settings variable stays in the adapter. No change of behaviour.

--- a/cmd/balsamhilld/platform.go
+++ b/cmd/balsamhilld/platform.go
@@ -26,7 +26,7 @@
 
 Runs one gateway with the settings, the store and the server entries of the
 users' platform; docs/platform.md describes it. The path of the settings file is
-in the environment variable BALSAMHILL_NODE_FILE. Logs go to standard output.
+in the environment variable ` + platform.SettingsVariable + `. Logs go to standard output.
 SIGHUP reads the settings again; SIGTERM shuts down gracefully.
 
 `
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -103,6 +103,8 @@
 	// assignment says which servers this gateway measures.
 	assignment atomic.Pointer[gossip.Assignment]
 	assignedAt atomic.Int64
+	// regionCount is the number of regions.
+	regionCount int
 	// regionSize is the number of known gateways of the region.
 	regionSize atomic.Int64
 	// greet says that a gateway joined that knows nothing of this one yet.
@@ -149,9 +151,10 @@
 			VMID: s.ID, Region: s.Region, FailureDomain: s.FailureDomain,
 			DomainPenalty: domainPenalty, RegionPenalty: regionPenalty,
 		}),
-		servers: registry.New(s.Regions),
-		events:  make(chan tableEvent, eventQueue),
-		metrics: metrics.NewSet(),
+		servers:     registry.New(s.Regions),
+		regionCount: countRegions(s.Regions),
+		events:      make(chan tableEvent, eventQueue),
+		metrics:     metrics.NewSet(),
 		transport: proxy.NewSharedTransports(proxy.TransportLimits{
 			Connections: connectionsPerServer, Idle: idleLimit, FreshIdle: freshIdleLimit,
 		}),
@@ -234,12 +237,17 @@
 // retryBase returns this gateway's share of the burst of the retry budget. The
 // shares of all gateways stay below it without agreement.
 func (e *Edge) retryBase() float64 {
+	gateways := float64(e.regionSize.Load()) * float64(e.regionCount) * unknownShare
+	return e.terms.Load().RetryBurst / max(fewestGateways, gateways)
+}
+
+// countRegions returns the number of regions that failure domains belong to.
+func countRegions(regionOf map[string]string) int {
 	regions := make(map[string]bool)
-	for _, region := range e.settings.Regions {
+	for _, region := range regionOf {
 		regions[region] = true
 	}
-	gateways := float64(e.regionSize.Load()) * float64(len(regions)) * unknownShare
-	return e.terms.Load().RetryBurst / max(fewestGateways, gateways)
+	return len(regions)
 }
 
 // Run serves until ctx ends, and then until the requests in flight are complete
--- a/pkg/edge/join.go
+++ b/pkg/edge/join.go
@@ -16,31 +16,6 @@
 	"balsamhill/pkg/gossip"
 )
 
-// member describes a gateway to others, in a row of the table Members and where
-// gateways meet.
-type member struct {
-	ID            string `json:"id"`
-	Incarnation   uint64 `json:"incarnation"`
-	Address       string `json:"address"`
-	Region        string `json:"region"`
-	FailureDomain string `json:"failureDomain"`
-	Strong        bool   `json:"strong,omitempty"`
-}
-
-func memberOf(g gossip.Gateway) member {
-	return member{
-		ID: g.ID, Incarnation: g.Incarnation, Address: g.Address,
-		Region: g.Region, FailureDomain: g.FailureDomain, Strong: g.Strong,
-	}
-}
-
-func (m member) gateway() gossip.Gateway {
-	return gossip.Gateway{
-		ID: m.ID, Incarnation: m.Incarnation, Address: m.Address,
-		Region: m.Region, FailureDomain: m.FailureDomain, Strong: m.Strong,
-	}
-}
-
 const (
 	// joinRetry is the pause after a failed call.
 	joinRetry = 500 * time.Millisecond
@@ -69,18 +44,18 @@
 }
 
 type meeting struct {
-	member member
+	member gossip.Gateway
 	at     int64
 }
 
 // meet takes a gateway in and returns the others of its region.
-func (d *directory) meet(now int64, newcomer member) []member {
+func (d *directory) meet(now int64, newcomer gossip.Gateway) []gossip.Gateway {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.members == nil {
 		d.members = make(map[string]meeting)
 	}
-	others := []member{}
+	others := []gossip.Gateway{}
 	for id, known := range d.members {
 		switch {
 		case now-known.at > int64(memberLife):
@@ -95,8 +70,8 @@
 
 // membership is a row of the table Members: a gateway and those that it hears from.
 type membership struct {
-	Self  member   `json:"self"`
-	Heard []member `json:"heard,omitempty"`
+	Self  gossip.Gateway   `json:"self"`
+	Heard []gossip.Gateway `json:"heard,omitempty"`
 }
 
 // runJoin makes this gateway known to the others and learns their addresses: from
@@ -127,11 +102,9 @@
 }
 
 func (e *Edge) writeMember(ctx context.Context) error {
-	row := membership{Self: memberOf(e.self)}
+	row := membership{Self: e.self}
 	e.peersMu.Lock()
-	for _, g := range e.peers.Live(e.now()) {
-		row.Heard = append(row.Heard, memberOf(g))
-	}
+	row.Heard = e.peers.Live(e.now())
 	e.peersMu.Unlock()
 	value, err := json.Marshal(row)
 	if err != nil {
@@ -181,7 +154,7 @@
 func (e *Edge) joinSeed(ctx context.Context, seed string) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	members, err := askSeed(ctx, seed, memberOf(e.self))
+	members, err := askSeed(ctx, seed, e.self)
 	if err != nil {
 		e.log.Debug("seed did not answer", "seed", seed, "error", err)
 		return false
@@ -190,7 +163,7 @@
 	return true
 }
 
-func askSeed(ctx context.Context, seed string, self member) ([]member, error) {
+func askSeed(ctx context.Context, seed string, self gossip.Gateway) ([]gossip.Gateway, error) {
 	body, err := json.Marshal(self)
 	if err != nil {
 		return nil, eris.Wrap(err, "encode introduction")
@@ -207,25 +180,25 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, eris.Errorf("the seed answered %d", response.StatusCode)
 	}
-	var members []member
+	var members []gossip.Gateway
 	err = json.NewDecoder(io.LimitReader(response.Body, maxMembersBytes)).Decode(&members)
 	return members, eris.Wrap(err, "decode the list of gateways")
 }
 
-func (e *Edge) learn(members []member) {
+func (e *Edge) learn(members []gossip.Gateway) {
 	e.peersMu.Lock()
 	defer e.peersMu.Unlock()
 	for _, m := range members {
-		e.peers.Learn(e.now(), m.gateway())
+		e.peers.Learn(e.now(), m)
 	}
 }
 
 // meetingHandler lets gateways that know nothing yet meet.
 func (e *Edge) meetingHandler() http.Handler {
-	e.directory.meet(e.now(), memberOf(e.self))
+	e.directory.meet(e.now(), e.self)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+meetingPath, func(w http.ResponseWriter, r *http.Request) {
-		var newcomer member
+		var newcomer gossip.Gateway
 		err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMembersBytes)).Decode(&newcomer)
 		if err != nil || newcomer.ID == "" {
 			http.Error(w, "not an introduction", http.StatusBadRequest)
@@ -233,8 +206,8 @@
 		}
 		others := e.directory.meet(e.now(), newcomer)
 		if newcomer.Region == e.self.Region {
-			others = append(others, memberOf(e.self))
-			e.learn([]member{newcomer})
+			others = append(others, e.self)
+			e.learn([]gossip.Gateway{newcomer})
 		}
 		// An error here means that the newcomer has gone away.
 		_ = json.NewEncoder(w).Encode(others)
@@ -264,7 +237,7 @@
 	if err != nil {
 		return err
 	}
-	var members []member
+	var members []gossip.Gateway
 	for _, row := range batch.Rows {
 		var m membership
 		err := json.Unmarshal(row.Value, &m)
--- a/pkg/edge/probes.go
+++ b/pkg/edge/probes.go
@@ -181,11 +181,7 @@
 		return false
 	}
 	if ok {
-		now := e.now()
-		server.Stats.Report(now, report.InFlight)
-		if report.PacePermille > 0 {
-			server.Stats.ReportPace(report.PacePermille)
-		}
+		server.Stats.ReportLoad(e.now(), report.InFlight, report.PacePermille)
 	}
 	return true
 }
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -41,17 +41,17 @@
 	Suspicions []Suspicion
 }
 
-// Gateway identifies a gateway.
+// Gateway describes a gateway to others.
 type Gateway struct {
-	ID string
+	ID string `json:"id"`
 	// Incarnation rises with each start of the process.
-	Incarnation uint64
+	Incarnation uint64 `json:"incarnation"`
 	// Address is host:port for datagrams and for reads of tables over TCP.
-	Address       string
-	Region        string
-	FailureDomain string
+	Address       string `json:"address"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failureDomain"`
 	// Strong says that the gateway's machine can work for others.
-	Strong bool
+	Strong bool `json:"strong,omitempty"`
 }
 
 // KeyOf returns the key of a gateway, a hash of its ID.
--- a/pkg/loadreport/loadreport.go
+++ b/pkg/loadreport/loadreport.go
@@ -22,8 +22,6 @@
 type Report struct {
 	// InFlight counts the requests that run or wait at the server.
 	InFlight int64
-	// Slots is how many requests the server runs at once, 0 if it does not say.
-	Slots int64
 	// PacePermille is how long work takes at this moment, in permille of the
 	// usual, 0 if the server does not say.
 	PacePermille int64
--- a/pkg/proxy/load.go
+++ b/pkg/proxy/load.go
@@ -26,10 +26,7 @@
 		a.learnWork(now - a.started)
 	}
 	if report, ok := a.call.proxy.config.Dialect.Load(response.Header); ok {
-		stats.Report(now, report.InFlight)
-		if report.PacePermille > 0 {
-			stats.ReportPace(report.PacePermille)
-		}
+		stats.ReportLoad(now, report.InFlight, report.PacePermille)
 	}
 	if response.Header[drainingHeader] != nil {
 		stats.DrainNoticedAt.Store(now)
--- a/pkg/proxy/metrics.go
+++ b/pkg/proxy/metrics.go
@@ -46,17 +46,6 @@
 	hedgesDenied  *metrics.Counter
 }
 
-var endNames = map[retry.End]string{
-	retry.Answered:      "answered",
-	retry.NeverWritten:  "never_written",
-	retry.RefusedNotRun: "refused_not_run",
-	retry.Shed:          "shed",
-	retry.ServerError:   "server_error",
-	retry.Broken:        "broken",
-	retry.TimedOut:      "timed_out",
-	retry.Cancelled:     "cancelled",
-}
-
 // NewMetrics registers the counters in a set.
 func NewMetrics(set *metrics.Set) *Metrics {
 	calls := func(result string) *metrics.Counter {
@@ -92,8 +81,8 @@
 		latePast: set.GetOrCreateCounter(`balsamhill_late_answers_total`),
 		resends:  set.GetOrCreateCounter(`balsamhill_transport_resends_refused_total`),
 	}
-	for end, name := range endNames {
-		m.failed[end] = calls("failed_" + name)
+	for _, end := range retry.Ends() {
+		m.failed[end] = calls("failed_" + end.String())
 	}
 	kinds := map[claim.Kind]string{
 		claim.Refuse: "refuse", claim.Dispatch: "dispatch", claim.Replay: "replay",
@@ -117,9 +106,9 @@
 		hedgesWon:     counter("balsamhill_hedges_won_total"),
 		hedgesDenied:  counter("balsamhill_hedges_denied_total"),
 	}
-	for end, endName := range endNames {
+	for _, end := range retry.Ends() {
 		s.attempts[end] = m.set.GetOrCreateCounter(
-			fmt.Sprintf(`balsamhill_attempts_total{service=%q,end=%q}`, name, endName))
+			fmt.Sprintf(`balsamhill_attempts_total{service=%q,end=%q}`, name, end.String()))
 	}
 	return s
 }
--- a/pkg/proxy/servers.go
+++ b/pkg/proxy/servers.go
@@ -175,7 +175,7 @@
 		Timeout:         connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
 		Control: func(_, _ string, raw syscall.RawConn) error {
-			return setUserTimeout(raw, userTimeout)
+			return SetUserTimeout(raw, userTimeout)
 		},
 	}
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -187,7 +187,9 @@
 	}
 }
 
-func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
+// SetUserTimeout bounds how long sent bytes may stay unacknowledged on a
+// connection; 0 leaves it to the kernel.
+func SetUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) {
 		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
@@ -253,7 +255,7 @@
 	if patient {
 		timeout = 0
 	}
-	if setUserTimeout(raw, timeout) == nil {
+	if SetUserTimeout(raw, timeout) == nil {
 		c.patient.Store(patient)
 	}
 }
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -95,11 +95,6 @@
 	return changed
 }
 
-// Lapsed returns the number of entries that may come back.
-func (r *Registry) Lapsed() int {
-	return len(r.lapsed)
-}
-
 // Servers returns the servers in order of their IDs.
 func (r *Registry) Servers() []platform.VM {
 	vms := make([]platform.VM, 0, len(r.entries))
--- a/pkg/retry/outcome.go
+++ b/pkg/retry/outcome.go
@@ -45,6 +45,15 @@
 	ends
 )
 
+// Ends returns all ends of an attempt.
+func Ends() []End {
+	all := make([]End, 0, ends)
+	for end := range ends {
+		all = append(all, end)
+	}
+	return all
+}
+
 // String returns the name used in logs and metrics.
 func (e End) String() string {
 	switch e {
--- a/pkg/routing/server.go
+++ b/pkg/routing/server.go
@@ -163,6 +163,14 @@
 	}
 }
 
+// ReportLoad records a load report with the pace that it brings, 0 for none.
+func (s *Stats) ReportLoad(now, inFlight, permille int64) {
+	s.Report(now, inFlight)
+	if permille > 0 {
+		s.ReportPace(permille)
+	}
+}
+
 func (s *Stats) setReport(at, inFlight int64) {
 	s.reported.Store(inFlight)
 	s.reportedAt.Store(at)
