--- a/pkg/claimstore/fleet_test.go
+++ b/pkg/claimstore/fleet_test.go
@@ -232,7 +232,7 @@
 func newFleet(gateways int, seed uint64) *fleet {
 	f := &fleet{start: time.Now(), table: newFakeTable(seed), oracle: newOracle(), seed: seed}
 	for i := range gateways {
-		f.gateways = append(f.gateways, f.newGateway(i, 1))
+		f.gateways = append(f.gateways, f.newGateway(i, 1, faults{}))
 	}
 	return f
 }
@@ -241,10 +241,11 @@
 	return int64(time.Since(f.start) + time.Second)
 }
 
-func (f *fleet) newGateway(index int, incarnation uint64) *gateway {
+// newGateway starts a gateway whose link has the faults from its first read on.
+func (f *fleet) newGateway(index int, incarnation uint64, broken faults) *gateway {
 	g := &gateway{fleet: f, incarnation: incarnation, resumed: make(chan struct{}), asked: make(map[string]time.Time)}
 	close(g.resumed)
-	g.link = &link{table: f.table, gate: g.gate}
+	g.link = &link{table: f.table, gate: g.gate, faults: broken}
 	g.store = New(Config{
 		Table:       g.link,
 		Peers:       g,
@@ -282,8 +283,7 @@
 	old := f.gateways[index]
 	f.mu.Unlock()
 	old.kill()
-	next := f.newGateway(index, old.incarnation+1)
-	next.link.set(old.link.current())
+	next := f.newGateway(index, old.incarnation+1, old.link.current())
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.former = append(f.former, old)
