--- a/pkg/proxy/race_test.go
+++ b/pkg/proxy/race_test.go
@@ -38,6 +38,9 @@
 	handler := func(w http.ResponseWriter, r *http.Request) {
 		n := calls.Add(1)
 		switch {
+		case n%30 == 13:
+			// Above the 95th percentile, so that some calls are hedged for certain.
+			time.Sleep(150 * time.Millisecond)
 		case n%10 == 3:
 			time.Sleep(30 * time.Millisecond)
 		case n%17 == 5:
