Learn whether servers slow down in their last slot, and let calls wait at those that don't

Change: each gateway compares its calls at full servers with those at servers with room, at a steady pace, and takes the ratio as the cost of the last slot. Where the last slot pays, it counts as free, and half a slot's worth of calls may wait.

--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -37,6 +37,8 @@
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	started int64
+	// loadBefore and paceBefore are what was known of the server before the attempt.
+	loadBefore, paceBefore float64
 
 	// conn carries the request; base is its count of writes before.
 	conn *trackedConn
@@ -64,7 +66,11 @@
 
 func (c *call) newAttempt(server *routing.Server) *attempt {
 	c.sent++
-	a := &attempt{call: c, server: server, number: c.sent, started: c.proxy.config.Now()}
+	now := c.proxy.config.Now()
+	a := &attempt{
+		call: c, server: server, number: c.sent, started: now,
+		loadBefore: c.view.LoadWith(server, now), paceBefore: server.Stats.ReportedPace(),
+	}
 	a.ctx, a.cancel = context.WithCancelCause(c.base)
 	return a
 }
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -9,7 +9,6 @@
 	"os"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"balsamhill/pkg/admission"
@@ -22,13 +21,11 @@
 
 // service is what traffic remembers about one service.
 type service struct {
-	limiter admission.Limiter
-	retries retry.Budget
-	hedges  retry.Budget
-	latency retry.Delay
-	// work is the moving average of the time that a call takes on an idle server
-	// at its usual pace, in nanoseconds, 0 before the first sample.
-	work     atomic.Int64
+	limiter  admission.Limiter
+	retries  retry.Budget
+	hedges   retry.Budget
+	latency  retry.Delay
+	work     routing.Work
 	Counters *serviceMetrics
 }
 
@@ -198,9 +195,9 @@
 )
 
 // chooseFirst chooses the server of the first attempt, or refuses the call. On a
-// route with a target the call waits for a while if no server has a free slot:
-// servers slow down when they are full, and the next slot of a service becomes
-// free long before the queue of one server is worked off.
+// route with a target the call waits for a while if no server has a free slot: the
+// next slot of a service becomes free long before the queue of one server is
+// worked off.
 func (c *call) chooseFirst() *routing.Server {
 	limit := c.arrived + int64(c.route.Target)/roomShare
 	for {
@@ -213,7 +210,7 @@
 		now := c.proxy.config.Now()
 		room := routing.RoomFree
 		if c.route.Target > 0 {
-			room = c.view.RoomOf(server, now)
+			room = c.view.RoomOf(server, now, c.service.work.Crowding())
 		}
 		switch {
 		case room == routing.RoomFree || now >= limit && room != routing.RoomNone:
@@ -248,11 +245,12 @@
 // pick describes the call to the policy.
 func (c *call) pick(random *rand.Rand) routing.Pick {
 	return routing.Pick{
-		Rand:  random,
-		Now:   c.proxy.config.Now(),
-		Tried: c.tried,
-		Work:  c.service.work.Load(),
-		Bytes: usualAnswerBytes + max(0, c.r.ContentLength),
+		Rand:     random,
+		Now:      c.proxy.config.Now(),
+		Tried:    c.tried,
+		Work:     c.service.work.Nanos(),
+		Crowding: c.service.work.Crowding(),
+		Bytes:    usualAnswerBytes + max(0, c.r.ContentLength),
 	}
 }
 
--- a/pkg/proxy/load.go
+++ b/pkg/proxy/load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"balsamhill/pkg/retry"
+	"balsamhill/pkg/routing"
 )
 
 const drainingHeader = "Balsamhill-Draining"
@@ -12,6 +13,7 @@
 // observe takes what an answer says about the server.
 func (a *attempt) observe(now int64) {
 	response, stats := a.response, a.server.Stats
+	served := false
 	switch {
 	case a.judgement == JudgedWrongServer:
 		// The server is gone and its address belongs to another one.
@@ -22,36 +24,30 @@
 	case response.StatusCode >= http.StatusInternalServerError:
 		stats.Failure()
 	default:
+		served = true
 		stats.Success(now, now-a.started)
-		a.learnWork(now - a.started)
 	}
 	if report, ok := a.call.proxy.config.Dialect.Load(response.Header); ok {
 		stats.ReportLoad(now, report.InFlight, report.PacePermille)
 	}
+	if served {
+		a.learnWork(now)
+	}
 	if response.Header[drainingHeader] != nil {
 		stats.DrainNoticedAt.Store(now)
 	}
 }
 
-// workWeight is the weight of a sample in the moving average of the work.
-const workWeight = 0.05
-
-// learnWork takes a latency into the average work of the service. Only answers
-// of a server whose pace is known are samples.
-func (a *attempt) learnWork(latency int64) {
-	pace := a.server.Stats.ReportedPace()
-	if pace == 0 {
-		return
-	}
-	sample := int64(float64(max(0, latency-a.server.Penalty)) / pace)
-	work := &a.call.service.work
-	old := work.Load()
-	if old == 0 {
-		work.Store(sample)
-		return
-	}
-	// A lost update of the average is harmless, so no compare-and-swap loop.
-	work.Store(old + int64(workWeight*float64(sample-old)))
+// learnWork takes an answer into the estimate of the service's work.
+func (a *attempt) learnWork(now int64) {
+	a.call.service.work.Observe(routing.WorkSample{
+		Nanos:      now - a.started - a.server.Penalty,
+		PaceBefore: a.paceBefore,
+		PaceAfter:  a.server.Stats.ReportedPace(),
+		LoadBefore: a.loadBefore,
+		LoadAfter:  a.server.Stats.ReportedInFlight(),
+		Slots:      a.call.view.SlotsOf(a.server),
+	})
 }
 
 // Observer is told of calls that did not go as usual. It must not block.
--- a/pkg/proxy/pace.go
+++ b/pkg/proxy/pace.go
@@ -34,7 +34,7 @@
 
 // newPaceWatch returns nil if nothing can be estimated or no hedge is allowed.
 func (c *call) newPaceWatch(first *attempt) *paceWatch {
-	work := c.service.work.Load()
+	work := c.service.work.Nanos()
 	if work <= 0 || c.limits.HedgePercent <= 0 || !retry.MayHedge(c.safety, safeMethod(c.r.Method)) || !c.mayRunAgain() {
 		return nil
 	}
@@ -92,7 +92,7 @@
 	defer randPool.Put(random)
 	pick := c.pick(random)
 	server := c.view.Choose(pick)
-	if server == nil || c.view.RoomOf(server, now) != routing.RoomFree {
+	if server == nil || c.view.RoomOf(server, now, pick.Crowding) != routing.RoomFree {
 		return nil, 0
 	}
 	return server, c.view.Expected(server, pick)
--- a/pkg/routing/paced.go
+++ b/pkg/routing/paced.go
@@ -22,9 +22,6 @@
 	// pacedSpread is the share by which expected times are varied, so that several
 	// gateways with the same reports do not all choose the same server.
 	pacedSpread = 0.15
-	// nearlyFull is the factor for a request that takes the last free slot, since
-	// some servers slow down there.
-	nearlyFull = 1.4
 	// coldFactor is the factor for servers that have just started.
 	coldFactor = 2.0
 	// loadStep is the share by which each request in flight counts while slots are
@@ -69,11 +66,15 @@
 	if server.Stats.IsSilent() {
 		work *= silentFactor
 	}
+	crowding := pick.Crowding
+	if crowding == 0 {
+		crowding = usualCrowding
+	}
 	switch {
 	case inFlight+1 > slots:
-		work *= nearlyFull + (inFlight+1-slots)/slots
+		work *= crowding + (inFlight+1-slots)/slots
 	case inFlight+1 > slots-1:
-		work *= nearlyFull
+		work *= max(crowding, 1+loadStep*inFlight)
 	default:
 		work *= 1 + loadStep*inFlight
 	}
@@ -93,6 +94,11 @@
 	return meanOf(v.All, now).load
 }
 
+// SlotsOf returns how many requests a server runs at once.
+func (v *ServiceView) SlotsOf(server *Server) int {
+	return slotsOf(server, v.Slots)
+}
+
 func slotsOf(server *Server, usual int) int {
 	if server.Slots > 0 {
 		return server.Slots
@@ -124,29 +130,45 @@
 type Room int
 
 const (
-	// RoomFree means that a slot other than the last one is free.
+	// RoomFree means that the call starts at once and slows nothing down.
 	RoomFree Room = iota
-	// RoomLast means that only the last slot is free. Servers slow down there.
-	RoomLast
-	// RoomNone means that all slots are taken, so that the call would wait at the
-	// server.
+	// RoomTight means that the call would slow the server down, or wait there for
+	// a short time.
+	RoomTight
+	// RoomNone means that the server has as much work as it should have.
 	RoomNone
 )
 
-// RoomOf returns the room on a server.
-func (v *ServiceView) RoomOf(server *Server, now int64) Room {
+// queuePerSlot is how many calls per slot may wait at a server that does not slow
+// down when it is full. The next slot becomes free long before that queue is
+// worked off.
+const queuePerSlot = 0.5
+
+// RoomOf returns the room on a server for calls that take longer by the factor
+// crowding when all slots are taken. Where that factor is so large that the server
+// gets less done with its last slot taken, calls never wait at the server.
+func (v *ServiceView) RoomOf(server *Server, now int64, crowding float64) Room {
 	slots := float64(slotsOf(server, v.Slots))
-	after := server.Stats.loadNow(now, meanOf(v.All, now).load) + 1
+	after := v.LoadWith(server, now)
+	free, tight := slots, slots*(1+queuePerSlot)
+	if crowding*(slots-1) > slots {
+		free, tight = max(1, slots-1), slots
+	}
 	switch {
-	case after <= max(1, slots-1):
+	case after <= free:
 		return RoomFree
-	case after <= slots:
-		return RoomLast
+	case after <= tight:
+		return RoomTight
 	default:
 		return RoomNone
 	}
 }
 
+// LoadWith returns the requests at a server if it gets one more.
+func (v *ServiceView) LoadWith(server *Server, now int64) float64 {
+	return server.Stats.loadNow(now, meanOf(v.All, now).load) + 1
+}
+
 // Pace returns the factor by which work takes longer than usual on the server.
 // Old reports fade towards the mean.
 func (s *Stats) Pace(now int64, mean float64) float64 {
--- a/pkg/routing/snapshot.go
+++ b/pkg/routing/snapshot.go
@@ -54,6 +54,9 @@
 	// Work is the expected time of the call on an idle server at its usual pace,
 	// in nanoseconds, 0 if unknown.
 	Work int64
+	// Crowding is the factor by which the call takes longer on a server with all
+	// slots taken, 0 if unknown; see Work.Crowding.
+	Crowding float64
 	// Bytes is the expected size of the bodies of the call and its answer.
 	Bytes int64
 }
