Pass load reports between regions, and use servers with room there that answer in time

Cause: since servers of another region count as loaded like the mean, because nobody measures them; before, they counted as idle. Both are guesses: calls were refused while servers of the other region had free slots. Change: one gateway of a small region, the relay, sends its region's load reports to the relay of each other region every 50 ms and passes on what it gets. A call that found no room within its wait now takes any server that has room and is expected to answer within the target, unless the price of its bytes between regions is above what it is worth.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -107,6 +107,8 @@
 	regionCount int
 	// regionSize is the number of known gateways of the region.
 	regionSize atomic.Int64
+	// relay says that this gateway passes load reports between regions.
+	relay atomic.Bool
 	// greet says that a gateway joined that knows nothing of this one yet.
 	greet atomic.Bool
 	// membersRead says that the addresses of the other gateways were read.
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -21,6 +21,7 @@
 	"balsamhill/pkg/preset"
 	"balsamhill/pkg/proxy"
 	"balsamhill/pkg/registry"
+	"balsamhill/pkg/routing"
 )
 
 // fakeStore is a store in memory.
@@ -154,10 +155,15 @@
 
 // startEdge starts a gateway; its meeting address is a seed of the others.
 func startEdge(t *testing.T, id string, store Store, seeds ...string) *Edge {
+	t.Helper()
+	return startEdgeIn(t, id, "r", "d", store, seeds...)
+}
+
+func startEdgeIn(t *testing.T, id, region, domain string, store Store, seeds ...string) *Edge {
 	t.Helper()
 	meeting := fmt.Sprintf("127.0.0.1:%d", freePort(t))
 	e, err := New(&Settings{
-		ID: id, IP: "127.0.0.1", Region: "r", FailureDomain: "d", Regions: map[string]string{"d": "r"},
+		ID: id, IP: "127.0.0.1", Region: region, FailureDomain: domain, Regions: map[string]string{"d": "r", "far": "other"},
 		Traffic: "127.0.0.1:0", Ready: "127.0.0.1:0", ReadyPath: "/ready", InternalPort: freePort(t),
 		Meeting: meeting, Seeds: seeds, CPUShare: 1,
 		Terms: Terms{StopGrace: 4 * time.Second, RetryPercent: 20, RetryBurst: 60},
@@ -313,3 +319,28 @@
 	second := startEdge(t, "second", store, first.settings.Meeting)
 	eventually(t, "second is ready", 5*time.Second, second.ready)
 }
+
+// TestLoadOfOtherRegions guards against gateways that know nothing of the load of
+// servers in another region, and so neither use their free slots nor spare them.
+func TestLoadOfOtherRegions(t *testing.T) {
+	store := newFakeStore()
+	store.write(feed.Config, "config", []byte("1"), false)
+	store.write(feed.Servers, "a", entry("a", 1), false)
+	first := startEdge(t, "first", store)
+	gateways := []*Edge{
+		first,
+		startEdge(t, "second", store, first.settings.Meeting),
+		startEdgeIn(t, "third", "other", "far", store, first.settings.Meeting),
+		startEdgeIn(t, "fourth", "other", "far", store, first.settings.Meeting),
+	}
+	for _, e := range gateways {
+		eventually(t, e.settings.ID+" knows the server", 5*time.Second, func() bool { return e.knows("a") })
+	}
+	stats := func(e *Edge) *routing.Stats { return e.snapshot.Load().ServersByID["a"].Stats }
+	stats(first).ReportLoad(first.now(), 3, 7000)
+	for _, e := range gateways[1:] {
+		eventually(t, e.settings.ID+" knows the load", 5*time.Second, func() bool {
+			return stats(e).ReportedInFlight() == 3 && stats(e).ReportedPace() == 7
+		})
+	}
+}
--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -4,11 +4,13 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"balsamhill/pkg/crashguard"
 	"balsamhill/pkg/feed"
 	"balsamhill/pkg/gossip"
+	"balsamhill/pkg/routing"
 )
 
 const (
@@ -18,6 +20,9 @@
 	// idleHeartbeat how often from a gateway that does not measure for others.
 	heartbeatInterval = 100 * time.Millisecond
 	idleHeartbeat     = 500 * time.Millisecond
+	// relayInterval is how often load reports go to the other regions. A shorter one
+	// adds little to the time of the way there.
+	relayInterval = 50 * time.Millisecond
 	// introduceInterval is how often a message describes its sender.
 	introduceInterval = 500 * time.Millisecond
 )
@@ -42,7 +47,8 @@
 	ticker := time.NewTicker(sendInterval)
 	defer ticker.Stop()
 	sender := &sender{
-		edge: e, told: make(map[string]told), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		edge: e, told: make(map[string]told), relayed: make(map[string]told),
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for {
 		select {
@@ -63,8 +69,13 @@
 	markedAt     int64
 	marks        []feed.Mark
 	told         map[string]told
-	buffer       []byte
-	random       *rand.Rand
+	// relayedAt is the time of the last message to other regions, relayedTo where it
+	// went, and relayed what was told there.
+	relayedAt int64
+	relayedTo []string
+	relayed   map[string]told
+	buffer    []byte
+	random    *rand.Rand
 }
 
 // othersPerMessage is how many other gateways an introduction describes.
@@ -80,6 +91,7 @@
 	e := s.edge
 	now := e.now()
 	assignment := e.refreshAssignment(now)
+	s.relay(now)
 	interval := heartbeatInterval
 	var reports []gossip.Report
 	if assignment.Tells() {
@@ -111,16 +123,56 @@
 		message.Introduction = &e.self
 		e.peersMu.Lock()
 		message.Others = e.peers.Some(now, othersPerMessage, s.random)
+		if remote, ok := e.peers.SomeRemote(s.random); ok {
+			message.Others = append(message.Others, remote)
+		}
 		e.peersMu.Unlock()
 	}
-	s.send(now, &message, reports)
+	e.peersMu.Lock()
+	targets := e.peers.Targets(now)
+	e.peersMu.Unlock()
+	s.send(targets, &message, reports)
 }
 
-func (s *sender) send(now int64, message *gossip.Message, reports []gossip.Report) {
+// relay tells the other regions of the load of this region's servers if it is due
+// and this gateway does it for its region.
+func (s *sender) relay(now int64) {
 	e := s.edge
+	if now-s.relayedAt < int64(relayInterval) || e.stopping.Load() {
+		return
+	}
+	s.relayedAt = now
 	e.peersMu.Lock()
-	targets := e.peers.Targets(now)
+	var targets []string
+	isRelay := e.peers.IsRelay(now)
+	if isRelay {
+		targets = e.peers.RelayTargets(now)
+	}
 	e.peersMu.Unlock()
+	e.relay.Store(isRelay)
+	view := e.view.Load()
+	if len(targets) == 0 || view == nil {
+		return
+	}
+	if !slices.Equal(targets, s.relayedTo) {
+		s.relayedTo = targets
+		clear(s.relayed)
+	}
+	var reports []gossip.Report
+	for id, server := range view.snapshot.ServersByID {
+		if server.Region == e.settings.Region {
+			reports = appendNews(reports, s.relayed, now, id, server.Stats, toldOf(server.Stats))
+		}
+	}
+	s.send(targets, &gossip.Message{
+		Key: gossip.KeyOf(e.self.ID), Incarnation: e.self.Incarnation, Introduction: &e.self, Interval: relayInterval,
+	}, reports)
+}
+
+// send sends a message with as many reports as fit, and further messages with the
+// rest of them.
+func (s *sender) send(targets []string, message *gossip.Message, reports []gossip.Report) {
+	e := s.edge
 	for first := true; first || len(reports) > 0; first = false {
 		s.sequence++
 		message.Sequence = s.sequence
@@ -189,29 +241,53 @@
 	}
 	var reports []gossip.Report
 	for id, server := range view.snapshot.ServersByID {
-		known := s.told[id]
-		current := told{reportedAt: server.Stats.OwnReportedAt(), silent: known.silent}
-		if current.reportedAt == known.reportedAt && !server.Stats.IsSilent() && !known.silent {
-			continue
-		}
-		if assignment.Measures(id, server.FailureDomain) {
-			current.silent = server.Stats.IsSilent()
-		}
-		if current == known || server.Region != s.edge.settings.Region {
-			continue
+		current, ok := s.news(id, server, assignment)
+		if ok {
+			reports = appendNews(reports, s.told, now, id, server.Stats, current)
 		}
-		s.told[id] = current
-		reports = append(reports, gossip.Report{
-			Server:       gossip.ServerKey(id),
-			Age:          time.Duration(now - current.reportedAt),
-			InFlight:     int64(server.Stats.ReportedInFlight()),
-			PacePermille: server.Stats.PacePermille(),
-			Silent:       current.silent,
-		})
 	}
 	return reports
 }
 
+// news returns what this gateway tells its region of a server, false if nothing:
+// what it learnt itself of the region's servers and, if it is the relay, what it
+// holds of those of other regions.
+func (s *sender) news(id string, server *routing.Server, assignment *gossip.Assignment) (told, bool) {
+	if server.Region != s.edge.settings.Region {
+		return toldOf(server.Stats), s.edge.relay.Load()
+	}
+	known := s.told[id]
+	current := told{reportedAt: server.Stats.OwnReportedAt(), silent: known.silent}
+	if current == known && !known.silent && !server.Stats.IsSilent() {
+		return told{}, false
+	}
+	if assignment.Measures(id, server.FailureDomain) {
+		current.silent = server.Stats.IsSilent()
+	}
+	return current, true
+}
+
+func toldOf(stats *routing.Stats) told {
+	return told{reportedAt: stats.ReportedAt(), silent: stats.IsSilent()}
+}
+
+// appendNews appends a report on a server if it differs from what was told.
+func appendNews(reports []gossip.Report, tellings map[string]told, now int64, id string, stats *routing.Stats,
+	current told,
+) []gossip.Report {
+	if current == tellings[id] {
+		return reports
+	}
+	tellings[id] = current
+	return append(reports, gossip.Report{
+		Server:       gossip.ServerKey(id),
+		Age:          time.Duration(now - current.reportedAt),
+		InFlight:     int64(stats.ReportedInFlight()),
+		PacePermille: stats.PacePermille(),
+		Silent:       current.silent,
+	})
+}
+
 // refreshAssignment returns who measures what, at most 100 ms old.
 func (e *Edge) refreshAssignment(now int64) *gossip.Assignment {
 	current := e.assignment.Load()
@@ -278,9 +354,14 @@
 			continue
 		}
 		server.Stats.ReportFromPeer(now-int64(report.Age), report.InFlight, report.PacePermille)
-		if report.Silent != server.Stats.IsSilent() &&
-			(assignment == nil || !assignment.Measures(server.ID, server.FailureDomain)) {
+		if report.Silent != server.Stats.IsSilent() && !e.measures(assignment, server) {
 			server.Stats.SetSilent(report.Silent)
 		}
 	}
 }
+
+// measures reports whether this gateway probes a server itself.
+func (e *Edge) measures(assignment *gossip.Assignment, server *routing.Server) bool {
+	return assignment != nil && server.Region == e.settings.Region &&
+		assignment.Measures(server.ID, server.FailureDomain)
+}
--- a/pkg/edge/join.go
+++ b/pkg/edge/join.go
@@ -48,7 +48,12 @@
 	at     int64
 }
 
-// meet takes a gateway in and returns the others of its region.
+// remotesPerRegion is how many gateways of each other region a newcomer is told
+// of.
+const remotesPerRegion = 3
+
+// meet takes a gateway in and returns the others of its region and a few of each
+// other region.
 func (d *directory) meet(now int64, newcomer gossip.Gateway) []gossip.Gateway {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -56,11 +61,16 @@
 		d.members = make(map[string]meeting)
 	}
 	others := []gossip.Gateway{}
+	remotes := make(map[string]int)
 	for id, known := range d.members {
+		region := known.member.Region
 		switch {
 		case now-known.at > int64(memberLife):
 			delete(d.members, id)
-		case id != newcomer.ID && known.member.Region == newcomer.Region:
+		case id == newcomer.ID:
+		case region != newcomer.Region && remotes[region] >= remotesPerRegion:
+		default:
+			remotes[region]++
 			others = append(others, known.member)
 		}
 	}
@@ -204,11 +214,8 @@
 			http.Error(w, "not an introduction", http.StatusBadRequest)
 			return
 		}
-		others := e.directory.meet(e.now(), newcomer)
-		if newcomer.Region == e.self.Region {
-			others = append(others, e.self)
-			e.learn([]gossip.Gateway{newcomer})
-		}
+		others := append(e.directory.meet(e.now(), newcomer), e.self)
+		e.learn([]gossip.Gateway{newcomer})
 		// An error here means that the newcomer has gone away.
 		_ = json.NewEncoder(w).Encode(others)
 	})
--- a/pkg/gossip/peers.go
+++ b/pkg/gossip/peers.go
@@ -44,22 +44,31 @@
 	sentAt         int64
 }
 
-// Peers is the table of the other gateways of the region. It is not safe for
-// concurrent use.
+// Peers is the table of the other gateways of the region, and of a few of the
+// other regions. It is not safe for concurrent use.
 type Peers struct {
-	self  Gateway
-	peers map[uint64]*peer
+	self    Gateway
+	peers   map[uint64]*peer
+	remotes map[uint64]*remote
 }
 
 // NewPeers returns a table without peers.
 func NewPeers(self Gateway) *Peers {
-	return &Peers{self: self, peers: make(map[uint64]*peer)}
+	return &Peers{self: self, peers: make(map[uint64]*peer), remotes: make(map[uint64]*remote)}
 }
 
-// Learn takes in a gateway that another source named, such as the store. It gets
-// messages, but counts as alive only after its own message.
+// Learn takes in a gateway that a seed or the store named. It gets messages, but
+// counts as alive only after its own message.
 func (p *Peers) Learn(now int64, gateway Gateway) {
-	if gateway.ID == p.self.ID || gateway.Region != p.self.Region {
+	p.learn(now, gateway, true)
+}
+
+func (p *Peers) learn(now int64, gateway Gateway, named bool) {
+	if gateway.ID == p.self.ID {
+		return
+	}
+	if gateway.Region != p.self.Region {
+		p.learnRemote(now, gateway, named)
 		return
 	}
 	key := KeyOf(gateway.ID)
@@ -74,13 +83,16 @@
 // unknown senders do not count until one brings an introduction.
 func (p *Peers) Hear(now int64, message *Message) (newer, joined bool) {
 	if introduction := message.Introduction; introduction != nil {
-		p.Learn(now, *introduction)
+		p.learn(now, *introduction, true)
 	}
 	for _, other := range message.Others {
-		p.Learn(now, other)
+		p.learn(now, other, false)
 	}
 	known := p.peers[message.Key]
-	if known == nil || message.Incarnation != known.gateway.Incarnation {
+	if known == nil {
+		return p.hearRemote(now, message), false
+	}
+	if message.Incarnation != known.gateway.Incarnation {
 		return false, false
 	}
 	if known.heardAt != 0 && message.Sequence <= known.sequence {
--- /dev/null
+++ b/pkg/gossip/relay_test.go
@@ -0,0 +1,99 @@
+package gossip
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func farGateway(i int) Gateway {
+	g := gateway(i, "far", true)
+	g.ID, g.Region = fmt.Sprintf("f%d", i), "other"
+	return g
+}
+
+// TestOneRelay guards against a region whose gateways all talk to the other
+// region, which pays for each byte on a narrow link, and against one that stays
+// without a relay when its relay stops.
+func TestOneRelay(t *testing.T) {
+	const now = int64(10e9)
+	var gateways []Gateway
+	for i := range 6 {
+		gateways = append(gateways, gateway(i, "d", true))
+	}
+	tables := fleet(now, gateways)
+	relays := func(stopped int) (found []int) {
+		for i, table := range tables {
+			if i != stopped && table.IsRelay(now) {
+				found = append(found, i)
+			}
+		}
+		return found
+	}
+	first := relays(-1)
+	assert.Equal(t, len(first), 1)
+	for i, table := range tables {
+		if i != first[0] {
+			stopping := heard(gateways[first[0]], 2)
+			stopping.Stopping = true
+			table.Hear(now, stopping)
+		}
+	}
+	next := relays(first[0])
+	assert.Equal(t, len(next), 1)
+	assert.Assert(t, next[0] != first[0])
+}
+
+// TestRelaysFindEachOther guards against regions that never exchange reports
+// because the known gateways of the other one are gone, and against messages to
+// many gateways of it at once.
+func TestRelaysFindEachOther(t *testing.T) {
+	now := int64(10e9)
+	p := NewPeers(gateway(0, "d", true))
+	for i := range 5 {
+		p.Learn(now, farGateway(i))
+	}
+	asked := map[string]bool{}
+	for range 10 {
+		targets := p.RelayTargets(now)
+		assert.Assert(t, len(targets) <= searchFanout)
+		for _, target := range targets {
+			asked[target] = true
+		}
+		now += int64(silentInterval)
+	}
+	assert.Equal(t, len(asked), 5)
+	newer, _ := p.Hear(now, heard(farGateway(3), 1))
+	assert.Equal(t, newer, true)
+	assert.DeepEqual(t, p.RelayTargets(now), []string{farGateway(3).Address})
+	newer, _ = p.Hear(now, heard(farGateway(3), 1))
+	assert.Equal(t, newer, false, "a repeated message")
+	now += int64(remoteLife) + 1
+	assert.Assert(t, len(p.RelayTargets(now)) <= searchFanout)
+}
+
+// TestRemotesAreForgotten guards against addresses of gateways that are gone for
+// ever being passed on from gateway to gateway.
+func TestRemotesAreForgotten(t *testing.T) {
+	now := int64(10e9)
+	random := rand.New(rand.NewPCG(1, 2))
+	p := NewPeers(gateway(0, "d", true))
+	m := heard(gateway(1, "d", true), 1)
+	m.Others = []Gateway{farGateway(0)}
+	p.Hear(now, m)
+	assert.Equal(t, len(p.RelayTargets(now)), 1, "a gateway that a peer named is tried")
+	_, ok := p.SomeRemote(random)
+	assert.Equal(t, ok, false, "but not passed on")
+	for i := range 2 * mostRemotes {
+		p.Learn(now, farGateway(i))
+	}
+	assert.Equal(t, len(p.remotes), mostRemotes)
+	_, ok = p.SomeRemote(random)
+	assert.Equal(t, ok, true)
+	now += int64(forgetAfter) + int64(time.Second)
+	p.Learn(now, farGateway(99))
+	assert.Equal(t, len(p.remotes), 1)
+}
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -179,7 +179,21 @@
 	}
 	random := randPool.Get().(*rand.Rand)
 	defer randPool.Put(random)
-	server := c.view.Choose(c.pick(random))
+	return c.chosen(c.view.Choose(c.pick(random)))
+}
+
+// chooseWithRoom returns the best server that has room and can answer in time, nil
+// if there is none. It may be one in another region.
+func (c *call) chooseWithRoom() *routing.Server {
+	random := randPool.Get().(*rand.Rand)
+	defer randPool.Put(random)
+	c.tried = c.tried[:0]
+	pick := c.pick(random)
+	pick.Within = max(1, c.arrived+int64(c.route.Target)-pick.Now)
+	return c.chosen(c.view.Choose(pick))
+}
+
+func (c *call) chosen(server *routing.Server) *routing.Server {
 	if server != nil {
 		c.tried = append(c.tried, server)
 	}
@@ -216,6 +230,9 @@
 		case room == routing.RoomFree || now >= limit && room != routing.RoomNone:
 			return server
 		case now >= limit:
+			if server = c.chooseWithRoom(); server != nil {
+				return server
+			}
 			c.leaveGuard()
 			c.proxy.config.Metrics.full.Inc()
 			c.refuse(http.StatusServiceUnavailable, "all servers of "+c.target+" are full")
--- a/pkg/routing/paced.go
+++ b/pkg/routing/paced.go
@@ -41,6 +41,9 @@
 			continue
 		}
 		expected := pacedTime(server, pick, mean)
+		if pick.Within > 0 && !fits(server, pick, mean, expected) {
+			continue
+		}
 		expected *= 1 + pacedSpread*pick.Rand.Float64()
 		expected /= hotColdShare(server)
 		if best == nil || expected < bestTime {
@@ -148,8 +151,10 @@
 // crowding when all slots are taken. Where that factor is so large that the server
 // gets less done with its last slot taken, calls never wait at the server.
 func (v *ServiceView) RoomOf(server *Server, now int64, crowding float64) Room {
-	slots := float64(slotsOf(server, v.Slots))
-	after := v.LoadWith(server, now)
+	return roomFor(v.LoadWith(server, now), float64(slotsOf(server, v.Slots)), crowding)
+}
+
+func roomFor(after, slots, crowding float64) Room {
 	free, tight := slots, slots*(1+queuePerSlot)
 	if crowding*(slots-1) > slots {
 		free, tight = max(1, slots-1), slots
@@ -164,6 +169,21 @@
 	}
 }
 
+// mostBytePrice bounds in nanoseconds the price of the bytes of a call that goes
+// to a distant server only because near ones are full. Beyond it the bytes cost
+// more than the call is worth.
+const mostBytePrice = 1e9
+
+// fits reports whether a server meets pick.Within.
+func fits(server *Server, pick Pick, mean means, expected float64) bool {
+	price := server.ByteNanos * float64(pick.Bytes)
+	if price > mostBytePrice || expected-price > float64(pick.Within) {
+		return false
+	}
+	after := server.Stats.loadNow(pick.Now, mean.load) + 1
+	return roomFor(after, float64(slotsOf(server, pick.Slots)), pick.Crowding) != RoomNone
+}
+
 // LoadWith returns the requests at a server if it gets one more.
 func (v *ServiceView) LoadWith(server *Server, now int64) float64 {
 	return server.Stats.loadNow(now, meanOf(v.All, now).load) + 1
--- a/pkg/routing/snapshot.go
+++ b/pkg/routing/snapshot.go
@@ -57,6 +57,10 @@
 	// Crowding is the factor by which the call takes longer on a server with all
 	// slots taken, 0 if unknown; see Work.Crowding.
 	Crowding float64
+	// Within, if set, leaves out servers that have no room or are expected to answer
+	// later than in this many nanoseconds, and those to which the bytes of the call
+	// cost more than the call is worth; see RoomOf.
+	Within int64
 	// Bytes is the expected size of the bodies of the call and its answer.
 	Bytes int64
 }
--- a/pkg/routing/work_test.go
+++ b/pkg/routing/work_test.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -74,3 +76,38 @@
 	}
 	assert.Equal(t, work.Nanos(), 100*millis)
 }
+
+// TestChoiceWithin guards against calls that are refused although a distant
+// server could answer in time, against ones sent to a slow near server only
+// because it has room, and against large bodies on a billed link.
+func TestChoiceWithin(t *testing.T) {
+	const within = 400 * millis
+	tests := []struct {
+		desc    string
+		prepare func(near, far *Server)
+		bytes   int64
+		// want is the index of the chosen server, -1 for none.
+		want int
+	}{
+		{"near full", func(near, _ *Server) { near.Stats.Report(testNow, 6) }, 0, 1},
+		{"near slow with room", func(near, far *Server) { near.Stats.ReportPace(7000); far.Penalty = 700 * millis }, 0, -1},
+		{"both full", func(near, far *Server) { near.Stats.Report(testNow, 6); far.Stats.Report(testNow, 6) }, 0, -1},
+		{"near full, upload", func(near, _ *Server) { near.Stats.Report(testNow, 6) }, 60_000, -1},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			servers := testServers(2)
+			for _, server := range servers {
+				server.Stats.Report(testNow, 0)
+				server.Stats.ReportPace(1000)
+			}
+			servers[1].Penalty, servers[1].ByteNanos = 60*millis, 40_000
+			test.prepare(servers[0], servers[1])
+			chosen := pacedView(servers).Choose(Pick{
+				Rand: rand.New(rand.NewPCG(1, 2)), Now: testNow, Work: 100 * millis, Crowding: usualCrowding,
+				Bytes: test.bytes, Within: within,
+			})
+			assert.Equal(t, slices.Index(servers, chosen), test.want)
+		})
+	}
+}
