Relay load reports between failure domains, and keep places for distant servers

Change: the relay of a failure domain tells the other ones of its region every 100 ms, and those of other regions every 300 ms, what its servers report. A quarter of the subset is kept for other failure domains of the region and a quarter for other regions.

--- a/pkg/control/subset.go
+++ b/pkg/control/subset.go
@@ -10,9 +10,14 @@
 // only some, so that connections to servers don't grow with both numbers.
 const subsetSize = 64
 
-// runSubsetSystem chooses the servers that this gateway uses: near ones first, and
+// distantPlaces is the number of places of the subset that are kept for each group
+// of more distant servers: those of other failure domains of the region, and those
+// of other regions. They take calls for which near servers have no room.
+const distantPlaces = subsetSize / 4
+
+// runSubsetSystem chooses the servers that this gateway uses: mostly near ones, and
 // among equally near ones by rendezvous hashing (Thaler and Ravishankar, IEEE/ACM
-// ToN 1998), so that a change of one server moves at most one place of the subset.
+// ToN 1998), so that a change of one server moves few places of the subset.
 // Servers that get no work anyway don't take places.
 func (s *State) runSubsetSystem(now int64) {
 	byService := make(map[string][]*serverRow)
@@ -42,11 +47,33 @@
 			cmp.Compare(a.id, b.id),
 		)
 	})
-	for _, row := range rows[subsetSize:] {
-		row.outsideSubset = true
+	var kept [distances]int
+	for _, row := range rows {
+		distance := s.distance(row)
+		if distance > 0 && kept[distance] < distantPlaces {
+			kept[distance]++
+		}
+	}
+	free := subsetSize
+	for _, places := range kept {
+		free -= places
+	}
+	for _, row := range rows {
+		distance := s.distance(row)
+		switch {
+		case kept[distance] > 0:
+			kept[distance]--
+		case free > 0:
+			free--
+		default:
+			row.outsideSubset = true
+		}
 	}
 }
 
+// distances is the number of values of distance.
+const distances = 3
+
 // distance orders servers by their price: own failure domain, own region, others.
 func (s *State) distance(row *serverRow) int {
 	switch {
--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -20,9 +20,13 @@
 	// idleHeartbeat how often from a gateway that does not measure for others.
 	heartbeatInterval = 100 * time.Millisecond
 	idleHeartbeat     = 500 * time.Millisecond
-	// relayInterval is how often load reports go to the other regions. A shorter one
-	// adds little to the time of the way there.
-	relayInterval = 50 * time.Millisecond
+	// relayInterval is how often load reports go from a region to the others, and
+	// domainRelayInterval and farRelayInterval how often from a failure domain of a
+	// large region to others of its own and of other regions, where the receivers
+	// are many.
+	relayInterval       = 50 * time.Millisecond
+	domainRelayInterval = 100 * time.Millisecond
+	farRelayInterval    = 300 * time.Millisecond
 	// introduceInterval is how often a message describes its sender.
 	introduceInterval = 500 * time.Millisecond
 )
@@ -47,7 +51,8 @@
 	ticker := time.NewTicker(sendInterval)
 	defer ticker.Stop()
 	sender := &sender{
-		edge: e, told: make(map[string]told), relayed: make(map[string]told),
+		edge: e, told: make(map[string]told),
+		near: relayLink{told: make(map[string]told)}, far: relayLink{told: make(map[string]told)},
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for {
@@ -69,11 +74,10 @@
 	markedAt     int64
 	marks        []feed.Mark
 	told         map[string]told
-	// relayedAt is the time of the last message to other regions, relayedTo where it
-	// went, and relayed what was told there.
+	// relayedAt is when the relay last looked, near and far are its links to other
+	// failure domains of a large region and to other regions.
 	relayedAt int64
-	relayedTo []string
-	relayed   map[string]told
+	near, far relayLink
 	buffer    []byte
 	random    *rand.Rand
 }
@@ -134,8 +138,29 @@
 	s.send(targets, &message, reports)
 }
 
-// relay tells the other regions of the load of this region's servers if it is due
-// and this gateway does it for its region.
+// relayLink is what a relay remembers of its messages to other groups.
+type relayLink struct {
+	sentAt int64
+	to     []string
+	told   map[string]told
+}
+
+// due reports whether the next message is due, and takes note of its receivers.
+// New receivers are told everything.
+func (l *relayLink) due(now int64, interval time.Duration, targets []string) bool {
+	if len(targets) == 0 || now-l.sentAt < int64(interval) {
+		return false
+	}
+	l.sentAt = now
+	if !slices.Equal(targets, l.to) {
+		l.to = targets
+		clear(l.told)
+	}
+	return true
+}
+
+// relay tells the other groups of gateways of the load of this group's servers if
+// this gateway does it for its group.
 func (s *sender) relay(now int64) {
 	e := s.edge
 	if now-s.relayedAt < int64(relayInterval) || e.stopping.Load() {
@@ -143,32 +168,56 @@
 	}
 	s.relayedAt = now
 	e.peersMu.Lock()
-	var targets []string
+	var targets []gossip.RelayTarget
+	wide := e.peers.Wide()
 	isRelay := e.peers.IsRelay(now)
 	if isRelay {
 		targets = e.peers.RelayTargets(now)
 	}
 	e.peersMu.Unlock()
 	e.relay.Store(isRelay)
+	var near, far []string
+	for _, target := range targets {
+		if target.Region == e.settings.Region {
+			near = append(near, target.Address)
+		} else {
+			far = append(far, target.Address)
+		}
+	}
+	s.sendRelay(now, &s.near, domainRelayInterval, near, wide)
+	interval := relayInterval
+	if wide {
+		interval = farRelayInterval
+	}
+	s.sendRelay(now, &s.far, interval, far, wide)
+}
+
+func (s *sender) sendRelay(now int64, link *relayLink, interval time.Duration, targets []string, wide bool) {
+	e := s.edge
 	view := e.view.Load()
-	if len(targets) == 0 || view == nil {
+	if view == nil || !link.due(now, interval, targets) {
 		return
 	}
-	if !slices.Equal(targets, s.relayedTo) {
-		s.relayedTo = targets
-		clear(s.relayed)
-	}
 	var reports []gossip.Report
 	for id, server := range view.snapshot.ServersByID {
-		if server.Region == e.settings.Region {
-			reports = appendNews(reports, s.relayed, now, id, server.Stats, toldOf(server.Stats))
+		if e.ownGroup(server, wide) {
+			reports = appendNews(reports, link.told, now, id, server.Stats, toldOf(server.Stats))
 		}
 	}
 	s.send(targets, &gossip.Message{
-		Key: gossip.KeyOf(e.self.ID), Incarnation: e.self.Incarnation, Introduction: &e.self, Interval: relayInterval,
+		Key: gossip.KeyOf(e.self.ID), Incarnation: e.self.Incarnation, Introduction: &e.self, Interval: interval,
+		StoreReachable: !e.storeView.unreachable.Load(),
 	}, reports)
 }
 
+// ownGroup reports whether a server belongs to the gateways that this one talks to.
+func (e *Edge) ownGroup(server *routing.Server, wide bool) bool {
+	if wide {
+		return server.FailureDomain == e.settings.FailureDomain
+	}
+	return server.Region == e.settings.Region
+}
+
 // send sends a message with as many reports as fit, and further messages with the
 // rest of them.
 func (s *sender) send(targets []string, message *gossip.Message, reports []gossip.Report) {
@@ -249,11 +298,11 @@
 	return reports
 }
 
-// news returns what this gateway tells its region of a server, false if nothing:
-// what it learnt itself of the region's servers and, if it is the relay, what it
-// holds of those of other regions.
+// news returns what this gateway tells its group of a server, false if nothing:
+// what it learnt itself of its group's servers and, if it is the relay, what it
+// holds of those of other groups.
 func (s *sender) news(id string, server *routing.Server, assignment *gossip.Assignment) (told, bool) {
-	if server.Region != s.edge.settings.Region {
+	if !s.edge.ownGroup(server, assignment.Wide()) {
 		return toldOf(server.Stats), s.edge.relay.Load()
 	}
 	known := s.told[id]
--- a/pkg/edge/join.go
+++ b/pkg/edge/join.go
@@ -48,12 +48,12 @@
 	at     int64
 }
 
-// remotesPerRegion is how many gateways of each other region a newcomer is told
-// of.
-const remotesPerRegion = 3
+// remotesPerDomain is how many gateways of each failure domain of other regions a
+// newcomer is told of.
+const remotesPerDomain = 3
 
 // meet takes a gateway in and returns the others of its region and a few of each
-// other region.
+// failure domain of other regions.
 func (d *directory) meet(now int64, newcomer gossip.Gateway) []gossip.Gateway {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -63,14 +63,14 @@
 	others := []gossip.Gateway{}
 	remotes := make(map[string]int)
 	for id, known := range d.members {
-		region := known.member.Region
+		domain := known.member.FailureDomain
 		switch {
 		case now-known.at > int64(memberLife):
 			delete(d.members, id)
 		case id == newcomer.ID:
-		case region != newcomer.Region && remotes[region] >= remotesPerRegion:
+		case known.member.Region != newcomer.Region && remotes[domain] >= remotesPerDomain:
 		default:
-			remotes[region]++
+			remotes[domain]++
 			others = append(others, known.member)
 		}
 	}
--- a/pkg/gossip/peers.go
+++ b/pkg/gossip/peers.go
@@ -18,8 +18,11 @@
 	minLife = 600 * time.Millisecond
 	// livesPerInterval is how many of its intervals a peer may miss.
 	livesPerInterval = 4
-	// forgetAfter is how long the address of a silent peer is kept.
-	forgetAfter = 30 * time.Second
+	// forgetAfter is how long the address of a silent peer is kept, and
+	// forgetFarAfter that of one in another failure domain of a large region, which
+	// only its relay hears. Their number decides the share of the retry budget.
+	forgetAfter    = 30 * time.Second
+	forgetFarAfter = time.Hour
 	// silentInterval is how often a silent peer gets a message.
 	silentInterval = time.Second
 	// wideRegion is the number of gateways of a region up to which all of them
@@ -142,16 +145,13 @@
 	var addresses []string
 	wide := p.Wide()
 	for key, peer := range p.peers {
-		if !peer.alive(now) {
-			if now-max(peer.heardAt, peer.markedAt) > int64(forgetAfter) {
-				delete(p.peers, key)
-				continue
-			}
-			if peer.sentAt != 0 && now-peer.sentAt < int64(silentInterval) {
-				continue
-			}
+		near := p.near(peer.gateway, wide)
+		if now-max(peer.heardAt, peer.markedAt) > int64(keptFor(near)) {
+			delete(p.peers, key)
+			continue
 		}
-		if !p.near(peer.gateway, wide) {
+		waiting := !peer.alive(now) && peer.sentAt != 0 && now-peer.sentAt < int64(silentInterval)
+		if !near || waiting {
 			continue
 		}
 		peer.sentAt = now
@@ -161,6 +161,13 @@
 	return addresses
 }
 
+func keptFor(near bool) time.Duration {
+	if near {
+		return forgetAfter
+	}
+	return forgetFarAfter
+}
+
 // Alive returns how many peers are alive that this gateway talks to.
 func (p *Peers) Alive(now int64) int {
 	count := 0
@@ -363,6 +370,11 @@
 	return first.ID == a.self.ID
 }
 
+// Wide reports whether the region is large; see Peers.Wide.
+func (a Assignment) Wide() bool {
+	return a.wide
+}
+
 // Tells reports whether this gateway tells others what it learns of servers: in
 // a large region only measurers do.
 func (a Assignment) Tells() bool {
--- a/pkg/gossip/relay.go
+++ b/pkg/gossip/relay.go
@@ -9,16 +9,29 @@
 )
 
 const (
-	// mostRemotes bounds the gateways of each other region that are remembered.
+	// mostRemotes bounds the gateways of each other group that are remembered.
 	mostRemotes = 8
-	// remoteLife is how long the relay of another region counts as alive after its
-	// last message. Messages between regions come every few tens of milliseconds.
+	// remoteLife is how long the relay of another group counts as alive after its
+	// last message, several times the interval of such messages.
 	remoteLife = time.Second
-	// searchFanout is how many gateways of a region get a message at a time while
+	// searchFanout is how many gateways of a group get a message at a time while
 	// its relay is not known.
 	searchFanout = 2
 )
 
+// group names the gateways that talk to each other: those of a region or, if the
+// region is large, of a failure domain.
+type group struct {
+	region, failureDomain string
+}
+
+func groupOf(gateway Gateway, wide bool) group {
+	if wide {
+		return group{gateway.Region, gateway.FailureDomain}
+	}
+	return group{region: gateway.Region}
+}
+
 // remote is what is known of a gateway of another region.
 type remote struct {
 	gateway  Gateway
@@ -37,8 +50,8 @@
 	return max(r.heardAt, r.learntAt)
 }
 
-// learnRemote takes in a gateway of another region. The relay of this region
-// finds the other region's relay through those it knows.
+// learnRemote takes in a gateway of another region. The relay of this group finds
+// the relays of that region through those it knows.
 func (p *Peers) learnRemote(now int64, gateway Gateway, named bool) {
 	key := KeyOf(gateway.ID)
 	known := p.remotes[key]
@@ -48,21 +61,21 @@
 		}
 		return
 	}
-	if known == nil && !p.roomForRemote(now, gateway.Region) {
+	if known == nil && !p.roomForRemote(now, gateway) {
 		return
 	}
 	p.remotes[key] = &remote{gateway: gateway, learntAt: now, named: named}
 }
 
 // roomForRemote forgets gateways without a sign of life and reports whether one
-// more of a region may be remembered.
-func (p *Peers) roomForRemote(now int64, region string) bool {
+// more of a failure domain may be remembered.
+func (p *Peers) roomForRemote(now int64, gateway Gateway) bool {
 	count := 0
 	for key, r := range p.remotes {
 		switch {
 		case now-r.lastSign() > int64(forgetAfter):
 			delete(p.remotes, key)
-		case r.gateway.Region == region:
+		case groupOf(r.gateway, true) == groupOf(gateway, true):
 			count++
 		}
 	}
@@ -84,60 +97,76 @@
 }
 
 // IsRelay reports whether this gateway exchanges load reports with the other
-// regions for its own: it has the first place among those that are alive. Large
-// regions have enough servers of their own and do without.
+// groups for its own: it has the first place among those that are alive.
 func (p *Peers) IsRelay(now int64) bool {
-	if p.Wide() {
-		return false
-	}
+	wide := p.Wide()
 	own := placeOf("relay", p.self)
 	for _, peer := range p.peers {
-		if peer.works(now) && placeOf("relay", peer.gateway).before(own) {
+		if peer.works(now) && p.near(peer.gateway, wide) && placeOf("relay", peer.gateway).before(own) {
 			return false
 		}
 	}
 	return true
 }
 
-// RelayTargets returns the addresses in other regions that get this relay's next
-// message: the relay of each region, which is the gateway heard from last, or now
-// and then a few known gateways of the region until one answers.
-func (p *Peers) RelayTargets(now int64) []string {
-	byRegion := make(map[string][]*remote)
+// contact is a gateway of another group.
+type contact struct {
+	gateway Gateway
+	heardAt int64
+	sentAt  *int64
+}
+
+// RelayTarget is a gateway that gets this relay's next message.
+type RelayTarget struct {
+	Address string
+	Region  string
+}
+
+// RelayTargets returns the gateways of other groups that get this relay's next
+// message: the relay of each group, which is the gateway heard from last, or now
+// and then a few known gateways of the group until one answers.
+func (p *Peers) RelayTargets(now int64) []RelayTarget {
+	wide := p.Wide()
+	contacts := make(map[group][]contact)
 	for _, key := range slices.Sorted(maps.Keys(p.remotes)) {
 		r := p.remotes[key]
-		byRegion[r.gateway.Region] = append(byRegion[r.gateway.Region], r)
+		g := groupOf(r.gateway, wide)
+		contacts[g] = append(contacts[g], contact{r.gateway, r.heardAt, &r.sentAt})
 	}
-	var addresses []string
-	for _, region := range slices.Sorted(maps.Keys(byRegion)) {
-		addresses = append(addresses, targetsIn(now, byRegion[region])...)
+	for _, key := range slices.Sorted(maps.Keys(p.peers)) {
+		peer := p.peers[key]
+		if g := groupOf(peer.gateway, wide); g != groupOf(p.self, wide) {
+			contacts[g] = append(contacts[g], contact{peer.gateway, peer.heardAt, &peer.sentAt})
+		}
+	}
+	var targets []RelayTarget
+	for _, known := range contacts {
+		targets = append(targets, targetsAmong(now, known)...)
 	}
-	return addresses
+	slices.SortFunc(targets, func(a, b RelayTarget) int { return cmp.Compare(a.Address, b.Address) })
+	return targets
 }
 
-func targetsIn(now int64, remotes []*remote) []string {
-	latest := slices.MaxFunc(remotes, func(a, b *remote) int { return cmp.Compare(a.heardAt, b.heardAt) })
+func targetsAmong(now int64, known []contact) []RelayTarget {
+	latest := slices.MaxFunc(known, func(a, b contact) int { return cmp.Compare(a.heardAt, b.heardAt) })
 	if latest.heardAt != 0 && now-latest.heardAt <= int64(remoteLife) {
-		return []string{latest.gateway.Address}
+		return []RelayTarget{{latest.gateway.Address, latest.gateway.Region}}
 	}
-	slices.SortStableFunc(remotes, func(a, b *remote) int { return cmp.Compare(a.sentAt, b.sentAt) })
-	var addresses []string
-	for _, r := range remotes[:min(searchFanout, len(remotes))] {
-		if r.sentAt != 0 && now-r.sentAt < int64(silentInterval) {
+	slices.SortStableFunc(known, func(a, b contact) int { return cmp.Compare(*a.sentAt, *b.sentAt) })
+	var targets []RelayTarget
+	for _, c := range known[:min(searchFanout, len(known))] {
+		if *c.sentAt != 0 && now-*c.sentAt < int64(silentInterval) {
 			continue
 		}
-		r.sentAt = now
-		addresses = append(addresses, r.gateway.Address)
+		*c.sentAt = now
+		targets = append(targets, RelayTarget{c.gateway.Address, c.gateway.Region})
 	}
-	return addresses
+	return targets
 }
 
 // SomeRemote returns a gateway of another region for the other gateways to know,
-// so that each one can become the relay; false if none is known or needed.
+// so that each one can become the relay; false if none is known.
 func (p *Peers) SomeRemote(random *rand.Rand) (Gateway, bool) {
-	if p.Wide() {
-		return Gateway{}, false
-	}
 	var named []Gateway
 	for _, key := range slices.Sorted(maps.Keys(p.remotes)) {
 		if p.remotes[key].named {
