Keep SIGHUP from ending a gateway that reads its settings at the start only

Shown by a run: a gateway started by a group leader, stopped, leader ended; the gateway was gone, its log without a shutdown line, as in the failure. After the change it lives on and logs the signal. TestHangupDoesNotEndGateway fails without the change with the same error as the failure, a connect that is refused after the resend by net/http.

--- a/cmd/balsamhilld/demo.go
+++ b/cmd/balsamhilld/demo.go
@@ -40,7 +40,9 @@
 		ctx, cancel = context.WithTimeout(ctx, c.duration)
 		defer cancel()
 	}
-	err := demo.Run(ctx, os.Stdout, newLogger("info"))
+	log := newLogger("info")
+	surviveHangups(log)
+	err := demo.Run(ctx, os.Stdout, log)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "balsamhilld:", err)
 		return subcommands.ExitFailure
--- a/processtest/keyed_test.go
+++ b/processtest/keyed_test.go
@@ -140,6 +140,24 @@
 	f.pauseDuringBooking(first, second)
 }
 
+// Guards against a paused gateway that is ended by the SIGHUP that the kernel sends
+// to stopped processes when their process group loses its session.
+func TestHangupDoesNotEndGateway(t *testing.T) {
+	f := startFleet(t)
+	f.startServer("booking-desk", "khomas", "-service-time", "300ms")
+	g := f.startGateway("gw-1", "khomas")
+	f.waitForService(g, "booking-desk")
+	done := make(chan bookingAnswer, 1)
+	go func() { done <- book(g.traffic, "key-1") }()
+	eventually(t, "booking in flight", func() bool { return g.inFlight() == 1 })
+	for _, signal := range []syscall.Signal{syscall.SIGSTOP, syscall.SIGHUP, syscall.SIGCONT} {
+		assert.NilError(t, g.command.Process.Signal(signal))
+	}
+	answer := <-done
+	assert.NilError(t, answer.err)
+	assert.Equal(t, answer.status, http.StatusOK)
+}
+
 // pauseDuringBooking stops the first gateway with a booking in flight, sends it
 // again through the second and continues the first.
 func (f *fleet) pauseDuringBooking(first, second *gatewayProcess) {
