Let calls that wait for the same few slots take them with a probability

Change: a call takes a slot in view with the probability that leaves about one call for each slot, by the calls that wait here and the number of gateways that see the same reports. What loses within its wait is refused as not run, as before. Also: sender, relay and the choice of a server in files of their own, and a test for gateways of other failure domains that are kept.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -107,6 +107,8 @@
 	regionCount int
 	// regionSize is the number of known gateways of the region.
 	regionSize atomic.Int64
+	// groupSize is the number of live gateways that this one talks to.
+	groupSize atomic.Int64
 	// relay says that this gateway passes load reports between regions.
 	relay atomic.Bool
 	// greet says that a gateway joined that knows nothing of this one yet.
@@ -181,6 +183,7 @@
 		KeepBody:        keepBody,
 		ReplaceRefusals: true,
 		RetryBase:       e.retryBase,
+		Gateways:        func() float64 { return float64(1 + e.groupSize.Load()) },
 		Observer:        observer{e},
 	})
 	e.traffic = &http.Server{
--- /dev/null
+++ b/pkg/edge/sender.go
@@ -0,0 +1,235 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"balsamhill/pkg/crashguard"
+	"balsamhill/pkg/feed"
+	"balsamhill/pkg/gossip"
+	"balsamhill/pkg/routing"
+)
+
+const (
+	// sendInterval is how often new load reports go to the peers.
+	sendInterval = 20 * time.Millisecond
+	// heartbeatInterval is how often a message goes out without new reports, and
+	// idleHeartbeat how often from a gateway that does not measure for others.
+	heartbeatInterval = 100 * time.Millisecond
+	idleHeartbeat     = 500 * time.Millisecond
+	// introduceInterval is how often a message describes its sender.
+	introduceInterval = 500 * time.Millisecond
+)
+
+// runSending sends messages to the peers until ctx ends.
+func (e *Edge) runSending(ctx context.Context) {
+	ticker := time.NewTicker(sendInterval)
+	defer ticker.Stop()
+	sender := &sender{
+		edge: e, told: make(map[string]told),
+		near: relayLink{told: make(map[string]told)}, far: relayLink{told: make(map[string]told)},
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	for {
+		select {
+		case <-ticker.C:
+			sender.tick()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// sender builds and sends messages. It belongs to one goroutine.
+type sender struct {
+	edge         *Edge
+	sequence     uint64
+	sentAt       int64
+	introducedAt int64
+	markedAt     int64
+	marks        []feed.Mark
+	told         map[string]told
+	// relayedAt is when the relay last looked, near and far are its links to other
+	// failure domains of a large region and to other regions.
+	relayedAt int64
+	near, far relayLink
+	buffer    []byte
+	random    *rand.Rand
+}
+
+// othersPerMessage is how many other gateways an introduction describes.
+const othersPerMessage = 2
+
+// told is what the peers know of a server.
+type told struct {
+	reportedAt int64
+	silent     bool
+}
+
+func (s *sender) tick() {
+	e := s.edge
+	now := e.now()
+	assignment := e.refreshAssignment(now)
+	s.relay(now)
+	interval := heartbeatInterval
+	var reports []gossip.Report
+	if assignment.Tells() {
+		reports = s.newReports(now, assignment)
+	} else {
+		interval = idleHeartbeat
+	}
+	marks, changed := s.currentMarks(now)
+	suspicions := e.guard.Outgoing()
+	if len(reports) == 0 && len(suspicions) == 0 && !changed && !e.greet.Load() && now-s.sentAt < int64(interval) {
+		return
+	}
+	s.sentAt = now
+	message := gossip.Message{
+		Key:            gossip.KeyOf(e.self.ID),
+		Incarnation:    e.self.Incarnation,
+		Stopping:       e.stopping.Load(),
+		StoreReachable: !e.storeView.unreachable.Load(),
+		Interval:       interval,
+		Suspicions:     wireSuspicions(suspicions),
+	}
+	greet := e.greet.Swap(false)
+	if changed || greet || now-s.markedAt >= int64(heartbeatInterval) {
+		s.markedAt = now
+		message.Marks = marks
+	}
+	if greet || now-s.introducedAt >= int64(introduceInterval) || s.introducedAt == 0 {
+		s.introducedAt = now
+		message.Introduction = &e.self
+		e.peersMu.Lock()
+		message.Others = e.peers.Some(now, othersPerMessage, s.random)
+		if remote, ok := e.peers.SomeRemote(s.random); ok {
+			message.Others = append(message.Others, remote)
+		}
+		e.peersMu.Unlock()
+	}
+	e.peersMu.Lock()
+	targets := e.peers.Targets(now)
+	e.peersMu.Unlock()
+	s.send(targets, &message, reports)
+}
+
+// send sends a message with as many reports as fit, and further messages with the
+// rest of them.
+func (s *sender) send(targets []string, message *gossip.Message, reports []gossip.Report) {
+	e := s.edge
+	for first := true; first || len(reports) > 0; first = false {
+		s.sequence++
+		message.Sequence = s.sequence
+		message.Reports = reports[:min(len(reports), reportsPerMessage)]
+		reports = reports[len(message.Reports):]
+		s.buffer = message.Marshal(s.buffer[:0])
+		e.sendTo(targets, s.buffer)
+		message.Marks, message.Introduction, message.Others, message.Suspicions = nil, nil, nil, nil
+	}
+}
+
+// suspicionsPerMessage keeps messages below the usual packet size.
+const suspicionsPerMessage = 20
+
+// wireSuspicions returns the gateway's own suspicions. Those of peers are not
+// passed on, because their senders reach the same gateways.
+func wireSuspicions(suspicions []crashguard.Suspicion) []gossip.Suspicion {
+	var own []gossip.Suspicion
+	for _, suspicion := range suspicions {
+		if suspicion.From == "" && len(own) < suspicionsPerMessage {
+			own = append(own, gossip.Suspicion{
+				Fingerprint: uint64(suspicion.Fingerprint), Server: gossip.ServerKey(suspicion.ServerID),
+			})
+		}
+	}
+	return own
+}
+
+// currentMarks returns what this gateway holds of the tables, and whether it
+// holds more than the peers were told.
+func (s *sender) currentMarks(now int64) (marks []feed.Mark, changed bool) {
+	for i, w := range s.edge.watchers {
+		mark, _ := w.mark(now)
+		marks = append(marks, mark)
+		if i >= len(s.marks) || s.marks[i].Changed != mark.Changed {
+			changed = true
+		}
+	}
+	s.marks = marks
+	return marks, changed
+}
+
+// reportsPerMessage keeps messages below the usual packet size.
+const reportsPerMessage = 45
+
+func (e *Edge) sendTo(targets []string, data []byte) {
+	for _, target := range targets {
+		address, err := netip.ParseAddrPort(target)
+		if err != nil {
+			continue
+		}
+		_, err = e.datagrams.WriteToUDPAddrPort(data, address)
+		if err != nil {
+			e.counters.sendErrors.Inc()
+		}
+	}
+	e.counters.messagesSent.Add(len(targets))
+	e.counters.messageBytes.Add(len(targets) * len(data))
+}
+
+// newReports returns what this gateway has learnt itself since the last message.
+func (s *sender) newReports(now int64, assignment *gossip.Assignment) []gossip.Report {
+	view := s.edge.view.Load()
+	if view == nil {
+		return nil
+	}
+	var reports []gossip.Report
+	for id, server := range view.snapshot.ServersByID {
+		current, ok := s.news(id, server, assignment)
+		if ok {
+			reports = appendNews(reports, s.told, now, id, server.Stats, current)
+		}
+	}
+	return reports
+}
+
+// news returns what this gateway tells its group of a server, false if nothing:
+// what it learnt itself of its group's servers and, if it is the relay, what it
+// holds of those of other groups.
+func (s *sender) news(id string, server *routing.Server, assignment *gossip.Assignment) (told, bool) {
+	if !s.edge.ownGroup(server, assignment.Wide()) {
+		return toldOf(server.Stats), s.edge.relay.Load()
+	}
+	known := s.told[id]
+	current := told{reportedAt: server.Stats.OwnReportedAt(), silent: known.silent}
+	if current == known && !known.silent && !server.Stats.IsSilent() {
+		return told{}, false
+	}
+	if assignment.Measures(id, server.FailureDomain) {
+		current.silent = server.Stats.IsSilent()
+	}
+	return current, true
+}
+
+func toldOf(stats *routing.Stats) told {
+	return told{reportedAt: stats.ReportedAt(), silent: stats.IsSilent()}
+}
+
+// appendNews appends a report on a server if it differs from what was told.
+func appendNews(reports []gossip.Report, tellings map[string]told, now int64, id string, stats *routing.Stats,
+	current told,
+) []gossip.Report {
+	if current == tellings[id] {
+		return reports
+	}
+	tellings[id] = current
+	return append(reports, gossip.Report{
+		Server:       gossip.ServerKey(id),
+		Age:          time.Duration(now - current.reportedAt),
+		InFlight:     int64(stats.ReportedInFlight()),
+		PacePermille: stats.PacePermille(),
+		Silent:       current.silent,
+	})
+}
--- a/pkg/gossip/relay_test.go
+++ b/pkg/gossip/relay_test.go
@@ -97,3 +97,23 @@
 	p.Learn(now, farGateway(99))
 	assert.Equal(t, len(p.remotes), 1)
 }
+
+// TestFarGatewaysAreKept guards against a large region whose gateways forget those
+// of other failure domains, which never send them messages: each one then took
+// too large a share of the retry budget after half a minute.
+func TestFarGatewaysAreKept(t *testing.T) {
+	now := int64(10e9)
+	p := NewPeers(gateway(0, "d0", true))
+	const known = 3 * wideRegion
+	for i := 1; i < known; i++ {
+		p.Learn(now, gateway(i, fmt.Sprint("d", i%3), true))
+	}
+	for sequence := uint64(1); sequence < 90; sequence++ {
+		for i := 3; i < known; i += 3 {
+			p.Hear(now, heard(gateway(i, "d0", true), sequence))
+		}
+		p.Targets(now)
+		now += int64(time.Second)
+	}
+	assert.Equal(t, p.Known(), known)
+}
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"balsamhill/pkg/admission"
@@ -21,11 +22,13 @@
 
 // service is what traffic remembers about one service.
 type service struct {
-	limiter  admission.Limiter
-	retries  retry.Budget
-	hedges   retry.Budget
-	latency  retry.Delay
-	work     routing.Work
+	limiter admission.Limiter
+	retries retry.Budget
+	hedges  retry.Budget
+	latency retry.Delay
+	work    routing.Work
+	// waiting counts the calls that wait for a free slot.
+	waiting  atomic.Int64
 	Counters *serviceMetrics
 }
 
@@ -172,109 +175,6 @@
 	c.refuse(http.StatusServiceUnavailable, "no server of "+c.target+" is available")
 }
 
-// choose returns a server that was not tried yet, nil if there is none.
-func (c *call) choose() *routing.Server {
-	if c.candidates() == 0 {
-		return nil
-	}
-	random := randPool.Get().(*rand.Rand)
-	defer randPool.Put(random)
-	return c.chosen(c.view.Choose(c.pick(random)))
-}
-
-// chooseWithRoom returns the best server that has room and can answer in time, nil
-// if there is none. It may be one in another region.
-func (c *call) chooseWithRoom() *routing.Server {
-	random := randPool.Get().(*rand.Rand)
-	defer randPool.Put(random)
-	c.tried = c.tried[:0]
-	pick := c.pick(random)
-	pick.Within = max(1, c.arrived+int64(c.route.Target)-pick.Now)
-	return c.chosen(c.view.Choose(pick))
-}
-
-func (c *call) chosen(server *routing.Server) *routing.Server {
-	if server != nil {
-		c.tried = append(c.tried, server)
-	}
-	return server
-}
-
-const (
-	// roomPoll is how often a call that waits for a free slot looks again; loads
-	// are reported about every 20 ms.
-	roomPoll = 5 * time.Millisecond
-	// roomShare is the share of a route's target that a call may wait for room.
-	roomShare = 8
-)
-
-// chooseFirst chooses the server of the first attempt, or refuses the call. On a
-// route with a target the call waits for a while if no server has a free slot: the
-// next slot of a service becomes free long before the queue of one server is
-// worked off.
-func (c *call) chooseFirst() *routing.Server {
-	limit := c.arrived + int64(c.route.Target)/roomShare
-	for {
-		server := c.choose()
-		if server == nil {
-			c.leaveGuard()
-			c.refuseWithoutServer()
-			return nil
-		}
-		now := c.proxy.config.Now()
-		room := routing.RoomFree
-		if c.route.Target > 0 {
-			room = c.view.RoomOf(server, now, c.service.work.Crowding())
-		}
-		switch {
-		case room == routing.RoomFree || now >= limit && room != routing.RoomNone:
-			return server
-		case now >= limit:
-			if server = c.chooseWithRoom(); server != nil {
-				return server
-			}
-			c.leaveGuard()
-			c.proxy.config.Metrics.full.Inc()
-			c.refuse(http.StatusServiceUnavailable, "all servers of "+c.target+" are full")
-			return nil
-		}
-		c.tried = c.tried[:0]
-		if !c.pause(roomPoll) {
-			c.leaveGuard()
-			c.refuse(http.StatusServiceUnavailable, "the caller left")
-			return nil
-		}
-	}
-}
-
-// pause waits and reports whether the caller is still there.
-func (c *call) pause(wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-c.base.Done():
-		return false
-	}
-}
-
-// pick describes the call to the policy.
-func (c *call) pick(random *rand.Rand) routing.Pick {
-	return routing.Pick{
-		Rand:     random,
-		Now:      c.proxy.config.Now(),
-		Tried:    c.tried,
-		Work:     c.service.work.Nanos(),
-		Crowding: c.service.work.Crowding(),
-		Bytes:    usualAnswerBytes + max(0, c.r.ContentLength),
-	}
-}
-
-// usualAnswerBytes stands for the answer and both headers when the price of the
-// distance is weighed.
-const usualAnswerBytes = 2 << 10
-
 // admit waits for a place among the calls in flight of the service.
 func (c *call) admit() bool {
 	now := c.proxy.config.Now()
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -35,6 +35,9 @@
 	// RetryBase returns how many attempts in 10 s the retry budget of a service
 	// allows whatever the traffic. It may be nil, for one.
 	RetryBase func() float64
+	// Gateways returns how many gateways, with this one, see the same load reports.
+	// It may be nil, for one.
+	Gateways func() float64
 	// Observer may be nil.
 	Observer Observer
 	// Snapshot returns the published snapshot, nil before the first.
--- a/pkg/routing/paced.go
+++ b/pkg/routing/paced.go
@@ -129,61 +129,6 @@
 	return max(float64(own), reported+float64(sent)*trust)
 }
 
-// Room says how a server can take one more call.
-type Room int
-
-const (
-	// RoomFree means that the call starts at once and slows nothing down.
-	RoomFree Room = iota
-	// RoomTight means that the call would slow the server down, or wait there for
-	// a short time.
-	RoomTight
-	// RoomNone means that the server has as much work as it should have.
-	RoomNone
-)
-
-// queuePerSlot is how many calls per slot may wait at a server that does not slow
-// down when it is full. The next slot becomes free long before that queue is
-// worked off.
-const queuePerSlot = 0.5
-
-// RoomOf returns the room on a server for calls that take longer by the factor
-// crowding when all slots are taken. Where that factor is so large that the server
-// gets less done with its last slot taken, calls never wait at the server.
-func (v *ServiceView) RoomOf(server *Server, now int64, crowding float64) Room {
-	return roomFor(v.LoadWith(server, now), float64(slotsOf(server, v.Slots)), crowding)
-}
-
-func roomFor(after, slots, crowding float64) Room {
-	free, tight := slots, slots*(1+queuePerSlot)
-	if crowding*(slots-1) > slots {
-		free, tight = max(1, slots-1), slots
-	}
-	switch {
-	case after <= free:
-		return RoomFree
-	case after <= tight:
-		return RoomTight
-	default:
-		return RoomNone
-	}
-}
-
-// mostBytePrice bounds in nanoseconds the price of the bytes of a call that goes
-// to a distant server only because near ones are full. Beyond it the bytes cost
-// more than the call is worth.
-const mostBytePrice = 1e9
-
-// fits reports whether a server meets pick.Within.
-func fits(server *Server, pick Pick, mean means, expected float64) bool {
-	price := server.ByteNanos * float64(pick.Bytes)
-	if price > mostBytePrice || expected-price > float64(pick.Within) {
-		return false
-	}
-	after := server.Stats.loadNow(pick.Now, mean.load) + 1
-	return roomFor(after, float64(slotsOf(server, pick.Slots)), pick.Crowding) != RoomNone
-}
-
 // LoadWith returns the requests at a server if it gets one more.
 func (v *ServiceView) LoadWith(server *Server, now int64) float64 {
 	return server.Stats.loadNow(now, meanOf(v.All, now).load) + 1
