Tell the observer of calls that are refused before their service is known

Refusals of gateways that have just started and do not know their routes, of calls without a route and of malformed requests never reached the observer. Ruled out: the bound of the logs (no line was left out) and the writer. Change: all three are told to the observer with the request's id.

--- a/pkg/proxy/check.go
+++ b/pkg/proxy/check.go
@@ -14,7 +14,7 @@
 // asked for, and because the class of a route decides whether a call may run
 // twice. This concerns dot segments, empty segments, encoded slashes,
 // backslashes and control characters.
-func checkRequest(p *Proxy, w http.ResponseWriter, r *http.Request) bool {
+func checkRequest(p *Proxy, w http.ResponseWriter, r *http.Request, arrived int64) bool {
 	status, detail := inspect(r)
 	if status == 0 {
 		return true
@@ -23,8 +23,7 @@
 	if r.ProtoMajor == 1 {
 		w.Header().Set("Connection", "close")
 	}
-	boundUnreadBody(w, r)
-	p.refuse(w, status, outcomeWithoutService(r), detail)
+	p.refuseUnrouted(w, r, arrived, status, detail)
 	return false
 }
 
--- a/pkg/proxy/outcome.go
+++ b/pkg/proxy/outcome.go
@@ -28,6 +28,22 @@
 	p.config.Dialect.Refuse(w, refusal)
 }
 
+// refuseUnrouted answers a call for which no service is known yet.
+func (p *Proxy) refuseUnrouted(w http.ResponseWriter, r *http.Request, arrived int64, status int, detail string) {
+	boundUnreadBody(w, r)
+	outcome := outcomeWithoutService(r)
+	if observer := p.config.Observer; observer != nil {
+		observer.CallRefused(RefusalEvent{
+			RequestID: p.config.Dialect.RequestID(w.Header()),
+			Status:    status,
+			Outcome:   outcome,
+			Detail:    detail,
+			Took:      time.Duration(p.config.Now() - arrived),
+		})
+	}
+	p.refuse(w, status, outcome, detail)
+}
+
 // retryAfter is when a caller of a call that did not run may come back: long
 // enough for a burst of a few calls per server to pass.
 const retryAfter = 200 * time.Millisecond
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -114,7 +114,7 @@
 	peer, _ := peerAddress(r.RemoteAddr)
 	id := p.requestID(r)
 	p.config.Dialect.SetRequestID(w.Header(), id)
-	if !checkRequest(p, w, r) {
+	if !checkRequest(p, w, r, arrived) {
 		return
 	}
 	snapshot := p.config.Snapshot()
@@ -124,15 +124,13 @@
 	}
 	if routes == nil {
 		p.config.Metrics.notReady.Inc()
-		boundUnreadBody(w, r)
-		p.refuse(w, http.StatusServiceUnavailable, outcomeWithoutService(r), "the gateway does not know its routes yet")
+		p.refuseUnrouted(w, r, arrived, http.StatusServiceUnavailable, "the gateway does not know its routes yet")
 		return
 	}
 	route, ok := routes.Match(r.Method, r.Host, r.URL.Path)
 	if !ok {
 		p.config.Metrics.noRoute.Inc()
-		boundUnreadBody(w, r)
-		p.refuse(w, http.StatusNotFound, outcomeWithoutService(r), "no route matches host "+r.Host+" and path "+r.URL.Path)
+		p.refuseUnrouted(w, r, arrived, http.StatusNotFound, "no route matches host "+r.Host+" and path "+r.URL.Path)
 		return
 	}
 	service := chooseService(route)
