--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -109,7 +109,7 @@
 	regionSize atomic.Int64
 	// groupSize is the number of live gateways that this one talks to.
 	groupSize atomic.Int64
-	// relay says that this gateway passes load reports between regions.
+	// relay says that this gateway passes load reports between groups; see relay.go.
 	relay atomic.Bool
 	// greet says that a gateway joined that knows nothing of this one yet.
 	greet atomic.Bool
--- a/pkg/edge/sender.go
+++ b/pkg/edge/sender.go
@@ -200,7 +200,10 @@
 // holds of those of other groups.
 func (s *sender) news(id string, server *routing.Server, assignment *gossip.Assignment) (told, bool) {
 	if !s.edge.ownGroup(server, assignment.Wide()) {
-		return toldOf(server.Stats), s.edge.relay.Load()
+		if !s.edge.relay.Load() {
+			return told{}, false
+		}
+		return toldOf(server.Stats), true
 	}
 	known := s.told[id]
 	current := told{reportedAt: server.Stats.OwnReportedAt(), silent: known.silent}
