Send unchanged load reports again, so that a gateway that joins late knows them

A report was sent once, when it changed. A gateway that the sender did not know at that moment, that had not read the list of servers yet, or that lost the message never learnt it. For loads the next probe mends this; a silent server has no next report, so the others went on calling it.

Change: a report that did not change is sent again after a second while its load is less than 5 s old or the server is silent. Only the gateway that measures a server says that it is silent: before, a gateway that had once measured it went on saying so with each answer of its own.

--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -9,8 +9,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -145,12 +147,13 @@
 	return "", loadreport.Report{}, false
 }
 
-func freePort(t *testing.T) int {
-	t.Helper()
+func freePort() (int, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
+	if err != nil {
+		return 0, err
+	}
 	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).Port
+	return listener.Addr().(*net.TCPAddr).Port, nil
 }
 
 // startEdge starts a gateway; its meeting address is a seed of the others.
@@ -159,15 +162,30 @@
 	return startEdgeIn(t, id, "r", "d", store, seeds...)
 }
 
-func startEdgeIn(t *testing.T, id, region, domain string, store Store, seeds ...string) *Edge {
-	t.Helper()
-	meeting := fmt.Sprintf("127.0.0.1:%d", freePort(t))
-	e, err := New(&Settings{
+func newEdge(id, region, domain string, store Store, seeds ...string) (*Edge, error) {
+	internal, err := freePort()
+	if err != nil {
+		return nil, err
+	}
+	meeting, err := freePort()
+	if err != nil {
+		return nil, err
+	}
+	return New(&Settings{
 		ID: id, IP: "127.0.0.1", Region: region, FailureDomain: domain, Regions: map[string]string{"d": "r", "far": "other"},
-		Traffic: "127.0.0.1:0", Ready: "127.0.0.1:0", ReadyPath: "/ready", InternalPort: freePort(t),
-		Meeting: meeting, Seeds: seeds, CPUShare: 1,
+		Traffic: "127.0.0.1:0", Ready: "127.0.0.1:0", ReadyPath: "/ready", InternalPort: internal,
+		Meeting: fmt.Sprintf("127.0.0.1:%d", meeting), Seeds: seeds, CPUShare: 1,
 		Terms: Terms{StopGrace: 4 * time.Second, RetryPercent: 20, RetryBurst: 60},
 	}, store, fakeCodec{}, slog.New(slog.DiscardHandler))
+}
+
+func startEdgeIn(t *testing.T, id, region, domain string, store Store, seeds ...string) *Edge {
+	t.Helper()
+	e, err := newEdge(id, region, domain, store, seeds...)
+	for tries := 1; errors.Is(err, syscall.EADDRINUSE) && tries < 5; tries++ {
+		// Another process took a port between its choice and its use.
+		e, err = newEdge(id, region, domain, store, seeds...)
+	}
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -344,3 +362,55 @@
 		})
 	}
 }
+
+// TestNewcomerKnowsLoad guards against a gateway that never learns what the others
+// sent before it joined: a report of a server was sent only when it changed.
+func TestNewcomerKnowsLoad(t *testing.T) {
+	store := newFakeStore()
+	store.write(feed.Config, "config", []byte("1"), false)
+	store.write(feed.Servers, "a", entry("a", 1), false)
+	first := startEdge(t, "first", store)
+	eventually(t, "first knows the server", 5*time.Second, func() bool { return first.knows("a") })
+	stats := func(e *Edge) *routing.Stats { return e.snapshot.Load().ServersByID["a"].Stats }
+	stats(first).ReportLoad(first.now(), 3, 7000)
+	eventually(t, "first has sent the report", time.Second, func() bool {
+		return first.now()-stats(first).ReportedAt() > int64(2*sendInterval)
+	})
+	second := startEdge(t, "second", store, first.settings.Meeting)
+	eventually(t, "second knows the server", 5*time.Second, func() bool { return second.knows("a") })
+	eventually(t, "second knows the load", 5*time.Second, func() bool {
+		return stats(second).ReportedInFlight() == 3 && stats(second).ReportedPace() == 7
+	})
+}
+
+// TestNewcomerKnowsSilence guards against a gateway that sends calls to a silent
+// server because the one message that named it was lost.
+func TestNewcomerKnowsSilence(t *testing.T) {
+	store := newFakeStore()
+	store.write(feed.Config, "config", []byte("1"), false)
+	ids := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	for _, id := range ids {
+		store.write(feed.Servers, id, entry(id, 1), false)
+	}
+	first := startEdge(t, "first", store)
+	knowsAll := func(e *Edge) func() bool {
+		return func() bool { return !slices.ContainsFunc(ids, func(id string) bool { return !e.knows(id) }) }
+	}
+	eventually(t, "first knows the servers", 5*time.Second, knowsAll(first))
+	server := func(e *Edge, id string) *routing.Server { return e.snapshot.Load().ServersByID[id] }
+	for _, id := range ids {
+		server(first, id).Stats.SetSilent(true)
+	}
+	before := first.now()
+	eventually(t, "first has sent the reports", time.Second, func() bool {
+		return first.now()-before > int64(2*sendInterval)
+	})
+	second := startEdge(t, "second", store, first.settings.Meeting)
+	eventually(t, "second knows the servers", 5*time.Second, knowsAll(second))
+	eventually(t, "second knows which servers of the first are silent", 5*time.Second, func() bool {
+		assignment := first.assignment.Load()
+		measured := slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return !first.measures(assignment, server(first, id)) })
+		return len(measured) > 0 && len(measured) < len(ids) &&
+			!slices.ContainsFunc(measured, func(id string) bool { return !server(second, id).Stats.IsSilent() })
+	})
+}
--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -22,7 +22,7 @@
 type relayLink struct {
 	sentAt int64
 	to     []string
-	told   map[string]told
+	told   map[string]telling
 }
 
 // due reports whether the next message is due, and takes note of its receivers.
--- a/pkg/edge/sender.go
+++ b/pkg/edge/sender.go
@@ -28,8 +28,8 @@
 	ticker := time.NewTicker(sendInterval)
 	defer ticker.Stop()
 	sender := &sender{
-		edge: e, told: make(map[string]told),
-		near: relayLink{told: make(map[string]told)}, far: relayLink{told: make(map[string]told)},
+		edge: e, told: make(map[string]telling),
+		near: relayLink{told: make(map[string]telling)}, far: relayLink{told: make(map[string]telling)},
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for {
@@ -50,7 +50,7 @@
 	introducedAt int64
 	markedAt     int64
 	marks        []feed.Mark
-	told         map[string]told
+	told         map[string]telling
 	// relayedAt is when the relay last looked, near and far are its links to other
 	// failure domains of a large region and to other regions.
 	relayedAt int64
@@ -68,6 +68,32 @@
 	silent     bool
 }
 
+// telling is a report as it was last sent.
+type telling struct {
+	told
+	at int64
+}
+
+const (
+	// repeatInterval is how often an unchanged report is sent again, because a
+	// message may be lost and a gateway that joins has not had the earlier ones.
+	repeatInterval = time.Second
+	// repeatedAge is the age up to which the load of a server is sent again. At
+	// that age routing no longer counts it; silence lasts until the server answers.
+	repeatedAge = 5 * time.Second
+)
+
+// due reports whether the load or the silence of a server is to be sent.
+func (t telling) due(now int64, current told) bool {
+	switch {
+	case current != t.told:
+		return true
+	case now-t.at < int64(repeatInterval):
+		return false
+	}
+	return current.silent || current.reportedAt != 0 && now-current.reportedAt <= int64(repeatedAge)
+}
+
 func (s *sender) tick() {
 	e := s.edge
 	now := e.now()
@@ -187,7 +213,7 @@
 	}
 	var reports []gossip.Report
 	for id, server := range view.snapshot.ServersByID {
-		current, ok := s.news(id, server, assignment)
+		current, ok := s.news(now, id, server, assignment)
 		if ok {
 			reports = appendNews(reports, s.told, now, id, server.Stats, current)
 		}
@@ -198,7 +224,7 @@
 // news returns what this gateway tells its group of a server, false if nothing:
 // what it learnt itself of its group's servers and, if it is the relay, what it
 // holds of those of other groups.
-func (s *sender) news(id string, server *routing.Server, assignment *gossip.Assignment) (told, bool) {
+func (s *sender) news(now int64, id string, server *routing.Server, assignment *gossip.Assignment) (told, bool) {
 	if !s.edge.ownGroup(server, assignment.Wide()) {
 		if !s.edge.relay.Load() {
 			return told{}, false
@@ -206,28 +232,31 @@
 		return toldOf(server.Stats), true
 	}
 	known := s.told[id]
-	current := told{reportedAt: server.Stats.OwnReportedAt(), silent: known.silent}
-	if current == known && !known.silent && !server.Stats.IsSilent() {
-		return told{}, false
+	current := told{reportedAt: server.Stats.OwnReportedAt()}
+	if !server.Stats.IsSilent() {
+		return current, known.due(now, current)
 	}
 	if assignment.Measures(id, server.FailureDomain) {
-		current.silent = server.Stats.IsSilent()
+		current.silent = true
+		return current, known.due(now, current)
 	}
-	return current, true
+	// Only the gateway that measures a server says that it is silent, and only a new
+	// answer speaks against it.
+	return current, current.reportedAt != known.reportedAt
 }
 
 func toldOf(stats *routing.Stats) told {
 	return told{reportedAt: stats.ReportedAt(), silent: stats.IsSilent()}
 }
 
-// appendNews appends a report on a server if it differs from what was told.
-func appendNews(reports []gossip.Report, tellings map[string]told, now int64, id string, stats *routing.Stats,
+// appendNews appends a report on a server if the receivers are to be told of it.
+func appendNews(reports []gossip.Report, tellings map[string]telling, now int64, id string, stats *routing.Stats,
 	current told,
 ) []gossip.Report {
-	if current == tellings[id] {
+	if !tellings[id].due(now, current) {
 		return reports
 	}
-	tellings[id] = current
+	tellings[id] = telling{told: current, at: now}
 	return append(reports, gossip.Report{
 		Server:       gossip.ServerKey(id),
 		Age:          time.Duration(now - current.reportedAt),
