Publish roles, waiting calls, retries left and the learnt cost of full servers

Cause: which gateway reads the store, which one passes load reports on, and what the retry budget would still allow were nowhere to be seen; a page named metrics that no test compared with the code. No decision changed.

--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -105,17 +105,35 @@
 	}
 	e.peersMu.Lock()
 	alive := e.peers.Alive(now)
+	reader := e.peers.IsReader(now, !e.storeView.unreachable.Load())
 	e.peersMu.Unlock()
-	e.metrics.GetOrCreateGauge("balsamhill_gateways_alive", nil).Set(float64(alive))
+	gauge := func(value float64, format string, labels ...any) {
+		e.metrics.GetOrCreateGauge(fmt.Sprintf(format, labels...), nil).Set(value)
+	}
+	gauge(float64(alive), "balsamhill_gateways_alive")
+	gauge(indicator(reader && !e.stopping.Load()), "balsamhill_reader")
+	gauge(indicator(e.relay.Load()), "balsamhill_relay")
 	snapshot := e.snapshot.Load()
 	if snapshot == nil {
 		return
 	}
-	e.metrics.GetOrCreateGauge("balsamhill_config_revision", nil).Set(float64(snapshot.Version.Revision))
+	gauge(float64(snapshot.Version.Revision), "balsamhill_config_revision")
 	for name, view := range snapshot.Services {
-		e.metrics.GetOrCreateGauge(fmt.Sprintf(`balsamhill_servers_usable{service=%q}`, name), nil).Set(float64(view.Usable()))
-		e.metrics.GetOrCreateGauge(fmt.Sprintf(`balsamhill_report_age_seconds{service=%q}`, name), nil).Set(meanReportAge(now, view))
+		state := e.proxy.ServiceState(name, now, e.terms.Load().RetryPercent)
+		gauge(float64(view.Usable()), `balsamhill_servers_usable{service=%q}`, name)
+		gauge(meanReportAge(now, view), `balsamhill_report_age_seconds{service=%q}`, name)
+		gauge(float64(state.Waiting), `balsamhill_calls_waiting{service=%q}`, name)
+		gauge(float64(state.RetriesLeft), `balsamhill_retries_left{service=%q}`, name)
+		gauge(state.CrowdedFactor, `balsamhill_crowded_factor{service=%q}`, name)
+	}
+}
+
+// indicator returns 1 for true and 0 for false.
+func indicator(value bool) float64 {
+	if value {
+		return 1
 	}
+	return 0
 }
 
 // meanReportAge is the mean age in seconds of the load reports of the servers in
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -46,6 +46,28 @@
 	return found.(*service)
 }
 
+// ServiceState is what the traffic path knows of a service at a moment.
+type ServiceState struct {
+	// Waiting counts the calls that wait for a free slot.
+	Waiting int64
+	// RetriesLeft is how many retries the budget would allow now.
+	RetriesLeft int64
+	// CrowdedFactor is the learnt factor by which calls take longer on a server with
+	// all slots taken.
+	CrowdedFactor float64
+}
+
+// ServiceState returns the state of a service whose retries are bounded to a
+// percentage of its calls.
+func (p *Proxy) ServiceState(name string, now int64, retryPercent float64) ServiceState {
+	s := p.service(name)
+	return ServiceState{
+		Waiting:       s.waiting.Load(),
+		RetriesLeft:   s.retries.Left(now, retryPercent, p.retryBase()),
+		CrowdedFactor: s.work.Crowding(),
+	}
+}
+
 // call is one caller's request on its way. It belongs to the handler's goroutine.
 type call struct {
 	proxy   *Proxy
@@ -244,7 +266,7 @@
 	if retry.Expired(now, c.deadline) || c.base.Err() != nil {
 		return false
 	}
-	if !c.service.retries.Take(now, c.limits.RetryPercent, c.retryBase()) {
+	if !c.service.retries.Take(now, c.limits.RetryPercent, c.proxy.retryBase()) {
 		c.service.Counters.retriesDenied.Inc()
 		return false
 	}
@@ -259,11 +281,11 @@
 	maxSends = 4
 )
 
-func (c *call) retryBase() float64 {
-	if c.proxy.config.RetryBase == nil {
+func (p *Proxy) retryBase() float64 {
+	if p.config.RetryBase == nil {
 		return 0
 	}
-	return c.proxy.config.RetryBase()
+	return p.config.RetryBase()
 }
 
 // mayRunAgain reports whether the route allows another server to run the call.
--- a/pkg/proxy/pace.go
+++ b/pkg/proxy/pace.go
@@ -75,7 +75,7 @@
 		return
 	}
 	if !c.service.hedges.Take(now, c.limits.HedgePercent, 0) ||
-		!c.service.retries.Take(now, c.limits.RetryPercent, c.retryBase()) {
+		!c.service.retries.Take(now, c.limits.RetryPercent, c.proxy.retryBase()) {
 		c.service.Counters.hedgesDenied.Inc()
 		return
 	}
--- a/pkg/proxy/race.go
+++ b/pkg/proxy/race.go
@@ -225,7 +225,7 @@
 		}
 		return 0, false
 	}
-	if c.sent == 1 && c.mayRunAgain() && c.service.retries.Take(now, c.limits.RetryPercent, c.retryBase()) {
+	if c.sent == 1 && c.mayRunAgain() && c.service.retries.Take(now, c.limits.RetryPercent, c.proxy.retryBase()) {
 		if server := x.serverAfterSilence(); server != nil {
 			c.service.Counters.retries.Inc()
 			x.first.cancel(errDeadline)
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -80,17 +80,34 @@
 	if percent <= 0 {
 		return false
 	}
-	epoch := epochOf(now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	allowed := max(b.Floor, int64(base+float64(sum(&b.calls, epoch, callBuckets))*percent/100))
-	if sum(&b.spent, epoch, spentBuckets)+1 > allowed {
+	if b.left(now, percent, base) < 1 {
 		return false
 	}
+	epoch := epochOf(now)
 	b.spent[epoch%ring].add(epoch)
 	return true
 }
 
+// Left returns how many extra attempts Take would allow now.
+func (b *Budget) Left(now int64, percent, base float64) int64 {
+	if percent <= 0 {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return max(0, b.left(now, percent, base))
+}
+
+// left is called with the lock held. It is negative if calls left the window
+// before the attempts that they allowed.
+func (b *Budget) left(now int64, percent, base float64) int64 {
+	epoch := epochOf(now)
+	allowed := max(b.Floor, int64(base+float64(sum(&b.calls, epoch, callBuckets))*percent/100))
+	return allowed - sum(&b.spent, epoch, spentBuckets)
+}
+
 func sum(buckets *[ring]bucket, epoch uint32, n uint32) int64 {
 	var total int64
 	for back := range min(n, epoch) {
