Log calls that are late while they wait

Change: a call without an answer at its route's target has a line with its server and attempt. TestLateCallIsObservedWhileItWaits and TestLateCallInWords fail without it. A call that loses its gateway before its target still has no line.

--- a/pkg/edge/observer.go
+++ b/pkg/edge/observer.go
@@ -51,6 +51,14 @@
 		"attempts", event.Attempts, "took", event.Took.String(), "revision", event.Revision)
 }
 
+// CallLate implements proxy.Observer. The line is written while the call waits, so
+// that it is there when the gateway does not live to see the end.
+func (o observer) CallLate(event proxy.AnswerEvent) {
+	o.edge.log.Info("call is late", "request", event.RequestID, "route", event.Route, "service", event.Service,
+		"server", event.ServerID, "attempts", event.Attempts, "took", event.Took.String(),
+		"target", event.Target.String(), "revision", event.Revision)
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -127,6 +127,12 @@
 	case "call answered":
 		return fmt.Sprintf("answer %v of server %v of %v passed on after %v and %v attempts (target %v, late: %v)",
 			f("status"), f("server"), f("service"), f("took"), f("attempts"), f("target"), f("late"))
+	case "call is late":
+		if server, ok := e.Fields["server"].(string); ok && server == "" {
+			return fmt.Sprintf("still waits for a server of %v after %v (target %v)", f("service"), f("took"), f("target"))
+		}
+		return fmt.Sprintf("still waits for the answer of attempt %v at server %v of %v after %v (target %v)",
+			f("attempts"), f("server"), f("service"), f("took"), f("target"))
 	case "caller left":
 		return fmt.Sprintf("the caller left after %v and %v attempts at %v", f("took"), f("attempts"), f("service"))
 	default:
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -32,6 +32,26 @@
 	}
 }
 
+// TestLateCallInWords guards against a call that a gateway still held when it lost
+// power and whose last line says nothing of the server.
+func TestLateCallInWords(t *testing.T) {
+	tests := []struct{ desc, line, want string }{
+		{"at a server", `{"time":"2026-01-01T00:00:01Z","msg":"call is late","request":"r1","service":"s","server":"i-1","attempts":1,"took":"300ms","target":"250ms"}`,
+			"still waits for the answer of attempt 1 at server i-1 of s after 300ms (target 250ms)"},
+		{"at the gateway", `{"time":"2026-01-01T00:00:01Z","msg":"call is late","request":"r1","service":"s","server":"","attempts":0,"took":"300ms","target":"250ms"}`,
+			"still waits for a server of s after 300ms (target 250ms)"},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			s := Story{Request: "r1"}
+			assert.NilError(t, s.Read("a.log", strings.NewReader(test.line)))
+			var text strings.Builder
+			assert.NilError(t, s.Write(&text))
+			assert.Assert(t, strings.Contains(text.String(), test.want), text.String())
+		})
+	}
+}
+
 // FuzzLine guards against a line that stops the tool.
 func FuzzLine(f *testing.F) {
 	for line := range strings.Lines(exampleLog) {
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -73,6 +73,7 @@
 		a.loadBefore = c.view.LoadWith(server, now)
 	}
 	a.ctx, a.cancel = context.WithCancelCause(c.base)
+	c.newest.Store(a)
 	return a
 }
 
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -110,6 +110,10 @@
 	tried       []*routing.Server
 	triedBuf    [2]*routing.Server
 	sent        int
+	// lateness is the timer to the route's target, nil if nobody is told.
+	lateness *time.Timer
+	// newest is the last attempt that was started, for the timer's goroutine.
+	newest atomic.Pointer[attempt]
 	// refused counts the attempts that certainly did not run.
 	refused int
 }
@@ -120,6 +124,9 @@
 
 // end releases what the call holds, also when the handler panics.
 func (c *call) end() {
+	if c.lateness != nil {
+		c.lateness.Stop()
+	}
 	c.informer.close()
 	c.body.finish()
 	if c.body.c == nil {
@@ -138,6 +145,7 @@
 	c.deadline = retry.Deadline(c.arrived, limits.Timeout(), c.proxy.config.Dialect.WaitMillis(c.r.Header))
 	c.base = c.r.Context()
 	c.tried = c.triedBuf[:0]
+	c.watchLateness()
 	c.informer.w = c.w
 	c.informer.dialect = c.proxy.config.Dialect
 	c.service.retries.Call(c.arrived)
--- a/pkg/proxy/load.go
+++ b/pkg/proxy/load.go
@@ -60,6 +60,9 @@
 	CallAnswered(AnswerEvent)
 	// CallerLeft is told of each call whose caller left before the answer.
 	CallerLeft(AnswerEvent)
+	// CallLate is told of each call without an answer at its route's target. It is
+	// called from another goroutine than that of the call.
+	CallLate(AnswerEvent)
 }
 
 // AnswerEvent describes the end of a call with a server's answer, or without one
@@ -135,6 +138,32 @@
 	return event
 }
 
+// watchLateness has the observer told if there is no answer at the route's target.
+func (c *call) watchLateness() {
+	if c.proxy.config.Observer == nil || c.route.Target <= 0 {
+		return
+	}
+	left := c.route.Target - time.Duration(c.proxy.config.Now()-c.arrived)
+	c.lateness = time.AfterFunc(max(0, left), c.observeLateness)
+}
+
+// observeLateness runs beside the call and reads only what does not change.
+func (c *call) observeLateness() {
+	event := AnswerEvent{
+		RequestID: c.requestID,
+		Route:     c.route.Name,
+		Service:   c.target,
+		Took:      time.Duration(c.proxy.config.Now() - c.arrived),
+		Target:    c.route.Target,
+		Revision:  c.revision,
+	}
+	if a := c.newest.Load(); a != nil {
+		event.ServerID = a.server.ID
+		event.Attempts = a.number
+	}
+	c.proxy.config.Observer.CallLate(event)
+}
+
 // observe tells the observer of an attempt that failed.
 func (c *call) observe(a *attempt) {
 	observer := c.proxy.config.Observer
--- a/pkg/proxy/observer_test.go
+++ b/pkg/proxy/observer_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"balsamhill/pkg/preset"
 	"balsamhill/pkg/proxy"
 	"balsamhill/pkg/routing"
 )
@@ -18,6 +19,7 @@
 func (r *refusals) CallRefused(event proxy.RefusalEvent) { *r = append(*r, event) }
 func (*refusals) CallAnswered(proxy.AnswerEvent)         {}
 func (*refusals) CallerLeft(proxy.AnswerEvent)           {}
+func (*refusals) CallLate(proxy.AnswerEvent)             {}
 
 // TestRefusalsWithoutRouteAreObserved guards against refused calls that no log
 // line explains: 96 of 322 refusals of a day came from gateways that had just
@@ -54,3 +56,40 @@
 		})
 	}
 }
+
+// lateCalls passes on the late calls that an observer is told of.
+type lateCalls struct {
+	refusals
+	events chan proxy.AnswerEvent
+}
+
+func (l *lateCalls) CallLate(event proxy.AnswerEvent) { l.events <- event }
+
+// TestLateCallIsObservedWhileItWaits guards against calls that leave no trace: a
+// gateway that lost power had written nothing of the calls that it held for
+// seconds. A call in time is not observed.
+func TestLateCallIsObservedWhileItWaits(t *testing.T) {
+	for _, class := range []preset.Class{preset.ClassFetch, preset.ClassBooking} {
+		t.Run(string(class), func(t *testing.T) {
+			seen := &lateCalls{events: make(chan proxy.AnswerEvent, 10)}
+			held := make(chan struct{})
+			b := observedBench(t, class, seen, startServer(t, func(w http.ResponseWriter, r *http.Request) {
+				if r.Method == http.MethodPut {
+					<-held
+				}
+				answer(w, r)
+			}))
+			b.send(t, http.MethodGet, "")
+			answered := make(chan int)
+			go func() { answered <- b.send(t, http.MethodPut, "").StatusCode }()
+			event := <-seen.events
+			assert.Equal(t, event.RequestID, "7")
+			assert.Equal(t, event.ServerID, b.servers[0].ID)
+			assert.Equal(t, event.Attempts, 1)
+			assert.Assert(t, event.Took >= event.Target && event.Target > 0, "%v of %v", event.Took, event.Target)
+			close(held)
+			assert.Equal(t, <-answered, http.StatusOK)
+			assert.Equal(t, len(seen.events), 0)
+		})
+	}
+}
--- a/pkg/proxy/paced_test.go
+++ b/pkg/proxy/paced_test.go
@@ -51,6 +51,12 @@
 // pacedBench is a bench whose route has a target and whose dialect is
 // headerDialect.
 func pacedBench(t *testing.T, class preset.Class, addresses ...string) *bench {
+	t.Helper()
+	return observedBench(t, class, nil, addresses...)
+}
+
+// observedBench is a pacedBench with an observer.
+func observedBench(t *testing.T, class preset.Class, observer proxy.Observer, addresses ...string) *bench {
 	t.Helper()
 	route := routesOf(routing.Route{Class: class, Target: 400 * time.Millisecond, MaxAttempts: 2})
 	return newBench(t, setup{
@@ -62,6 +68,7 @@
 			config.KeepBody = 1 << 20
 			config.ReplaceRefusals = true
 			config.RetryBase = func() float64 { return 5 }
+			config.Observer = observer
 		},
 		limits: func(limits map[preset.Class]preset.Limits) {
 			for class, l := range limits {
