--- a/pkg/edge/stop.go
+++ b/pkg/edge/stop.go
@@ -13,6 +13,11 @@
 	stopNotice = 2300 * time.Millisecond
 	// stopReserve is kept of the time to stop for the end of the process.
 	stopReserve = 300 * time.Millisecond
+	// settleTime is a moment long enough for waiting requests to be read, and
+	// settleTries bounds the moments: a processor quota holds a process up for most
+	// of each 100 ms at worst, so they take a second at most.
+	settleTime  = 10 * time.Millisecond
+	settleTries = 10
 )
 
 // serveTraffic serves callers and returns after the graceful shutdown. The other
@@ -36,6 +41,7 @@
 	e.stopping.Store(true)
 	e.log.Info("graceful shutdown started", "inFlight", e.proxy.InFlight())
 	time.Sleep(stopNotice)
+	settle(time.Now, time.Sleep)
 	ctx, cancel := context.WithDeadline(ctx, begun.Add(e.terms.Load().StopGrace-stopReserve))
 	defer cancel()
 	err := e.traffic.Shutdown(ctx)
@@ -47,6 +53,19 @@
 	return err
 }
 
+// settle returns after a moment in which the process was not held up. A request
+// that arrived while it was has not been read yet, and the server closes its
+// connection as idle.
+func settle(now func() time.Time, sleep func(time.Duration)) {
+	for range settleTries {
+		before := now()
+		sleep(settleTime)
+		if now().Sub(before) < 2*settleTime {
+			return
+		}
+	}
+}
+
 // closingHandler asks callers to leave while the gateway shuts down.
 func (e *Edge) closingHandler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
