Let callers come back soon when servers refuse calls with slots free

Change: where the best server has a free slot, a refused caller may come back after 10 ms; else after 200 ms as before. TestComeBackTime fails without it.

--- a/pkg/proxy/outcome.go
+++ b/pkg/proxy/outcome.go
@@ -7,6 +7,7 @@
 
 	"balsamhill/pkg/claim"
 	"balsamhill/pkg/retry"
+	"balsamhill/pkg/routing"
 )
 
 // Outcome says whether a refused or failed call ran.
@@ -21,9 +22,15 @@
 
 // refuse answers in place of a server.
 func (p *Proxy) refuse(w http.ResponseWriter, status int, outcome Outcome, detail string) {
+	p.refuseUntil(w, status, outcome, detail, retryAfter)
+}
+
+// refuseUntil answers in place of a server. A call that did not run may come back
+// after the time given.
+func (p *Proxy) refuseUntil(w http.ResponseWriter, status int, outcome Outcome, detail string, after time.Duration) {
 	refusal := Refusal{Status: status, Outcome: outcome, Detail: detail}
 	if status == http.StatusServiceUnavailable && outcome == NotRun {
-		refusal.RetryAfter = retryAfter
+		refusal.RetryAfter = after
 	}
 	p.config.Dialect.Refuse(w, refusal)
 }
@@ -48,6 +55,10 @@
 // enough for a burst of a few calls per server to pass.
 const retryAfter = 200 * time.Millisecond
 
+// returnSoon is when a caller may come back if servers have free slots. It only
+// keeps callers that repeat at once from using up their tries within a millisecond.
+const returnSoon = 10 * time.Millisecond
+
 // outcomeWithoutService is the outcome of a call that is refused before its
 // service is known. Whether another gateway holds an attempt of its key cannot
 // be asked then, so a call with a key gets unknown.
@@ -66,7 +77,24 @@
 	c.observeRefusal(status, outcome, detail)
 	c.closeIfBodyUnread()
 	_ = c.control.SetWriteDeadline(time.Now().Add(c.idle()))
-	c.proxy.refuse(c.w, status, outcome, detail)
+	c.proxy.refuseUntil(c.w, status, outcome, detail, c.returnAfter())
+}
+
+// returnAfter is when the caller may come back if the call did not run. Servers
+// that refuse calls although they have free slots do so at random, so there is
+// nothing to wait for.
+func (c *call) returnAfter() time.Duration {
+	if c.refused > 0 && c.hasRoom() {
+		return returnSoon
+	}
+	return retryAfter
+}
+
+// hasRoom reports whether the best server of all has a free slot.
+func (c *call) hasRoom() bool {
+	c.tried = c.tried[:0]
+	server := c.choose()
+	return server != nil && c.view.RoomOf(server, c.proxy.config.Now(), c.service.work.Crowding()) == routing.RoomFree
 }
 
 // observeRefusal tells the observer of an answer in place of a server.
--- a/pkg/proxy/paced_test.go
+++ b/pkg/proxy/paced_test.go
@@ -124,6 +124,35 @@
 	assert.Assert(t, time.Since(began) < 400*time.Millisecond)
 }
 
+// TestComeBackTime guards against callers that are told to wait, and so come back
+// too late, although nothing has to pass first: servers that refused calls at
+// random while they had free slots cost each caller 200 ms of a target of 200 ms.
+func TestComeBackTime(t *testing.T) {
+	refuse := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	tests := []struct {
+		desc     string
+		inFlight int64
+		want     string
+	}{
+		{"servers refuse but have free slots", 0, "10ms"},
+		{"servers are full", 40, "200ms"},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			b := pacedBench(t, preset.ClassBooking, startServer(t, refuse))
+			b.servers[0].Stats.Report(1<<62, test.inFlight)
+			response := b.send(t, http.MethodPost, "x")
+			assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+			assert.Equal(t, response.Header.Get("Outcome"), string(proxy.NotRun))
+			assert.Equal(t, response.Header.Get("Again"), test.want)
+		})
+	}
+}
+
 // TestCallWaitsForFreeSlot guards against a call that is refused, or queued at a
 // server, although a slot becomes free in a moment.
 func TestCallWaitsForFreeSlot(t *testing.T) {
