Say once what the change said twice

Read over as a whole; behaviour, bounds and assertions stay as they are. - gossip: peers and gateways of other regions share one contact, which judges whether a message is newer; the relay's targets point to it instead of to copies. - control: the price of a call and of a byte follow from the distance that the subset uses, instead of comparing places again. - proxy: a late call and an answered one are described by one function; one refuse; whether another server has a free slot is asked by alternative. - edge: messages of the sender and of the relay start from one; whether a report is due is decided in one place instead of twice for each server and tick; the gauge of the reader asks isReader. - tests of edge share a store with servers and a sender.

--- a/pkg/control/publish.go
+++ b/pkg/control/publish.go
@@ -204,10 +204,10 @@
 }
 
 func (s *State) penalty(row *serverRow) int64 {
-	switch {
-	case row.region != s.config.Region:
+	switch s.distance(row) {
+	case otherRegion:
 		return s.config.RegionPenalty
-	case row.failureDomain != s.config.FailureDomain:
+	case sameRegion:
 		return s.config.DomainPenalty
 	default:
 		return 0
@@ -216,10 +216,10 @@
 
 // byteNanos is the price of a byte to the server; see preset.Tuning.
 func (s *State) byteNanos(row *serverRow, tuning preset.Tuning) float64 {
-	switch {
-	case row.region != s.config.Region:
+	switch s.distance(row) {
+	case otherRegion:
 		return tuning.RegionByteNanos
-	case row.failureDomain != s.config.FailureDomain:
+	case sameRegion:
 		return tuning.DomainByteNanos
 	default:
 		return 0
--- a/pkg/control/subset.go
+++ b/pkg/control/subset.go
@@ -50,7 +50,7 @@
 	var kept [distances]int
 	for _, row := range rows {
 		distance := s.distance(row)
-		if distance > 0 && kept[distance] < distantPlaces {
+		if distance != sameDomain && kept[distance] < distantPlaces {
 			kept[distance]++
 		}
 	}
@@ -71,18 +71,24 @@
 	}
 }
 
-// distances is the number of values of distance.
-const distances = 3
+// distance says how far a server is; nearer ones are cheaper.
+type distance int
 
-// distance orders servers by their price: own failure domain, own region, others.
-func (s *State) distance(row *serverRow) int {
+const (
+	sameDomain distance = iota
+	sameRegion
+	otherRegion
+	distances
+)
+
+func (s *State) distance(row *serverRow) distance {
 	switch {
 	case row.region != s.config.Region:
-		return 2
+		return otherRegion
 	case row.failureDomain != s.config.FailureDomain:
-		return 1
+		return sameRegion
 	default:
-		return 0
+		return sameDomain
 	}
 }
 
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -219,6 +219,11 @@
 	return snapshot != nil && snapshot.ServersByID[server] != nil
 }
 
+// server returns a server that the gateway knows.
+func (e *Edge) server(id string) *routing.Server {
+	return e.snapshot.Load().ServersByID[id]
+}
+
 func entry(id string, started uint64) []byte {
 	value, _ := json.Marshal(registry.Entry{
 		ID: id, Service: "s", Address: "127.0.0.1:1", FailureDomain: "d", Slots: 4, Started: started,
@@ -226,12 +231,20 @@
 	return value
 }
 
+// storeWith returns a store with a configuration and servers.
+func storeWith(servers ...string) *fakeStore {
+	store := newFakeStore()
+	store.write(feed.Config, "config", []byte("1"), false)
+	for _, id := range servers {
+		store.write(feed.Servers, id, entry(id, 1), false)
+	}
+	return store
+}
+
 // TestStartWithoutStore guards against a gateway that cannot serve because the
 // store is away when it starts, although another one holds all that it needs.
 func TestStartWithoutStore(t *testing.T) {
-	store := newFakeStore()
-	store.write(feed.Config, "config", []byte("1"), false)
-	store.write(feed.Servers, "a", entry("a", 1), false)
+	store := storeWith("a")
 	first := startEdge(t, "first", store)
 	eventually(t, "first is ready", 5*time.Second, first.ready)
 	store.setDown(true)
@@ -244,9 +257,7 @@
 // TestChangesReachAllInTime guards against a gateway that misses a change or a
 // departure, also one that no longer hears the gateway that reads the store.
 func TestChangesReachAllInTime(t *testing.T) {
-	store := newFakeStore()
-	store.write(feed.Config, "config", []byte("1"), false)
-	store.write(feed.Servers, "a", entry("a", 1), false)
+	store := storeWith("a")
 	first := startEdge(t, "first", store)
 	second := startEdge(t, "second", store, first.settings.Meeting)
 	all := func(done func(e *Edge) bool) func() bool {
@@ -341,9 +352,7 @@
 // TestLoadOfOtherRegions guards against gateways that know nothing of the load of
 // servers in another region, and so neither use their free slots nor spare them.
 func TestLoadOfOtherRegions(t *testing.T) {
-	store := newFakeStore()
-	store.write(feed.Config, "config", []byte("1"), false)
-	store.write(feed.Servers, "a", entry("a", 1), false)
+	store := storeWith("a")
 	first := startEdge(t, "first", store)
 	gateways := []*Edge{
 		first,
@@ -354,11 +363,10 @@
 	for _, e := range gateways {
 		eventually(t, e.settings.ID+" knows the server", 5*time.Second, func() bool { return e.knows("a") })
 	}
-	stats := func(e *Edge) *routing.Stats { return e.snapshot.Load().ServersByID["a"].Stats }
-	stats(first).ReportLoad(first.now(), 3, 7000)
+	first.server("a").Stats.ReportLoad(first.now(), 3, 7000)
 	for _, e := range gateways[1:] {
 		eventually(t, e.settings.ID+" knows the load", 5*time.Second, func() bool {
-			return stats(e).ReportedInFlight() == 3 && stats(e).ReportedPace() == 7
+			return e.server("a").Stats.ReportedInFlight() == 3 && e.server("a").Stats.ReportedPace() == 7
 		})
 	}
 }
@@ -366,40 +374,32 @@
 // TestNewcomerKnowsLoad guards against a gateway that never learns what the others
 // sent before it joined: a report of a server was sent only when it changed.
 func TestNewcomerKnowsLoad(t *testing.T) {
-	store := newFakeStore()
-	store.write(feed.Config, "config", []byte("1"), false)
-	store.write(feed.Servers, "a", entry("a", 1), false)
+	store := storeWith("a")
 	first := startEdge(t, "first", store)
 	eventually(t, "first knows the server", 5*time.Second, func() bool { return first.knows("a") })
-	stats := func(e *Edge) *routing.Stats { return e.snapshot.Load().ServersByID["a"].Stats }
-	stats(first).ReportLoad(first.now(), 3, 7000)
+	first.server("a").Stats.ReportLoad(first.now(), 3, 7000)
 	eventually(t, "first has sent the report", time.Second, func() bool {
-		return first.now()-stats(first).ReportedAt() > int64(2*sendInterval)
+		return first.now()-first.server("a").Stats.ReportedAt() > int64(2*sendInterval)
 	})
 	second := startEdge(t, "second", store, first.settings.Meeting)
 	eventually(t, "second knows the server", 5*time.Second, func() bool { return second.knows("a") })
 	eventually(t, "second knows the load", 5*time.Second, func() bool {
-		return stats(second).ReportedInFlight() == 3 && stats(second).ReportedPace() == 7
+		return second.server("a").Stats.ReportedInFlight() == 3 && second.server("a").Stats.ReportedPace() == 7
 	})
 }
 
 // TestNewcomerKnowsSilence guards against a gateway that sends calls to a silent
 // server because the one message that named it was lost.
 func TestNewcomerKnowsSilence(t *testing.T) {
-	store := newFakeStore()
-	store.write(feed.Config, "config", []byte("1"), false)
 	ids := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
-	for _, id := range ids {
-		store.write(feed.Servers, id, entry(id, 1), false)
-	}
+	store := storeWith(ids...)
 	first := startEdge(t, "first", store)
 	knowsAll := func(e *Edge) func() bool {
 		return func() bool { return !slices.ContainsFunc(ids, func(id string) bool { return !e.knows(id) }) }
 	}
 	eventually(t, "first knows the servers", 5*time.Second, knowsAll(first))
-	server := func(e *Edge, id string) *routing.Server { return e.snapshot.Load().ServersByID[id] }
 	for _, id := range ids {
-		server(first, id).Stats.SetSilent(true)
+		first.server(id).Stats.SetSilent(true)
 	}
 	before := first.now()
 	eventually(t, "first has sent the reports", time.Second, func() bool {
@@ -409,8 +409,8 @@
 	eventually(t, "second knows the servers", 5*time.Second, knowsAll(second))
 	eventually(t, "second knows which servers of the first are silent", 5*time.Second, func() bool {
 		assignment := first.assignment.Load()
-		measured := slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return !first.measures(assignment, server(first, id)) })
+		measured := slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return !first.measures(assignment, first.server(id)) })
 		return len(measured) > 0 && len(measured) < len(ids) &&
-			!slices.ContainsFunc(measured, func(id string) bool { return !server(second, id).Stats.IsSilent() })
+			!slices.ContainsFunc(measured, func(id string) bool { return !second.server(id).Stats.IsSilent() })
 	})
 }
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -96,22 +96,20 @@
 // old it is.
 func (e *Edge) writeGauges() {
 	now := e.now()
+	gauge := func(value float64, format string, labels ...any) {
+		e.metrics.GetOrCreateGauge(fmt.Sprintf(format, labels...), nil).Set(value)
+	}
 	for _, w := range e.watchers {
 		mark, known := w.mark(now)
 		if known {
-			e.metrics.GetOrCreateGauge(fmt.Sprintf(`balsamhill_table_age_seconds{table=%q}`, w.table), nil).
-				Set(float64(mark.Age) / float64(time.Second))
+			gauge(float64(mark.Age)/float64(time.Second), `balsamhill_table_age_seconds{table=%q}`, w.table)
 		}
 	}
 	e.peersMu.Lock()
 	alive := e.peers.Alive(now)
-	reader := e.peers.IsReader(now, !e.storeView.unreachable.Load())
 	e.peersMu.Unlock()
-	gauge := func(value float64, format string, labels ...any) {
-		e.metrics.GetOrCreateGauge(fmt.Sprintf(format, labels...), nil).Set(value)
-	}
 	gauge(float64(alive), "balsamhill_gateways_alive")
-	gauge(indicator(reader && !e.stopping.Load()), "balsamhill_reader")
+	gauge(indicator(e.isReader(now)), "balsamhill_reader")
 	gauge(indicator(e.relay.Load()), "balsamhill_relay")
 	snapshot := e.snapshot.Load()
 	if snapshot == nil {
--- a/pkg/edge/metrics_test.go
+++ b/pkg/edge/metrics_test.go
@@ -10,16 +10,12 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-
-	"balsamhill/pkg/feed"
 )
 
 // TestMetricsArePublished guards against metrics that docs/METRICS.md does not
 // name, and against roles and budgets that a gateway does not show.
 func TestMetricsArePublished(t *testing.T) {
-	store := newFakeStore()
-	store.write(feed.Config, "config", []byte("1"), false)
-	store.write(feed.Servers, "a", entry("a", 1), false)
+	store := storeWith("a")
 	e := startEdge(t, "only", store)
 	eventually(t, "the gateway knows the server", 5*time.Second, func() bool { return e.knows("a") })
 	eventually(t, "the gateway knows its part", 5*time.Second, e.relay.Load)
--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -84,10 +84,9 @@
 			reports = appendNews(reports, link.told, now, id, server.Stats, toldOf(server.Stats))
 		}
 	}
-	s.send(targets, &gossip.Message{
-		Key: gossip.KeyOf(e.self.ID), Incarnation: e.self.Incarnation, Introduction: &e.self, Interval: interval,
-		StoreReachable: !e.storeView.unreachable.Load(),
-	}, reports)
+	message := e.newMessage(interval)
+	message.Introduction = &e.self
+	s.send(targets, message, reports)
 }
 
 // ownGroup reports whether a server belongs to the gateways that this one talks to.
--- a/pkg/edge/sender.go
+++ b/pkg/edge/sender.go
@@ -112,14 +112,8 @@
 		return
 	}
 	s.sentAt = now
-	message := gossip.Message{
-		Key:            gossip.KeyOf(e.self.ID),
-		Incarnation:    e.self.Incarnation,
-		Stopping:       e.stopping.Load(),
-		StoreReachable: !e.storeView.unreachable.Load(),
-		Interval:       interval,
-		Suspicions:     wireSuspicions(suspicions),
-	}
+	message := e.newMessage(interval)
+	message.Suspicions = wireSuspicions(suspicions)
 	greet := e.greet.Swap(false)
 	if changed || greet || now-s.markedAt >= int64(heartbeatInterval) {
 		s.markedAt = now
@@ -138,7 +132,18 @@
 	e.peersMu.Lock()
 	targets := e.peers.Targets(now)
 	e.peersMu.Unlock()
-	s.send(targets, &message, reports)
+	s.send(targets, message, reports)
+}
+
+// newMessage returns a message with what each one says of its sender.
+func (e *Edge) newMessage(interval time.Duration) *gossip.Message {
+	return &gossip.Message{
+		Key:            gossip.KeyOf(e.self.ID),
+		Incarnation:    e.self.Incarnation,
+		Stopping:       e.stopping.Load(),
+		StoreReachable: !e.storeView.unreachable.Load(),
+		Interval:       interval,
+	}
 }
 
 // send sends a message with as many reports as fit, and further messages with the
@@ -213,7 +218,7 @@
 	}
 	var reports []gossip.Report
 	for id, server := range view.snapshot.ServersByID {
-		current, ok := s.news(now, id, server, assignment)
+		current, ok := s.news(id, server, assignment)
 		if ok {
 			reports = appendNews(reports, s.told, now, id, server.Stats, current)
 		}
@@ -221,28 +226,27 @@
 	return reports
 }
 
-// news returns what this gateway tells its group of a server, false if nothing:
-// what it learnt itself of its group's servers and, if it is the relay, what it
-// holds of those of other groups.
-func (s *sender) news(now int64, id string, server *routing.Server, assignment *gossip.Assignment) (told, bool) {
+// news returns what this gateway has to tell its group of a server, false if
+// nothing: what it learnt itself of its group's servers and, if it is the relay,
+// what it holds of those of other groups. appendNews leaves out what was told.
+func (s *sender) news(id string, server *routing.Server, assignment *gossip.Assignment) (told, bool) {
 	if !s.edge.ownGroup(server, assignment.Wide()) {
 		if !s.edge.relay.Load() {
 			return told{}, false
 		}
 		return toldOf(server.Stats), true
 	}
-	known := s.told[id]
 	current := told{reportedAt: server.Stats.OwnReportedAt()}
 	if !server.Stats.IsSilent() {
-		return current, known.due(now, current)
+		return current, true
 	}
 	if assignment.Measures(id, server.FailureDomain) {
 		current.silent = true
-		return current, known.due(now, current)
+		return current, true
 	}
 	// Only the gateway that measures a server says that it is silent, and only a new
 	// answer speaks against it.
-	return current, current.reportedAt != known.reportedAt
+	return current, current.reportedAt != s.told[id].reportedAt
 }
 
 func toldOf(stats *routing.Stats) told {
--- a/pkg/edge/sender_test.go
+++ b/pkg/edge/sender_test.go
@@ -12,13 +12,21 @@
 // newsOf returns what a gateway tells its group of a server at a moment, and takes
 // note of it as the loop that sends does.
 func newsOf(s *sender, now int64, server *routing.Server, assignment *gossip.Assignment) []gossip.Report {
-	current, ok := s.news(now, server.ID, server, assignment)
+	current, ok := s.news(server.ID, server, assignment)
 	if !ok {
 		return nil
 	}
 	return appendNews(nil, s.told, now, server.ID, server.Stats, current)
 }
 
+// newSender returns the sender of a gateway, and a server next to it.
+func newSender() (*sender, *routing.Server) {
+	return &sender{
+			edge: &Edge{settings: &Settings{ID: "g1", Region: "r", FailureDomain: "d"}}, told: make(map[string]telling),
+		},
+		&routing.Server{ID: "a", Region: "r", FailureDomain: "d", Stats: &routing.Stats{}}
+}
+
 // TestFormerMeasurerIsQuiet guards against a gateway that goes on telling that a
 // server is silent after another one has taken over its measurement.
 func TestFormerMeasurerIsQuiet(t *testing.T) {
@@ -30,8 +38,7 @@
 	behind := peers.Assign(1)
 	assert.Assert(t, alone.Measures("a", "d") && !behind.Measures("a", "d"))
 
-	s := &sender{edge: &Edge{settings: &Settings{ID: "g1", Region: "r", FailureDomain: "d"}}, told: make(map[string]telling)}
-	server := &routing.Server{ID: "a", Region: "r", FailureDomain: "d", Stats: &routing.Stats{}}
+	s, server := newSender()
 	server.Stats.SetSilent(true)
 	now := int64(1e9)
 	reports := newsOf(s, now, server, &alone)
@@ -53,8 +60,7 @@
 func TestUnchangedReportIsRepeatedForAWhile(t *testing.T) {
 	peers := gossip.NewPeers(gossip.Gateway{ID: "g1", Region: "r", FailureDomain: "d"})
 	assignment := peers.Assign(1)
-	s := &sender{edge: &Edge{settings: &Settings{ID: "g1", Region: "r", FailureDomain: "d"}}, told: make(map[string]telling)}
-	server := &routing.Server{ID: "a", Region: "r", FailureDomain: "d", Stats: &routing.Stats{}}
+	s, server := newSender()
 	start := int64(1e9)
 	assert.Equal(t, len(newsOf(s, start, server, &assignment)), 0)
 	server.Stats.ReportLoad(start, 1, 1000)
--- a/pkg/gossip/peers.go
+++ b/pkg/gossip/peers.go
@@ -34,17 +34,35 @@
 	fewMeasurers = 4
 )
 
-// peer is what is known of another gateway.
+// contact is what is known of any other gateway.
+type contact struct {
+	gateway Gateway
+	// heardAt and sequence are the time and the number of its last message; heardAt
+	// is 0 if there was none.
+	heardAt  int64
+	sequence uint64
+	// sentAt is when it last got a message.
+	sentAt int64
+}
+
+// hear takes a message of the gateway in and reports whether it is newer than the
+// last one. Messages of an earlier or unknown incarnation are not.
+func (c *contact) hear(now int64, message *Message) bool {
+	if message.Incarnation != c.gateway.Incarnation || c.heardAt != 0 && message.Sequence <= c.sequence {
+		return false
+	}
+	c.heardAt, c.sequence = now, message.Sequence
+	return true
+}
+
+// peer is what is known of another gateway of the region.
 type peer struct {
-	gateway        Gateway
-	heardAt        int64
-	sequence       uint64
+	contact
 	interval       time.Duration
 	stopping       bool
 	storeReachable bool
 	marks          []feed.Mark
 	markedAt       int64
-	sentAt         int64
 }
 
 // Peers is the table of the other gateways of the region, and of a few of the
@@ -77,7 +95,7 @@
 	key := KeyOf(gateway.ID)
 	known := p.peers[key]
 	if known == nil || gateway.Incarnation > known.gateway.Incarnation {
-		p.peers[key] = &peer{gateway: gateway, markedAt: now}
+		p.peers[key] = &peer{contact: contact{gateway: gateway}, markedAt: now}
 	}
 }
 
@@ -95,15 +113,10 @@
 	if known == nil {
 		return p.hearRemote(now, message), false
 	}
-	if message.Incarnation != known.gateway.Incarnation {
-		return false, false
-	}
-	if known.heardAt != 0 && message.Sequence <= known.sequence {
+	joined = !known.alive(now)
+	if !known.hear(now, message) {
 		return false, false
 	}
-	joined = !known.alive(now)
-	known.heardAt = now
-	known.sequence = message.Sequence
 	known.interval = message.Interval
 	known.stopping = message.Stopping
 	known.storeReachable = message.StoreReachable
--- a/pkg/gossip/relay.go
+++ b/pkg/gossip/relay.go
@@ -34,13 +34,9 @@
 
 // remote is what is known of a gateway of another region.
 type remote struct {
-	gateway  Gateway
-	sequence uint64
-	// heardAt is the time of its last message, 0 if none.
-	heardAt int64
+	contact
 	// learntAt is when another source named it.
 	learntAt int64
-	sentAt   int64
 	// named says that it is known from the gateway itself, a seed or the store and
 	// not only from other gateways, which might pass it on to each other for ever.
 	named bool
@@ -64,7 +60,7 @@
 	if known == nil && !p.roomForRemote(now, gateway) {
 		return
 	}
-	p.remotes[key] = &remote{gateway: gateway, learntAt: now, named: named}
+	p.remotes[key] = &remote{contact: contact{gateway: gateway}, learntAt: now, named: named}
 }
 
 // roomForRemote forgets gateways without a sign of life and reports whether one
@@ -86,13 +82,10 @@
 // newer than the last one of its sender.
 func (p *Peers) hearRemote(now int64, message *Message) bool {
 	known := p.remotes[message.Key]
-	if known == nil || message.Incarnation != known.gateway.Incarnation {
+	if known == nil || !known.hear(now, message) {
 		return false
 	}
-	if known.heardAt != 0 && message.Sequence <= known.sequence {
-		return false
-	}
-	known.heardAt, known.sequence, known.named = now, message.Sequence, true
+	known.named = true
 	return true
 }
 
@@ -109,13 +102,6 @@
 	return true
 }
 
-// contact is a gateway of another group.
-type contact struct {
-	gateway Gateway
-	heardAt int64
-	sentAt  *int64
-}
-
 // RelayTarget is a gateway that gets this relay's next message.
 type RelayTarget struct {
 	Address string
@@ -127,16 +113,16 @@
 // and then a few known gateways of the group until one answers.
 func (p *Peers) RelayTargets(now int64) []RelayTarget {
 	wide := p.Wide()
-	contacts := make(map[group][]contact)
+	contacts := make(map[group][]*contact)
 	for _, key := range slices.Sorted(maps.Keys(p.remotes)) {
 		r := p.remotes[key]
 		g := groupOf(r.gateway, wide)
-		contacts[g] = append(contacts[g], contact{r.gateway, r.heardAt, &r.sentAt})
+		contacts[g] = append(contacts[g], &r.contact)
 	}
 	for _, key := range slices.Sorted(maps.Keys(p.peers)) {
 		peer := p.peers[key]
 		if g := groupOf(peer.gateway, wide); g != groupOf(p.self, wide) {
-			contacts[g] = append(contacts[g], contact{peer.gateway, peer.heardAt, &peer.sentAt})
+			contacts[g] = append(contacts[g], &peer.contact)
 		}
 	}
 	var targets []RelayTarget
@@ -147,18 +133,18 @@
 	return targets
 }
 
-func targetsAmong(now int64, known []contact) []RelayTarget {
-	latest := slices.MaxFunc(known, func(a, b contact) int { return cmp.Compare(a.heardAt, b.heardAt) })
+func targetsAmong(now int64, known []*contact) []RelayTarget {
+	latest := slices.MaxFunc(known, func(a, b *contact) int { return cmp.Compare(a.heardAt, b.heardAt) })
 	if latest.heardAt != 0 && now-latest.heardAt <= int64(remoteLife) {
 		return []RelayTarget{{latest.gateway.Address, latest.gateway.Region}}
 	}
-	slices.SortStableFunc(known, func(a, b contact) int { return cmp.Compare(*a.sentAt, *b.sentAt) })
+	slices.SortStableFunc(known, func(a, b *contact) int { return cmp.Compare(a.sentAt, b.sentAt) })
 	var targets []RelayTarget
 	for _, c := range known[:min(searchFanout, len(known))] {
-		if *c.sentAt != 0 && now-*c.sentAt < int64(silentInterval) {
+		if c.sentAt != 0 && now-c.sentAt < int64(silentInterval) {
 			continue
 		}
-		*c.sentAt = now
+		c.sentAt = now
 		targets = append(targets, RelayTarget{c.gateway.Address, c.gateway.Region})
 	}
 	return targets
--- a/pkg/proxy/keyed.go
+++ b/pkg/proxy/keyed.go
@@ -106,7 +106,7 @@
 func (c *call) answerClaim(status int, outcome Outcome, detail string) {
 	c.proxy.config.Metrics.outcomes[outcome].Inc()
 	c.closeIfBodyUnread()
-	c.proxy.refuse(c.w, status, outcome, detail)
+	c.proxy.refuse(c.w, status, outcome, detail, retryAfter)
 }
 
 // replay sends the recorded answer of the run.
--- a/pkg/proxy/load.go
+++ b/pkg/proxy/load.go
@@ -122,20 +122,26 @@
 
 // answerEvent describes the call for the observer; a is nil without an answer.
 func (c *call) answerEvent(a *attempt) AnswerEvent {
-	event := AnswerEvent{
+	event := c.eventSoFar()
+	event.Attempts = c.sent
+	if a != nil {
+		event.ServerID = a.server.ID
+		event.Status = a.response.StatusCode
+	}
+	return event
+}
+
+// eventSoFar describes the call by what does not change, and may be called beside
+// it.
+func (c *call) eventSoFar() AnswerEvent {
+	return AnswerEvent{
 		RequestID: c.requestID,
 		Route:     c.route.Name,
 		Service:   c.target,
-		Attempts:  c.sent,
 		Took:      time.Duration(c.proxy.config.Now() - c.arrived),
 		Target:    c.route.Target,
 		Revision:  c.revision,
 	}
-	if a != nil {
-		event.ServerID = a.server.ID
-		event.Status = a.response.StatusCode
-	}
-	return event
 }
 
 // watchLateness has the observer told if there is no answer at the route's target.
@@ -147,16 +153,9 @@
 	c.lateness = time.AfterFunc(max(0, left), c.observeLateness)
 }
 
-// observeLateness runs beside the call and reads only what does not change.
+// observeLateness runs beside the call.
 func (c *call) observeLateness() {
-	event := AnswerEvent{
-		RequestID: c.requestID,
-		Route:     c.route.Name,
-		Service:   c.target,
-		Took:      time.Duration(c.proxy.config.Now() - c.arrived),
-		Target:    c.route.Target,
-		Revision:  c.revision,
-	}
+	event := c.eventSoFar()
 	if a := c.newest.Load(); a != nil {
 		event.ServerID = a.server.ID
 		event.Attempts = a.number
--- a/pkg/proxy/outcome.go
+++ b/pkg/proxy/outcome.go
@@ -7,7 +7,6 @@
 
 	"balsamhill/pkg/claim"
 	"balsamhill/pkg/retry"
-	"balsamhill/pkg/routing"
 )
 
 // Outcome says whether a refused or failed call ran.
@@ -20,14 +19,9 @@
 	Unknown Outcome = "unknown"
 )
 
-// refuse answers in place of a server.
-func (p *Proxy) refuse(w http.ResponseWriter, status int, outcome Outcome, detail string) {
-	p.refuseUntil(w, status, outcome, detail, retryAfter)
-}
-
-// refuseUntil answers in place of a server. A call that did not run may come back
-// after the time given.
-func (p *Proxy) refuseUntil(w http.ResponseWriter, status int, outcome Outcome, detail string, after time.Duration) {
+// refuse answers in place of a server. A call that did not run may come back after
+// the time given.
+func (p *Proxy) refuse(w http.ResponseWriter, status int, outcome Outcome, detail string, after time.Duration) {
 	refusal := Refusal{Status: status, Outcome: outcome, Detail: detail}
 	if status == http.StatusServiceUnavailable && outcome == NotRun {
 		refusal.RetryAfter = after
@@ -48,7 +42,7 @@
 			Took:      time.Duration(p.config.Now() - arrived),
 		})
 	}
-	p.refuse(w, status, outcome, detail)
+	p.refuse(w, status, outcome, detail, retryAfter)
 }
 
 // retryAfter is when a caller of a call that did not run may come back: long
@@ -77,24 +71,21 @@
 	c.observeRefusal(status, outcome, detail)
 	c.closeIfBodyUnread()
 	_ = c.control.SetWriteDeadline(time.Now().Add(c.idle()))
-	c.proxy.refuseUntil(c.w, status, outcome, detail, c.returnAfter())
+	c.proxy.refuse(c.w, status, outcome, detail, c.returnAfter())
 }
 
 // returnAfter is when the caller may come back if the call did not run. Servers
 // that refuse calls although they have free slots do so at random, so there is
 // nothing to wait for.
 func (c *call) returnAfter() time.Duration {
-	if c.refused > 0 && c.hasRoom() {
-		return returnSoon
+	if c.refused == 0 {
+		return retryAfter
 	}
-	return retryAfter
-}
-
-// hasRoom reports whether the best server of all has a free slot.
-func (c *call) hasRoom() bool {
 	c.tried = c.tried[:0]
-	server := c.choose()
-	return server != nil && c.view.RoomOf(server, c.proxy.config.Now(), c.service.work.Crowding()) == routing.RoomFree
+	if server, _ := c.alternative(c.proxy.config.Now()); server == nil {
+		return retryAfter
+	}
+	return returnSoon
 }
 
 // observeRefusal tells the observer of an answer in place of a server.
--- a/pkg/proxy/pace.go
+++ b/pkg/proxy/pace.go
@@ -85,8 +85,8 @@
 	x.start(c.freshAttempt(server))
 }
 
-// alternative returns another server with a free slot and the expected time to
-// its answer, nil if there is none.
+// alternative returns a server that was not tried yet, with a free slot, and the
+// expected time to its answer, nil if the best one has none.
 func (c *call) alternative(now int64) (*routing.Server, int64) {
 	random := randPool.Get().(*rand.Rand)
 	defer randPool.Put(random)
