Log how a configuration reaches each gateway

Change: lines for announced versions, for reads of tables with source, bytes, duration and kind of failure, and for configurations that are not newer; 'configuration in force' has the version of the row and the times since it was announced, received and confirmed. A call without a matching route carries the revision that was asked. Metrics for reads, for the delay of a configuration and for the division of routes. The check that each metric is documented now also removes the suffix _sum of histograms; the name before it still has to be on the page. No decision is changed.

--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -16,8 +16,19 @@
 	rows  []feed.Row
 	// storeRecoveredAt is when the last outage of the store ended, 0 if there was none.
 	storeRecoveredAt int64
-	// source is "store" or the address of the gateway that sent the rows.
+	// source is storeSource or the address of the gateway that sent the rows.
 	source string
+	// receivedAt is when the read ended, announcedAt when a peer last announced a change of
+	// the table, 0 if none did, and confirmedAt when the store confirmed the rows.
+	receivedAt, announcedAt, confirmedAt int64
+}
+
+// configReceipt describes how the configuration in force reached this gateway.
+type configReceipt struct {
+	// rowVersion is the version of the store's transaction that wrote the configuration.
+	rowVersion uint64
+	event      *tableEvent
+	decoding   time.Duration
 }
 
 // runControl applies table events and runs the control state until ctx is done. No other
@@ -45,7 +56,7 @@
 	switch event.table {
 	case feed.Config:
 		for _, row := range event.rows {
-			e.applyConfig(row, event.source)
+			e.applyConfig(row, &event)
 		}
 	case feed.Servers:
 		e.servers.StoreRecovered(event.storeRecoveredAt)
@@ -53,20 +64,27 @@
 	}
 }
 
-func (e *Edge) applyConfig(row feed.Row, source string) {
+func (e *Edge) applyConfig(row feed.Row, event *tableEvent) {
 	if row.Deleted {
 		return
 	}
+	began := e.now()
 	document, err := e.codec.DecodeConfig(row)
 	if err != nil {
 		e.counters.invalidConfigs.Inc()
-		e.log.Warn("configuration cannot be read; the one in force stays", "error", err, "source", source)
+		e.log.Warn("configuration cannot be read; the one in force stays", "error", err, "source", event.source,
+			"rowVersion", row.Version)
 		return
 	}
 	if document == nil {
 		return
 	}
-	e.state.Apply(e.now(), control.PresetOffered{Version: e.presetVersion(document), Source: source})
+	if snapshot := e.snapshot.Load(); snapshot != nil && document.Revision <= snapshot.Version.Revision {
+		e.log.Info("configuration is not newer; the one in force stays", "revision", document.Revision,
+			"inForce", snapshot.Version.Revision, "source", event.source, "rowVersion", row.Version)
+	}
+	e.configReceipt = configReceipt{rowVersion: row.Version, event: event, decoding: time.Duration(e.now() - began)}
+	e.state.Apply(e.now(), control.PresetOffered{Version: e.presetVersion(document), Source: event.source})
 }
 
 const (
@@ -146,6 +164,22 @@
 	e.serversLoaded.Store(true)
 }
 
+func (e *Edge) recordAdoption(adopted control.PresetAdopted) {
+	now := e.now()
+	receipt := e.configReceipt
+	e.counters.adoptions.Inc()
+	sinceAnnounced := ""
+	if announcedAt := receipt.event.announcedAt; announcedAt != 0 {
+		delay := time.Duration(now - announcedAt)
+		sinceAnnounced = delay.String()
+		e.counters.configDelay.Update(delay.Seconds())
+	}
+	e.log.Info("configuration in force", "revision", adopted.Version.Revision, "previous", adopted.Previous,
+		"source", adopted.Source, "routes", len(adopted.Version.Routing.Rules), "rowVersion", receipt.rowVersion,
+		"sinceAnnounced", sinceAnnounced, "sinceReceived", time.Duration(now-receipt.event.receivedAt).String(),
+		"decoding", receipt.decoding.String(), "storeAge", time.Duration(now-receipt.event.confirmedAt).String())
+}
+
 func (e *Edge) perform(actions []control.Action) {
 	for _, action := range actions {
 		switch a := action.(type) {
@@ -156,9 +190,7 @@
 				e.startup.open()
 			}
 		case control.PresetAdopted:
-			e.counters.adoptions.Inc()
-			e.log.Info("configuration in force", "revision", a.Version.Revision, "previous", a.Previous,
-				"source", a.Source, "routes", len(a.Version.Routing.Rules))
+			e.recordAdoption(a)
 		case control.ServerChanged:
 			e.log.Info("server availability changed", "server", a.ServerID, "service", a.Service,
 				"from", a.From, "to", a.To, "reason", a.Reason)
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -92,6 +92,8 @@
 	state   *control.State
 	servers *registry.Registry
 	events  chan tableEvent
+	// configReceipt is accessed only by the control goroutine.
+	configReceipt configReceipt
 
 	snapshot atomic.Pointer[routing.Snapshot]
 	// indexed is the current snapshot with an index for incoming load reports.
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -210,6 +210,13 @@
 func startEdgeIn(t *testing.T, id, region, domain string, store Store, seeds ...string) *Edge {
 	t.Helper()
 	e := openEdge(t, id, region, domain, store, seeds...)
+	runUntilCleanup(t, e)
+	return e
+}
+
+// runUntilCleanup runs a gateway until the test ends.
+func runUntilCleanup(t *testing.T, e *Edge) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -217,7 +224,6 @@
 		assert.Check(t, e.Run(ctx))
 	}()
 	t.Cleanup(func() { cancel(); <-done })
-	return e
 }
 
 // eventually fails the test if a condition is not met within the limit.
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -29,6 +29,8 @@
 	probes          *metrics.Counter
 	probeErrors     *metrics.Counter
 	joins           *metrics.Counter
+	// configDelay is the time from the announcement of a configuration to its adoption.
+	configDelay *metrics.Histogram
 }
 
 func newCounters(set *metrics.Set) *counters {
@@ -44,6 +46,7 @@
 		probes:          set.NewCounter("balsamhill_probes_total"),
 		probeErrors:     set.NewCounter("balsamhill_probe_errors_total"),
 		joins:           set.NewCounter("balsamhill_gateways_joined_total"),
+		configDelay:     set.NewHistogram("balsamhill_config_delay_seconds"),
 	}
 }
 
@@ -58,6 +61,7 @@
 	}
 	c.set.GetOrCreateHistogram(fmt.Sprintf(`balsamhill_answer_seconds{service=%q,outcome=%q}`, event.Service, outcome)).
 		Update(event.Took.Seconds())
+	c.set.GetOrCreateCounter(fmt.Sprintf(`balsamhill_route_calls_total{route=%q,service=%q}`, event.Route, event.Service)).Inc()
 }
 
 func (c *counters) recordStoreCall(table feed.Table, err error) {
--- a/pkg/edge/metrics_test.go
+++ b/pkg/edge/metrics_test.go
@@ -26,7 +26,9 @@
 	page, err := os.ReadFile("../../docs/METRICS.md")
 	assert.NilError(t, err)
 	for _, name := range regexp.MustCompile(`(?m)^balsamhill_[a-z_]+`).FindAllString(published, -1) {
-		name = strings.TrimSuffix(strings.TrimSuffix(name, "_bucket"), "_count")
+		for _, suffix := range []string{"_bucket", "_count", "_sum"} {
+			name = strings.TrimSuffix(name, suffix)
+		}
 		assert.Check(t, strings.Contains(string(page), "`"+name+"`"), "%s is not on the page", name)
 	}
 	for _, line := range []string{
--- a/pkg/edge/receiver.go
+++ b/pkg/edge/receiver.go
@@ -79,6 +79,7 @@
 	now := e.now()
 	e.peersMu.Lock()
 	newer, joined := e.peers.ApplyMessage(now, message)
+	sender := e.peers.IDOf(message.Key)
 	e.peersMu.Unlock()
 	if !newer {
 		return
@@ -89,7 +90,7 @@
 	}
 	for i, state := range message.TableStates {
 		if i < len(e.watchers) {
-			e.watchers[i].confirm(now, state)
+			e.watchers[i].confirm(now, state, sender)
 		}
 	}
 	indexed := e.indexed.Load()
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -73,8 +73,12 @@
 // the whole table has to be read.
 var ErrHistoryGone = errors.New("changes since this version are no longer available")
 
-// Store is the platform's store. If Read or Changes returns an error, its batch is
-// invalid. If Put returns an error, the row may or may not have been written.
+// ErrReadRefused is the cause of a failed read that the store or a gateway responded to
+// with an error status.
+var ErrReadRefused = errors.New("the source refused the read")
+
+// Store is the platform's store. If Read or Changes returns an error, its batch contains
+// only the number of bytes that were received. If Put returns an error, the row may or may not have been written.
 type Store interface {
 	// Read returns a whole table.
 	Read(ctx context.Context, table feed.Table) (feed.Batch, error)
--- a/pkg/edge/tables.go
+++ b/pkg/edge/tables.go
@@ -65,9 +65,23 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return feed.Batch{}, eris.Errorf("table response has status %d", response.StatusCode)
+		return feed.Batch{}, eris.Wrapf(ErrReadRefused, "table response has status %d", response.StatusCode)
 	}
+	body := &countingReader{reader: io.LimitReader(response.Body, maxTableBytes)}
 	var batch feed.Batch
-	err = json.NewDecoder(io.LimitReader(response.Body, maxTableBytes)).Decode(&batch)
+	err = json.NewDecoder(body).Decode(&batch)
+	batch.Bytes = body.count
 	return batch, eris.Wrap(err, "decode table response")
 }
+
+// countingReader counts the bytes that are read through it.
+type countingReader struct {
+	reader io.Reader
+	count  int64
+}
+
+func (c *countingReader) Read(p []byte) (int, error) {
+	n, err := c.reader.Read(p)
+	c.count += int64(n)
+	return n, err
+}
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -77,6 +77,15 @@
 
 	mu     sync.Mutex
 	mirror feed.Mirror
+	// announced is the newest change that a peer has announced.
+	announced announcement
+}
+
+// announcement is a change of a table of which a gateway was notified.
+type announcement struct {
+	// version is the version of the change, at the time of the first notice.
+	version uint64
+	at      int64
 }
 
 func newWatcher(e *Edge, table feed.Table, index int) *watcher {
@@ -162,15 +171,24 @@
 	return w.mirror.State(now), w.mirror.Loaded()
 }
 
-// confirm applies the table state of a peer and wakes the watcher if the peer holds
-// changes that this gateway lacks.
-func (w *watcher) confirm(now int64, state feed.TableState) {
+// confirm applies the table state of a peer, given by its ID, and wakes the watcher if
+// the peer holds changes that this gateway lacks.
+func (w *watcher) confirm(now int64, state feed.TableState, peer string) {
 	w.mu.Lock()
 	behind := w.mirror.Confirm(now, state)
+	first := behind && state.LastChange > w.announced.version
+	if first {
+		w.announced = announcement{version: state.LastChange, at: now}
+	}
+	held := w.mirror.AsOf()
 	w.mu.Unlock()
 	if !behind {
 		return
 	}
+	if first {
+		w.edge.logTable(w.table, "newer table announced", "gateway", peer, "change", state.LastChange,
+			"heldAsOf", held, "peerAge", time.Duration(state.Age).String())
+	}
 	select {
 	case w.wake <- struct{}{}:
 	default:
@@ -183,7 +201,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, fullTableTimeout)
 	defer cancel()
 	batch, err := w.edge.store.Read(callCtx, w.table)
-	return w.handleStoreResponse(ctx, began, batch, err, backoff)
+	return w.handleStoreResponse(ctx, tableRead{table: w.table, source: storeSource, began: began}, batch, err, backoff)
 }
 
 // readChanges reads the changes after a version from the store, which may delay its
@@ -199,14 +217,16 @@
 		w.edge.log.Info("store no longer has the changes since this version; reading the whole table", "table", w.table, "after", after)
 		return w.readFullTable(ctx, backoff)
 	}
-	return w.handleStoreResponse(ctx, began, batch, err, backoff)
+	read := tableRead{table: w.table, source: storeSource, after: after, began: began, wait: wait}
+	return w.handleStoreResponse(ctx, read, batch, err, backoff)
 }
 
-func (w *watcher) handleStoreResponse(ctx context.Context, began int64, batch feed.Batch, err error,
+func (w *watcher) handleStoreResponse(ctx context.Context, read tableRead, batch feed.Batch, err error,
 	backoff feed.Backoff,
 ) time.Duration {
 	now := w.edge.now()
 	w.edge.counters.recordStoreCall(w.table, err)
+	w.edge.recordRead(ctx, read, batch, err)
 	if err != nil {
 		if ctx.Err() == nil {
 			w.edge.storeFailed(now, w.table, err, backoff)
@@ -214,7 +234,7 @@
 		return 0
 	}
 	w.edge.storeSucceeded(now)
-	w.applyBatch(ctx, batch, "store")
+	w.applyBatch(ctx, batch, storeSource)
 	return 0
 }
 
@@ -224,12 +244,17 @@
 	w.mu.Lock()
 	first := !w.mirror.Loaded()
 	rows := w.mirror.Apply(now, batch)
+	announced := w.announced
+	confirmedAt := w.mirror.ConfirmedAt()
 	w.mu.Unlock()
 	if len(rows) == 0 && !first {
 		return
 	}
 	w.nextStoreReadAt = now + int64(changeCoalesceDelay)
-	event := tableEvent{table: w.table, rows: rows, storeRecoveredAt: w.edge.storeState.recoveredAt(), source: source}
+	event := tableEvent{
+		table: w.table, rows: rows, storeRecoveredAt: w.edge.storeState.recoveredAt(), source: source,
+		receivedAt: now, announcedAt: announced.at, confirmedAt: confirmedAt,
+	}
 	select {
 	case w.edge.events <- event:
 	case <-ctx.Done():
@@ -247,10 +272,11 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	read := tableRead{table: w.table, source: address, after: after, began: w.edge.now()}
 	batch, err := fetchTable(callCtx, address, w.table, query)
 	w.edge.counters.recordPeerRead(err)
+	w.edge.recordRead(ctx, read, batch, err)
 	if err != nil {
-		w.edge.log.Debug("table read from gateway failed", "table", w.table, "gateway", address, "error", err)
 		return false
 	}
 	if batch.RecoveryAge > 0 {
--- a/pkg/feed/mirror.go
+++ b/pkg/feed/mirror.go
@@ -47,6 +47,9 @@
 	// RecoveryAge is the time since the store recovered from an outage, in
 	// nanoseconds, 0 if there was none.
 	RecoveryAge int64 `json:"outageEnded,omitempty"`
+	// Bytes is the number of bytes that the reader received for the batch, for logs and
+	// metrics.
+	Bytes int64 `json:"-"`
 }
 
 // TableState describes a gateway's copy of a table.
--- a/pkg/gossip/peers.go
+++ b/pkg/gossip/peers.go
@@ -132,6 +132,17 @@
 	return true, joined
 }
 
+// IDOf returns the ID of a known gateway by its key, empty if it is unknown.
+func (p *Peers) IDOf(key uint64) string {
+	if existing := p.peers[key]; existing != nil {
+		return existing.gateway.ID
+	}
+	if existing := p.remotes[key]; existing != nil {
+		return existing.gateway.ID
+	}
+	return ""
+}
+
 func (p *peer) alive(now int64) bool {
 	return p.lastMessageAt != 0 && now-p.lastMessageAt <= int64(max(minPeerTimeout, timeoutIntervals*p.interval))
 }
--- a/pkg/proxy/check.go
+++ b/pkg/proxy/check.go
@@ -22,7 +22,7 @@
 	if r.ProtoMajor == 1 {
 		w.Header().Set("Connection", "close")
 	}
-	p.refuseUnrouted(w, r, arrived, status, detail)
+	p.refuseUnrouted(w, r, arrived, 0, status, detail)
 	return false
 }
 
--- a/pkg/proxy/outcome.go
+++ b/pkg/proxy/outcome.go
@@ -29,8 +29,9 @@
 	p.config.Protocol.Refuse(w, refusal)
 }
 
-// refuseUnrouted refuses a call whose service is not known yet.
-func (p *Proxy) refuseUnrouted(w http.ResponseWriter, r *http.Request, arrived int64, status int, detail string) {
+// refuseUnrouted refuses a call whose service is not known yet. revision is that of the
+// configuration that the call uses, 0 for none.
+func (p *Proxy) refuseUnrouted(w http.ResponseWriter, r *http.Request, arrived int64, revision uint64, status int, detail string) {
 	limitUnreadBodyDrain(w, r)
 	outcome := outcomeWithoutService(r)
 	if observer := p.config.Observer; observer != nil {
@@ -40,6 +41,7 @@
 			Outcome:   outcome,
 			Detail:    detail,
 			Took:      time.Duration(p.config.Now() - arrived),
+			Revision:  revision,
 		})
 	}
 	p.refuse(w, status, outcome, detail, defaultRetryAfter)
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -136,13 +136,13 @@
 	}
 	if routes == nil {
 		p.config.Metrics.notReady.Inc()
-		p.refuseUnrouted(w, r, arrived, http.StatusServiceUnavailable, "the gateway does not know its routes yet")
+		p.refuseUnrouted(w, r, arrived, revisionOf(snapshot), http.StatusServiceUnavailable, "the gateway does not know its routes yet")
 		return
 	}
 	route, ok := routes.Match(r.Method, r.Host, r.URL.Path)
 	if !ok {
 		p.config.Metrics.noRoute.Inc()
-		p.refuseUnrouted(w, r, arrived, http.StatusNotFound, "no route matches host "+r.Host+" and path "+r.URL.Path)
+		p.refuseUnrouted(w, r, arrived, revisionOf(snapshot), http.StatusNotFound, "no route matches host "+r.Host+" and path "+r.URL.Path)
 		return
 	}
 	serviceName := chooseService(route)
