Move only what changed of a configuration, and limit reads by progress

Cause: the configuration is one row. Each change, however small, moved all of it, in base64, to each of 139 gateways over links that carry traffic, and a read ended after 0.4 s (gateway) or 0.6 s (store) whatever its progress and started again from nothing. All gateways of a group read from the same one. A gateway whose read from another one had failed turned to the store at once, and a read of the store that was cut off counted as an outage of the store with pauses of seconds.

Change: rows travel as protobuf, compressed with zstd relative to the value that the reader already holds (package tablecodec); a read ends when it makes no progress, not after a fixed time (package transfer), and is resumed from the next source; the gateways of a group divide their reads among those that hold the change and leave one that failed for a moment; a gateway reads the store itself only when its copy is too old. Gateways of older builds get and give JSON as before. The same limits on the whole time stood in reads of the members' table and in the answers of seeds; they have the new ones too.

--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -125,11 +126,13 @@
 	return nil
 }
 
-// fakeCodec decodes configurations that consist of a revision, and entries in JSON.
+// fakeCodec decodes configurations that consist of a revision and, after a space, any
+// text, and entries in JSON.
 type fakeCodec struct{}
 
 func (fakeCodec) DecodeConfig(row feed.Row) (*Document, error) {
-	revision, err := strconv.ParseUint(string(row.Value), 10, 64)
+	number, _, _ := strings.Cut(string(row.Value), " ")
+	revision, err := strconv.ParseUint(number, 10, 64)
 	rule := preset.Rule{Host: "h", PathPrefix: "/", Class: preset.ClassFetch, Backends: []preset.Backend{{Service: "s", Weight: 1}}}
 	return &Document{Revision: revision, Routing: &preset.Routing{
 		Rules: []preset.Rule{rule}, Services: []preset.ServiceRule{{Name: "s"}},
--- a/pkg/edge/join.go
+++ b/pkg/edge/join.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -14,12 +13,15 @@
 	"github.com/rotisserie/eris"
 
 	"balsamhill/pkg/gossip"
+	"balsamhill/pkg/transfer"
 )
 
 const (
 	// minJoinBackoff is the delay after the first failed call of retryStoreCall; it doubles
 	// up to maxBackoff.
 	minJoinBackoff = 500 * time.Millisecond
+	// storeWriteTimeout bounds a write of this gateway's row.
+	storeWriteTimeout = 600 * time.Millisecond
 	// seedAttempts is the number of bootstrap requests to a seed, seedRetryDelay apart,
 	// before the gateway turns to the store. The VMs of a deployment start at about the
 	// same time, within 0.3 s of each other, in any order.
@@ -123,13 +125,13 @@
 	if err != nil {
 		return eris.Wrap(err, "encode gateway row")
 	}
+	ctx, cancel := context.WithTimeout(ctx, storeWriteTimeout)
+	defer cancel()
 	return e.store.Put(ctx, Members, e.self.ID, value)
 }
 
-// callStore makes one call to the store with a timeout and counts its result.
+// callStore makes one call to the store and counts its result.
 func (e *Edge) callStore(ctx context.Context, call func(context.Context) error) error {
-	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-	defer cancel()
 	err := call(ctx)
 	e.counters.recordStoreCall(Members, err)
 	return err
@@ -165,8 +167,6 @@
 }
 
 func (e *Edge) joinSeed(ctx context.Context, seed string) bool {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
 	members, err := postToSeed(ctx, seed, e.self)
 	if err != nil {
 		e.log.Debug("bootstrap request failed", "seed", seed, "error", err)
@@ -181,21 +181,26 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "encode gateway description")
 	}
+	ctx, watchdog := transfer.Watch(ctx, peerTimeout)
+	defer watchdog.Stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+seed+bootstrapPath, bytes.NewReader(body))
 	if err != nil {
 		return nil, eris.Wrap(err, "build bootstrap request")
 	}
 	response, err := peerClient.Do(request)
 	if err != nil {
-		return nil, eris.Wrap(err, "send bootstrap request")
+		return nil, eris.Wrap(watchdog.Err(err), "send bootstrap request")
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
 		return nil, eris.Errorf("bootstrap response has status %d", response.StatusCode)
 	}
+	text, err := watchdog.ReadAll(response.Body, nil, peerTimeout, maxMembersBytes)
+	if err != nil {
+		return nil, eris.Wrap(err, "read bootstrap response")
+	}
 	var members []gossip.Gateway
-	err = json.NewDecoder(io.LimitReader(response.Body, maxMembersBytes)).Decode(&members)
-	return members, eris.Wrap(err, "decode bootstrap response")
+	return members, eris.Wrap(json.Unmarshal(text, &members), "decode bootstrap response")
 }
 
 // addGateways adds gateways that a seed or the store returned. The next message then
--- a/pkg/edge/readlog.go
+++ b/pkg/edge/readlog.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"balsamhill/pkg/feed"
+	"balsamhill/pkg/transfer"
 )
 
 // storeSource is the source of tables that were read from the store. Other sources are
@@ -65,7 +66,7 @@
 	switch {
 	case err == nil:
 		return "ok"
-	case errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, transfer.ErrStalled), errors.Is(err, context.DeadlineExceeded):
 		return "timeout"
 	case errors.Is(err, ErrReadRefused):
 		return "refused"
--- a/pkg/edge/receiver.go
+++ b/pkg/edge/receiver.go
@@ -2,19 +2,10 @@
 
 import (
 	"balsamhill/pkg/crashguard"
-	"balsamhill/pkg/feed"
 	"balsamhill/pkg/gossip"
 	"balsamhill/pkg/routing"
 )
 
-// freshestPeer returns the address of the live gateway that holds the newest change of a
-// table, and the state of its copy.
-func (e *Edge) freshestPeer(now int64, table int) (string, feed.TableState, bool) {
-	e.peersMu.Lock()
-	defer e.peersMu.Unlock()
-	return e.peers.NewestTable(now, table)
-}
-
 // isGroupReader reports whether this gateway is the reader of its group: the one that
 // reads the store unless another group reads it for all groups.
 func (e *Edge) isGroupReader(now int64) bool {
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"errors"
+	"maps"
 	"math/rand/v2"
-	"strconv"
 	"sync"
 	"time"
 
 	"balsamhill/pkg/feed"
+	"balsamhill/pkg/gossip"
 )
 
 const (
@@ -28,14 +28,11 @@
 	// maxTableAgePercent is the age of a copy beyond which a gateway reads the store
 	// itself; the rest of the limit is for that read.
 	maxTableAgePercent = 76
-	// storeCallTimeout bounds a call to the store, in addition to a long poll's wait.
-	storeCallTimeout = 600 * time.Millisecond
-	// peerTimeout bounds a read of changes from another gateway, fullTableTimeout a read
-	// of a full table from a gateway or from the store. A table of 300 servers takes
-	// 0.1 s on an otherwise idle link of 10 Mbit/s.
-	peerTimeout      = 400 * time.Millisecond
-	fullTableTimeout = 1500 * time.Millisecond
-	// peerRetryDelay is the minimum delay after a failed read from another gateway.
+	// peerTimeout is how long a gateway may take to begin a response, and how long a
+	// response may make no progress.
+	peerTimeout = 400 * time.Millisecond
+	// peerRetryDelay is the minimum delay after a failed read from a gateway before it is
+	// read from again.
 	peerRetryDelay = 300 * time.Millisecond
 	// ageCheckInterval is how often a gateway that does not long-poll the store checks
 	// the age of its copy.
@@ -72,8 +69,12 @@
 	// nextStoreReadAt is the earliest time of the next read of the store; see
 	// changeCoalesceDelay.
 	nextStoreReadAt int64
-	// nextPeerReadAt is the earliest time of the next read from a peer after a failure.
-	nextPeerReadAt int64
+	// failedUntil holds the gateways from which a read has failed, by address, and when
+	// they may be read from again.
+	failedUntil map[string]int64
+	client      tableClient
+
+	encodings encodings
 
 	mu     sync.Mutex
 	mirror feed.Mirror
@@ -88,8 +89,19 @@
 	at      int64
 }
 
+// earlierConfigs is how many replaced configurations a gateway with high capacity keeps.
+// Others, which serve few reads, keep none.
+const earlierConfigs = 3
+
 func newWatcher(e *Edge, table feed.Table, index int) *watcher {
-	return &watcher{edge: e, table: table, index: index, wake: make(chan struct{}, 1)}
+	earlier := 0
+	if e.self.HighCapacity {
+		earlier = earlierConfigs
+	}
+	return &watcher{
+		edge: e, table: table, index: index, wake: make(chan struct{}, 1), mirror: feed.NewMirror(earlier),
+		failedUntil: make(map[string]int64), client: tableClient{table: table},
+	}
 }
 
 func (w *watcher) run(ctx context.Context) {
@@ -111,13 +123,13 @@
 func (w *watcher) step(ctx context.Context) time.Duration {
 	now := w.edge.now()
 	state, known := w.state(now)
-	address, newest, ok := w.edge.freshestPeer(now, w.index)
-	behind := ok && (!known || newest.LastChange > state.AsOf)
-	if behind && newest.Age < int64(w.edge.maxTableAge) && now >= w.nextPeerReadAt {
-		if w.readPeer(ctx, address, state.AsOf, known) {
+	source, ok := w.newestSource(now)
+	behind := ok && (!known || source.State.LastChange > state.AsOf)
+	if behind && source.State.Age < int64(w.edge.maxTableAge) {
+		if w.readPeer(ctx, source.Address, state.AsOf, known) {
 			return 0
 		}
-		w.nextPeerReadAt = w.edge.now() + int64(peerRetryDelay+jitter(peerRetryDelay))
+		w.failedUntil[source.Address] = w.edge.now() + int64(peerRetryDelay+jitter(peerRetryDelay))
 	}
 	reader := w.edge.longPollsStore(now)
 	switch {
@@ -125,7 +137,7 @@
 		return startPeerPollInterval
 	case known && now < w.nextStoreReadAt:
 		return time.Duration(w.nextStoreReadAt - now)
-	case known && !reader && !behind && state.Age <= int64(w.edge.maxTableAge):
+	case known && !reader && state.Age <= int64(w.edge.maxTableAge):
 		return ageCheckInterval
 	}
 	backoff := w.edge.storeBackoff(known, reader)
@@ -142,6 +154,14 @@
 	}
 }
 
+// newestSource returns the gateway from which the table is read if it is newer there.
+func (w *watcher) newestSource(now int64) (gossip.TableSource, bool) {
+	maps.DeleteFunc(w.failedUntil, func(_ string, until int64) bool { return now >= until })
+	w.edge.peersMu.Lock()
+	defer w.edge.peersMu.Unlock()
+	return w.edge.peers.NewestTable(now, w.index, func(address string) bool { return w.failedUntil[address] != 0 })
+}
+
 // mayLongPoll reports whether the reader may long-poll the store: the response must
 // arrive before the copies of the other gateways exceed maxTableAge.
 func (w *watcher) mayLongPoll(state feed.TableState) bool {
@@ -194,126 +214,3 @@
 	default:
 	}
 }
-
-// readFullTable reads the whole table from the store.
-func (w *watcher) readFullTable(ctx context.Context, backoff feed.Backoff) time.Duration {
-	began := w.edge.now()
-	callCtx, cancel := context.WithTimeout(ctx, fullTableTimeout)
-	defer cancel()
-	batch, err := w.edge.store.Read(callCtx, w.table)
-	return w.handleStoreResponse(ctx, tableRead{table: w.table, source: storeSource, began: began}, batch, err, backoff)
-}
-
-// readChanges reads the changes after a version from the store, which may delay its
-// response by wait.
-func (w *watcher) readChanges(ctx context.Context, after uint64, wait time.Duration,
-	backoff feed.Backoff,
-) time.Duration {
-	began := w.edge.now()
-	callCtx, cancel := context.WithTimeout(ctx, wait+storeCallTimeout)
-	defer cancel()
-	batch, err := w.edge.store.Changes(callCtx, w.table, after, wait)
-	if errors.Is(err, ErrHistoryGone) {
-		w.edge.log.Info("store no longer has the changes since this version; reading the whole table", "table", w.table, "after", after)
-		return w.readFullTable(ctx, backoff)
-	}
-	read := tableRead{table: w.table, source: storeSource, after: after, began: began, wait: wait}
-	return w.handleStoreResponse(ctx, read, batch, err, backoff)
-}
-
-func (w *watcher) handleStoreResponse(ctx context.Context, read tableRead, batch feed.Batch, err error,
-	backoff feed.Backoff,
-) time.Duration {
-	now := w.edge.now()
-	w.edge.counters.recordStoreCall(w.table, err)
-	w.edge.recordRead(ctx, read, batch, err)
-	if err != nil {
-		if ctx.Err() == nil {
-			w.edge.storeFailed(now, w.table, err, backoff)
-		}
-		return 0
-	}
-	w.edge.storeSucceeded(now)
-	w.applyBatch(ctx, batch, storeSource)
-	return 0
-}
-
-// applyBatch applies a batch to the copy and passes the changed rows to the control loop.
-func (w *watcher) applyBatch(ctx context.Context, batch feed.Batch, source string) {
-	now := w.edge.now()
-	w.mu.Lock()
-	first := !w.mirror.Loaded()
-	rows := w.mirror.Apply(now, batch)
-	announced := w.announced
-	confirmedAt := w.mirror.ConfirmedAt()
-	w.mu.Unlock()
-	if len(rows) == 0 && !first {
-		return
-	}
-	w.nextStoreReadAt = now + int64(changeCoalesceDelay)
-	event := tableEvent{
-		table: w.table, rows: rows, storeRecoveredAt: w.edge.storeState.recoveredAt(), source: source,
-		receivedAt: now, announcedAt: announced.at, confirmedAt: confirmedAt,
-	}
-	select {
-	case w.edge.events <- event:
-	case <-ctx.Done():
-	}
-}
-
-// readPeer reads the changes of the table from another gateway, or the whole table if
-// there is no copy yet. It reports whether the copy became newer.
-func (w *watcher) readPeer(ctx context.Context, address string, after uint64, known bool) bool {
-	timeout := peerTimeout
-	query := "?after=" + strconv.FormatUint(after, 10)
-	if !known {
-		timeout = fullTableTimeout
-		query = ""
-	}
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	read := tableRead{table: w.table, source: address, after: after, began: w.edge.now()}
-	batch, err := fetchTable(callCtx, address, w.table, query)
-	w.edge.counters.recordPeerRead(err)
-	w.edge.recordRead(ctx, read, batch, err)
-	if err != nil {
-		return false
-	}
-	if batch.RecoveryAge > 0 {
-		w.edge.storeState.recordPeerRecovery(w.edge.now() - batch.RecoveryAge)
-	}
-	w.applyBatch(ctx, batch, address)
-	state, nowKnown := w.state(w.edge.now())
-	return nowKnown && (!known || state.AsOf > after)
-}
-
-// batchFor returns the batch for another gateway: the changes after a version, or the
-// whole table if full is set. It returns false if there is no copy yet.
-func (w *watcher) batchFor(after uint64, full bool) (feed.Batch, bool) {
-	now := w.edge.now()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if !w.mirror.Loaded() {
-		return feed.Batch{}, false
-	}
-	batch := w.mirror.FullBatch(now)
-	if !full {
-		batch = w.mirror.ChangesSince(now, after)
-	}
-	if ended := w.edge.storeState.recoveredAt(); ended != 0 {
-		batch.RecoveryAge = now - ended
-	}
-	return batch, true
-}
-
-func (e *Edge) storeFailed(now int64, table feed.Table, err error, backoff feed.Backoff) {
-	if e.storeState.recordFailure(now, backoff) {
-		e.log.Warn("lost the store; the last view stays in force", "table", table, "error", err)
-	}
-}
-
-func (e *Edge) storeSucceeded(now int64) {
-	if e.storeState.recordSuccess(now) {
-		e.log.Info("reached the store again")
-	}
-}
--- a/pkg/feed/mirror.go
+++ b/pkg/feed/mirror.go
@@ -72,6 +72,13 @@
 	lastChange   uint64
 	asOf         uint64
 	confirmedAt  int64
+	earlier      earlierValues
+}
+
+// NewMirror returns an empty copy that keeps the last earlierCount replaced values of
+// large rows, as bases for transfers to other gateways.
+func NewMirror(earlierCount int) Mirror {
+	return Mirror{earlier: earlierValues{limit: earlierCount}}
 }
 
 // Loaded reports whether the table was read.
@@ -112,6 +119,7 @@
 		if old, ok := m.rows[row.Key]; ok && old.Version >= row.Version {
 			continue
 		}
+		m.earlier.add(m.rows[row.Key])
 		m.rows[row.Key] = row
 		m.lastChange = max(m.lastChange, row.Version)
 		changes = append(changes, row)
@@ -127,6 +135,7 @@
 	for _, row := range batch.Rows {
 		m.rows[row.Key] = row
 		if before, ok := old[row.Key]; !ok || before.Version != row.Version {
+			m.earlier.add(before)
 			changes = append(changes, row)
 		}
 		delete(old, row.Key)
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -212,6 +212,8 @@
 	assert.Equal(t, len(joining.NextTargets(now)), 9)
 }
 
+func avoidNone(string) bool { return false }
+
 // TestTablesAreReadFromHighCapacityPeers guards against small VMs that send whole
 // tables to many gateways at a start: this saturates their links, and most gateways
 // are not ready when traffic begins.
@@ -223,14 +225,39 @@
 		m.TableStates = []feed.TableState{{LastChange: 5, AsOf: uint64(5 + i)}}
 		p.ApplyMessage(now, m)
 	}
-	address, _, ok := p.NewestTable(now, 0)
+	source, ok := p.NewestTable(now, 0, avoidNone)
 	assert.Equal(t, ok, true)
-	assert.Equal(t, address, gateway(7, "d", true).Address)
+	assert.Equal(t, source.Address, gateway(7, "d", true).Address)
 	newer := messageFrom(gateway(9, "d", false), 2)
 	newer.TableStates = []feed.TableState{{LastChange: 6, AsOf: 6}}
 	p.ApplyMessage(now, newer)
-	address, _, _ = p.NewestTable(now, 0)
-	assert.Equal(t, address, gateway(9, "d", false).Address)
+	source, _ = p.NewestTable(now, 0, avoidNone)
+	assert.Equal(t, source.Address, gateway(9, "d", false).Address)
+}
+
+// TestTableReadsAreDividedAmongSources guards against a change that all gateways of a
+// group read from the same one although several hold it, and against a gateway that
+// reads again from a source that has just failed.
+func TestTableReadsAreDividedAmongSources(t *testing.T) {
+	const now = int64(10e9)
+	readers := map[string]int{}
+	for reader := 10; reader < 50; reader++ {
+		p := NewPeers(gateway(reader, "d", false))
+		for i := range 4 {
+			m := messageFrom(gateway(i, "d", true), 1)
+			m.TableStates = []feed.TableState{{LastChange: 5, AsOf: uint64(5 + i)}}
+			p.ApplyMessage(now, m)
+		}
+		first, ok := p.NewestTable(now, 0, avoidNone)
+		assert.Assert(t, ok)
+		readers[first.Address]++
+		second, ok := p.NewestTable(now, 0, func(address string) bool { return address == first.Address })
+		assert.Assert(t, ok && second.Address != first.Address)
+	}
+	assert.Equal(t, len(readers), 4)
+	for address, count := range readers {
+		assert.Assert(t, count <= 20, "%d of 40 gateways read from %s", count, address)
+	}
 }
 
 // TestPassiveGatewaysReportMainlyToProbers guards against a number of messages
--- a/pkg/gossip/peers.go
+++ b/pkg/gossip/peers.go
@@ -1,7 +1,6 @@
 package gossip
 
 import (
-	"cmp"
 	"iter"
 	"maps"
 	"math/rand/v2"
@@ -287,27 +286,37 @@
 
 // NewestTable returns the live gateway, of this group or the relay of another
 // one, that holds the newest change of a table, given by its index in
-// feed.Tables, and its table state with the current age. Among several it prefers
-// high-capacity gateways: sending a whole table to many gateways saturates the
-// link of a small VM.
-func (p *Peers) NewestTable(now int64, table int) (address string, tableState feed.TableState, ok bool) {
-	var best Gateway
+// feed.Tables, and its table state with the current age. Gateways whose address is
+// in avoid are left out. Among several it prefers high-capacity gateways, because
+// sending a whole table to many gateways saturates the link of a small VM, and
+// then by rendezvous hash, so that the gateways of a group read from different
+// ones.
+func (p *Peers) NewestTable(now int64, table int, avoid func(address string) bool) (source TableSource, ok bool) {
 	for c := range p.aliveContacts(now) {
-		candidate, held := c.tableState(now, table)
-		if !held {
+		state, held := c.tableState(now, table)
+		if !held || avoid(c.gateway.Address) {
 			continue
 		}
-		better := cmp.Or(
-			cmp.Compare(candidate.LastChange, tableState.LastChange),
-			compareCapacity(c.gateway, best),
-			cmp.Compare(candidate.AsOf, tableState.AsOf),
-			cmp.Compare(best.ID, c.gateway.ID),
-		) > 0
-		if !ok || better {
-			address, tableState, ok, best = c.gateway.Address, candidate, true, c.gateway
+		candidate := TableSource{Address: c.gateway.Address, State: state, rank: rankOf(p.self.ID, c.gateway)}
+		if !ok || candidate.before(source) {
+			source, ok = candidate, true
 		}
 	}
-	return address, tableState, ok
+	return source, ok
+}
+
+// TableSource is a gateway from which a table can be read.
+type TableSource struct {
+	Address string
+	State   feed.TableState
+	rank    rank
+}
+
+func (s TableSource) before(other TableSource) bool {
+	if s.State.LastChange != other.State.LastChange {
+		return s.State.LastChange > other.State.LastChange
+	}
+	return s.rank.before(other.rank)
 }
 
 // aliveContacts returns the peers that are alive and the gateways of other
@@ -336,16 +345,3 @@
 	tableState.Age += now - c.tableStatesAt
 	return tableState, true
 }
-
-// compareCapacity returns 1 if only a has high capacity, -1 if only b has, else
-// 0.
-func compareCapacity(a, b Gateway) int {
-	switch {
-	case a.HighCapacity == b.HighCapacity:
-		return 0
-	case a.HighCapacity:
-		return 1
-	default:
-		return -1
-	}
-}
--- a/pkg/gossip/relay_test.go
+++ b/pkg/gossip/relay_test.go
@@ -173,12 +173,12 @@
 	relay := messageFrom(remoteGateway(1), 1)
 	relay.TableStates = []feed.TableState{{LastChange: 6, AsOf: 6, Age: 3}}
 	p.ApplyMessage(now, relay)
-	address, tableState, ok := p.NewestTable(now+4, 0)
+	source, ok := p.NewestTable(now+4, 0, avoidNone)
 	assert.Equal(t, ok, true)
-	assert.Equal(t, address, remoteGateway(1).Address)
-	assert.Equal(t, tableState, feed.TableState{LastChange: 6, AsOf: 6, Age: 7})
-	address, _, _ = p.NewestTable(now+int64(remoteTimeout)+1, 0)
-	assert.Assert(t, address != remoteGateway(1).Address, "the relay is unresponsive")
+	assert.Equal(t, source.Address, remoteGateway(1).Address)
+	assert.Equal(t, source.State, feed.TableState{LastChange: 6, AsOf: 6, Age: 7})
+	source, _ = p.NewestTable(now+int64(remoteTimeout)+1, 0, avoidNone)
+	assert.Assert(t, source.Address != remoteGateway(1).Address, "the relay is unresponsive")
 }
 
 // TestUnknownRelayReplacesStaleGateway guards against a relay whose messages are
@@ -194,7 +194,7 @@
 	m := messageFrom(relay, 1)
 	m.TableStates = []feed.TableState{{LastChange: 1, AsOf: 1}}
 	p.ApplyMessage(now, m)
-	address, _, ok := p.NewestTable(now, 0)
-	assert.Assert(t, ok && address == relay.Address)
+	source, ok := p.NewestTable(now, 0, avoidNone)
+	assert.Assert(t, ok && source.Address == relay.Address)
 	assert.Assert(t, len(p.remotes) <= maxRemotes)
 }
