Count the transfer in the age of a copy

What callers would see: an old configuration later than the bound, where the gateway that reads the store falls silent: the others notice too late that their copies are old.

Cause: a copy counted as confirmed when its read had ended. A read now may last for seconds as long as it makes progress, so the age that decides when a gateway reads the store itself was short by the time of the transfer. Class: the age of data that leaves out how long they were on the way.

--- a/pkg/edge/tableclient.go
+++ b/pkg/edge/tableclient.go
@@ -41,6 +41,7 @@
 // read reads rows from the gateway at an address. With an error, the batch contains only
 // the number of bytes that were received.
 func (c *tableClient) read(ctx context.Context, address string, query tableQuery) (feed.Batch, error) {
+	began := time.Now()
 	ctx, watchdog := transfer.Watch(ctx, peerTimeout)
 	defer watchdog.Stop()
 	request, err := c.newRequest(ctx, address, query)
@@ -69,6 +70,8 @@
 	}
 	batch, err := decodeTable(response.Header, body, query)
 	batch.Bytes = bytes
+	// The other gateway stated the age at some time since the request.
+	batch.Age += int64(time.Since(began))
 	return batch, err
 }
 
--- a/pkg/edge/tableclient_test.go
+++ b/pkg/edge/tableclient_test.go
@@ -168,3 +168,32 @@
 	assert.Equal(t, readResult(err), "timeout")
 	assert.Assert(t, time.Since(began) < 4*peerTimeout)
 }
+
+// delayedWriter sends the header of a response at once and its body after a delay.
+type delayedWriter struct {
+	http.ResponseWriter
+	delay time.Duration
+}
+
+func (w *delayedWriter) Write(p []byte) (int, error) {
+	_ = http.NewResponseController(w.ResponseWriter).Flush()
+	time.Sleep(w.delay)
+	return w.ResponseWriter.Write(p)
+}
+
+// TestAgeOfTableIncludesTransfer guards against a gateway that takes its copy for newer than
+// it is because the transfer took long: it would notice too late that it misses changes.
+func TestAgeOfTableIncludesTransfer(t *testing.T) {
+	const transferTime = 300 * time.Millisecond
+	e := idleEdge(t, "source")
+	configTable(e, "7")
+	address := servedTable(t, e, func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			next.ServeHTTP(&delayedWriter{ResponseWriter: w, delay: transferTime}, r)
+		})
+	})
+	client := tableClient{table: feed.Config}
+	batch, err := client.read(context.Background(), address, tableQuery{full: true})
+	assert.NilError(t, err)
+	assert.Assert(t, batch.Age >= int64(transferTime), "age %s", time.Duration(batch.Age))
+}
