Count the time that messages waited in the age of a copy

What callers would see: an old configuration later than the bound, if the gateway that reads the store loses it without notice while another gateway wakes from a pause: all copies count as confirmed just now, and no gateway reads the store itself in time.

Cause: the age in a message counted from its receipt. A gateway that was paused for 3 s found messages in its socket that were as old, took its own copy for confirmed, and told the others, who took theirs for confirmed too. A message in the queue of a full link and a response of the store in the socket have the same effect. The ages of load reports had it too.

Change: messages say when they were sent on the sender's clock, and package delay compares that with the fastest recent messages of the same sender, so the clocks need not agree. Messages of older builds have no such time and are read as before; older builds ignore the field. Responses of the store are compared in the same way by the store's own clock.

--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -91,7 +91,7 @@
 			reports = appendIfDue(reports, link.sent, now, id, server.Stats, reportVersionOf(server.Stats))
 		}
 	}
-	message := e.newMessage(interval)
+	message := e.newMessage(now, interval)
 	message.Sender = &e.self
 	message.TableStates = tableStates
 	s.send(targets, message, reports)
--- a/pkg/edge/sender.go
+++ b/pkg/edge/sender.go
@@ -94,7 +94,7 @@
 		return sendIntervalOf(assignment)
 	}
 	s.sentAt = now
-	message := e.newMessage(heartbeatInterval)
+	message := e.newMessage(now, heartbeatInterval)
 	message.Suspicions = ownSuspicions(suspicions)
 	if changed || announce || now-s.tableStatesSentAt >= int64(heartbeatInterval) {
 		s.tableStatesSentAt = now
@@ -139,7 +139,7 @@
 		targets = e.peers.NextTargets(now)
 	}
 	e.peersMu.Unlock()
-	message := e.newMessage(interval)
+	message := e.newMessage(now, interval)
 	message.Suspicions = ownSuspicions(suspicions)
 	message.TableStates = e.tableStates(now)
 	s.describeGateways(now, message)
@@ -159,11 +159,13 @@
 	}
 }
 
-// newMessage returns a message with the fields that every message carries.
-func (e *Edge) newMessage(interval time.Duration) *gossip.Message {
+// newMessage returns a message with the fields that every message carries. now is the time
+// at which the ages that the message will contain are right.
+func (e *Edge) newMessage(now int64, interval time.Duration) *gossip.Message {
 	return &gossip.Message{
 		Key:            gossip.KeyOf(e.self.ID),
 		Incarnation:    e.self.Incarnation,
+		SentAt:         now,
 		Stopping:       e.stopping.Load(),
 		StoreReachable: !e.storeState.unreachable(),
 		Interval:       interval,
--- a/pkg/edge/storestate.go
+++ b/pkg/edge/storestate.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"balsamhill/pkg/delay"
 	"balsamhill/pkg/feed"
 )
 
@@ -28,6 +29,20 @@
 type storeState struct {
 	mu     sync.Mutex
 	outage feed.Outage
+	// delay is that of the responses.
+	delay delay.Estimate
+}
+
+// responseAge returns the age of a response of the store, which was requested at began: at
+// least its stated age, and how long it was delayed on the way.
+func (s *storeState) responseAge(now, began int64, batch feed.Batch) int64 {
+	if batch.SentAt == 0 {
+		return batch.Age
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delayed := int64(s.delay.Record(now, batch.SentAt))
+	return max(batch.Age, min(delayed, now-began))
 }
 
 // unreachable reports whether the last call to the store failed.
--- a/pkg/edge/tableclient_test.go
+++ b/pkg/edge/tableclient_test.go
@@ -197,3 +197,17 @@
 	assert.NilError(t, err)
 	assert.Assert(t, batch.Age >= int64(transferTime), "age %s", time.Duration(batch.Age))
 }
+
+// TestDelayedStoreResponseIsOld guards against a copy that counts as just confirmed although
+// the response waited in the socket of a paused gateway.
+func TestDelayedStoreResponseIsOld(t *testing.T) {
+	const waited = int64(3 * time.Second)
+	var state storeState
+	at := func(now, sentAt int64) int64 {
+		return state.responseAge(now, now-int64(time.Minute), feed.Batch{SentAt: sentAt, Age: 5})
+	}
+	assert.Equal(t, at(10e9, 100e9), int64(5))
+	assert.Equal(t, at(11e9+waited, 101e9), waited)
+	// The age cannot exceed the time since the request, also if the store's clock was reset.
+	assert.Equal(t, state.responseAge(20e9, 19e9, feed.Batch{SentAt: 1}), int64(1e9))
+}
--- a/pkg/edge/tableread.go
+++ b/pkg/edge/tableread.go
@@ -34,6 +34,9 @@
 	backoff feed.Backoff,
 ) time.Duration {
 	now := w.edge.now()
+	if err == nil {
+		batch.Age = w.edge.storeState.responseAge(now, read.began, batch)
+	}
 	w.edge.counters.recordStoreCall(w.table, err)
 	w.edge.recordRead(ctx, read, batch, err)
 	if err != nil {
--- a/pkg/feed/mirror.go
+++ b/pkg/feed/mirror.go
@@ -47,6 +47,9 @@
 	// RecoveryAge is the time since the store recovered from an outage, in
 	// nanoseconds, 0 if there was none.
 	RecoveryAge int64 `json:"outageEnded,omitempty"`
+	// SentAt is the time of a response of the store on the store's clock, in nanoseconds, 0 if
+	// the batch is from another gateway.
+	SentAt int64 `json:"-"`
 	// Bytes is the number of bytes that the reader received for the batch, for logs and
 	// metrics.
 	Bytes int64 `json:"-"`
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -17,6 +17,7 @@
 		Key:            rapid.Uint64Min(1).Draw(t, "key"),
 		Incarnation:    rapid.Uint64().Draw(t, "incarnation"),
 		Sequence:       rapid.Uint64().Draw(t, "sequence"),
+		SentAt:         rapid.Int64Range(0, 3600e6).Draw(t, "sent at") * 1000,
 		Stopping:       rapid.Bool().Draw(t, "stopping"),
 		StoreReachable: rapid.Bool().Draw(t, "reachable"),
 		Interval:       time.Duration(rapid.IntRange(0, 10_000).Draw(t, "interval")) * time.Millisecond,
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -14,6 +14,7 @@
 package gossip
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,6 +31,9 @@
 	Incarnation uint64
 	// Sequence rises with each message of an incarnation of the sender.
 	Sequence uint64
+	// SentAt is the time on the sender's clock at which the ages in the message were
+	// right, 0 in messages of older builds.
+	SentAt int64
 	// Sender describes the sender. Most messages leave it out.
 	Sender *Gateway
 	// KnownGateways describes gateways from which the sender receives messages,
@@ -109,6 +113,7 @@
 	fieldReport
 	fieldSuspicion
 	fieldKnownGateway
+	fieldSentAtMicros
 )
 
 const (
@@ -159,6 +164,7 @@
 	}
 	buffer = appendVarint(buffer, fieldFlags, flags)
 	buffer = appendVarint(buffer, fieldIntervalMillis, uint64(max(0, m.Interval.Milliseconds())))
+	buffer = appendVarint(buffer, fieldSentAtMicros, microseconds(time.Duration(m.SentAt)))
 	if m.Sender != nil {
 		buffer = appendEmbedded(buffer, fieldSender, m.Sender.marshal())
 	}
@@ -270,6 +276,8 @@
 		m.StoreReachable = value&flagStoreReachable != 0
 	case fieldIntervalMillis:
 		m.Interval = time.Duration(min(value, uint64(maxInterval/time.Millisecond))) * time.Millisecond
+	case fieldSentAtMicros:
+		m.SentAt = int64(min(value, math.MaxInt64/uint64(time.Microsecond))) * int64(time.Microsecond)
 	case fieldSender:
 		sender, err := unmarshalGateway(content)
 		m.Sender = &sender
@@ -294,6 +302,16 @@
 	return nil
 }
 
+// addAge adds to all ages in the message.
+func (m *Message) addAge(d time.Duration) {
+	for i := range m.TableStates {
+		m.TableStates[i].Age += int64(d)
+	}
+	for i := range m.Reports {
+		m.Reports[i].Age += d
+	}
+}
+
 func unmarshalGateway(data []byte) (Gateway, error) {
 	var gateway Gateway
 	err := forEachField(data, func(field protowire.Number, value uint64, content []byte) error {
--- a/pkg/gossip/peers.go
+++ b/pkg/gossip/peers.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"balsamhill/pkg/delay"
 	"balsamhill/pkg/feed"
 )
 
@@ -50,15 +51,20 @@
 	storeReachable bool
 	tableStates    []feed.TableState
 	tableStatesAt  int64
+	delay          delay.Estimate
 }
 
 // recordMessage records a message of the gateway and reports whether it is newer
 // than the last one. A message of another incarnation than the known one is not.
+// It adds the delay of the message to the ages that it contains.
 func (c *contact) recordMessage(now int64, message *Message) bool {
 	if message.Incarnation != c.gateway.Incarnation || c.lastMessageAt != 0 && message.Sequence <= c.sequence {
 		return false
 	}
 	c.lastMessageAt, c.sequence = now, message.Sequence
+	if message.SentAt != 0 {
+		message.addAge(c.delay.Record(now, message.SentAt))
+	}
 	c.stopping = message.Stopping
 	c.storeReachable = message.StoreReachable
 	if len(message.TableStates) > 0 {
@@ -111,7 +117,8 @@
 
 // ApplyMessage records a message and reports whether it is newer than the last
 // one of its sender. joined says that the sender was not alive before. Messages
-// of unknown senders are ignored until one contains a sender description.
+// of unknown senders are ignored until one contains a sender description. The ages
+// in a newer message are raised by the time that it was delayed.
 func (p *Peers) ApplyMessage(now int64, message *Message) (newer, joined bool) {
 	if sender := message.Sender; sender != nil {
 		p.addGateway(now, *sender, true)
