Leave a slow read of the store when a gateway has the change

What callers would see: an old configuration for seconds after others have the new one.

Cause: a gateway whose copy had become too old read the store itself and went on until the response was complete, also when another gateway announced the change meanwhile. Over a full link that takes seconds; from the other gateway it takes less than half of one.

TestSlowStoreReadGivesWayToPeer fails before ('not met within 1s', 10 s in all).

Change: a read of the store ends 0.2 s after another gateway has announced a change that was not announced before the read; its log line has the result superseded, and it is no failure of the store. One announcement ends at most one read, so a gateway that cannot read from the announcer gets the change from the store.

--- a/pkg/edge/largeconfig_test.go
+++ b/pkg/edge/largeconfig_test.go
@@ -172,3 +172,36 @@
 	assertInForce(t, fleet, 2)
 	assert.Equal(t, fleet[0].revision(), uint64(2))
 }
+
+// linksTo returns the links of a fleet's gateways to the store.
+func linksTo(fleet []*Edge) []*slowLink {
+	var links []*slowLink
+	for _, e := range fleet {
+		links = append(links, e.store.(slowStore).link)
+	}
+	return links
+}
+
+// TestSlowStoreReadGivesWayToPeer guards against a change that is late because a gateway goes
+// on with a slow read of the store although another one has the change by then.
+func TestSlowStoreReadGivesWayToPeer(t *testing.T) {
+	const changeBytes, readerBytesPerSecond, otherBytesPerSecond = 200_000, 100_000, 20_000
+	store := newFakeStore()
+	fleet := startSlowFleet(t, store, "", 0)
+	for i, link := range linksTo(fleet) {
+		link.bytesPerSecond.Store(otherBytesPerSecond)
+		if fleet[i].isGroupReader(fleet[i].now()) {
+			link.bytesPerSecond.Store(readerBytesPerSecond)
+		}
+	}
+	store.write(feed.Config, "config", []byte("2 "+randomText(changeBytes)), false)
+	eventually(t, "the reader has the change", 5*time.Second, func() bool {
+		return slices.ContainsFunc(fleet, func(e *Edge) bool { return e.revision() == 2 })
+	})
+	eventually(t, "all gateways have the change", time.Second, func() bool {
+		return !slices.ContainsFunc(fleet, func(e *Edge) bool { return e.revision() < 2 })
+	})
+	for _, e := range fleet {
+		assert.Equal(t, e.storeState.unreachable(), false, "%s", e.self.ID)
+	}
+}
--- a/pkg/edge/readlog.go
+++ b/pkg/edge/readlog.go
@@ -66,6 +66,8 @@
 	switch {
 	case err == nil:
 		return "ok"
+	case errors.Is(err, errPeerIsFaster):
+		return "superseded"
 	case errors.Is(err, transfer.ErrStalled), errors.Is(err, context.DeadlineExceeded):
 		return "timeout"
 	case errors.Is(err, ErrReadRefused):
--- a/pkg/edge/tableread.go
+++ b/pkg/edge/tableread.go
@@ -5,14 +5,36 @@
 	"errors"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"balsamhill/pkg/feed"
 )
 
+// errPeerIsFaster is the cause with which a read of the store is canceled because another
+// gateway already holds the change.
+var errPeerIsFaster = eris.New("another gateway holds the change already")
+
+// beginStoreRead returns the context of a read of the store. The function that it returns
+// must be called when the read has ended.
+func (w *watcher) beginStoreRead(ctx context.Context, began int64) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.storeRead = storeReadInProgress{began: began, cancel: cancel}
+	return ctx, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.storeRead = storeReadInProgress{}
+		cancel(nil)
+	}
+}
+
 // readFullTable reads the whole table from the store.
 func (w *watcher) readFullTable(ctx context.Context, backoff feed.Backoff) time.Duration {
-	began := w.edge.now()
-	batch, err := w.edge.store.Read(ctx, w.table)
-	return w.handleStoreResponse(ctx, tableRead{table: w.table, source: storeSource, began: began}, batch, err, backoff)
+	read := tableRead{table: w.table, source: storeSource, began: w.edge.now()}
+	return w.readStore(ctx, read, backoff, func(ctx context.Context) (feed.Batch, error) {
+		return w.edge.store.Read(ctx, w.table)
+	})
 }
 
 // readChanges reads the changes after a version from the store, which may delay its
@@ -20,34 +42,46 @@
 func (w *watcher) readChanges(ctx context.Context, after uint64, wait time.Duration,
 	backoff feed.Backoff,
 ) time.Duration {
-	began := w.edge.now()
-	batch, err := w.edge.store.Changes(ctx, w.table, after, wait)
+	read := tableRead{table: w.table, source: storeSource, after: after, began: w.edge.now(), wait: wait}
+	return w.readStore(ctx, read, backoff, func(ctx context.Context) (feed.Batch, error) {
+		return w.edge.store.Changes(ctx, w.table, after, wait)
+	})
+}
+
+// readStore makes a read of the store and applies its result.
+func (w *watcher) readStore(ctx context.Context, read tableRead, backoff feed.Backoff,
+	makeRead func(context.Context) (feed.Batch, error),
+) time.Duration {
+	readContext, end := w.beginStoreRead(ctx, read.began)
+	batch, err := makeRead(readContext)
+	if err != nil && errors.Is(context.Cause(readContext), errPeerIsFaster) {
+		err = errPeerIsFaster
+	}
+	end()
 	if errors.Is(err, ErrHistoryGone) {
-		w.edge.log.Info("store no longer has the changes since this version; reading the whole table", "table", w.table, "after", after)
+		w.edge.log.Info("store no longer has the changes since this version; reading the whole table", "table", w.table, "after", read.after)
 		return w.readFullTable(ctx, backoff)
 	}
-	read := tableRead{table: w.table, source: storeSource, after: after, began: began, wait: wait}
-	return w.handleStoreResponse(ctx, read, batch, err, backoff)
+	w.handleStoreResponse(ctx, read, batch, err, backoff)
+	return 0
 }
 
 func (w *watcher) handleStoreResponse(ctx context.Context, read tableRead, batch feed.Batch, err error,
 	backoff feed.Backoff,
-) time.Duration {
+) {
 	now := w.edge.now()
 	if err == nil {
 		batch.Age = w.edge.storeState.responseAge(now, read.began, batch)
 	}
 	w.edge.counters.recordStoreCall(w.table, err)
 	w.edge.recordRead(ctx, read, batch, err)
-	if err != nil {
-		if ctx.Err() == nil {
-			w.edge.storeFailed(now, w.table, err, backoff)
-		}
-		return 0
+	switch {
+	case err == nil:
+		w.edge.storeSucceeded(now)
+		w.applyBatch(ctx, batch, storeSource)
+	case ctx.Err() == nil && !errors.Is(err, errPeerIsFaster):
+		w.edge.storeFailed(now, w.table, err, backoff)
 	}
-	w.edge.storeSucceeded(now)
-	w.applyBatch(ctx, batch, storeSource)
-	return 0
 }
 
 // applyBatch applies a batch to the copy and passes the changed rows to the control loop.
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -37,6 +37,9 @@
 	// ageCheckInterval is how often a gateway that does not long-poll the store checks
 	// the age of its copy.
 	ageCheckInterval = 100 * time.Millisecond
+	// peerPreferenceDelay is how long after the announcement of a change a read of the
+	// store may still end before the gateway reads from a peer instead.
+	peerPreferenceDelay = 200 * time.Millisecond
 	// changeCoalesceDelay is the delay between a change and the next read of the store,
 	// so that one response carries several changes in quick succession.
 	changeCoalesceDelay = 150 * time.Millisecond
@@ -80,6 +83,15 @@
 	mirror feed.Mirror
 	// announced is the newest change that a peer has announced.
 	announced announcement
+	// storeRead is the read of the store in progress, the zero value if there is none.
+	storeRead storeReadInProgress
+}
+
+// storeReadInProgress is a read of the store that ends early if a peer has the change
+// sooner.
+type storeReadInProgress struct {
+	began  int64
+	cancel context.CancelCauseFunc
 }
 
 // announcement is a change of a table of which a gateway was notified.
@@ -168,6 +180,13 @@
 	return !w.edge.storeState.unreachable() && state.Age+int64(w.edge.longPollWait) <= int64(w.edge.maxTableAge)
 }
 
+// outpaced reports whether a change that was announced during the read is still missing after
+// peerPreferenceDelay. A change that was announced before it is not read from a peer,
+// because such a read has failed.
+func (r storeReadInProgress) outpaced(now, announcedAt int64) bool {
+	return r.cancel != nil && announcedAt > r.began && now-announcedAt >= int64(peerPreferenceDelay)
+}
+
 // awaitsPeerTable reports whether this gateway, which has just started, waits for a peer to
 // read the table from the store first. Only gateways without high capacity do, because
 // a large deployment has many of them.
@@ -192,7 +211,8 @@
 }
 
 // confirm applies the table state of a peer, given by its ID, and wakes the watcher if
-// the peer holds changes that this gateway lacks.
+// the peer holds changes that this gateway lacks. It ends a slow read of the store in
+// favor of the peer.
 func (w *watcher) confirm(now int64, state feed.TableState, peer string) {
 	w.mu.Lock()
 	behind := w.mirror.Confirm(now, state)
@@ -201,6 +221,9 @@
 		w.announced = announcement{version: state.LastChange, at: now}
 	}
 	held := w.mirror.AsOf()
+	if behind && state.Age < int64(w.edge.maxTableAge) && w.storeRead.outpaced(now, w.announced.at) {
+		w.storeRead.cancel(errPeerIsFaster)
+	}
 	w.mu.Unlock()
 	if !behind {
 		return
