Read a large configuration from the store one after the other

What callers would see: an old configuration for seconds in a whole failure domain.

Cause: when the copies of a group have become too old, all its gateways read the store at the same moment. Each of these reads moves the whole configuration, and together they saturate the link between regions: reads fail, start again, and hold up the one that matters.

Change: beyond the usual maximum age each gateway waits for the reads of those that rank before it as readers of the group, at 2 MB/s for the largest value of the table, 5 s at most. Those that are gone or do not reach the store do not count, so a gateway without peers reads at once. StoreReadersBefore replaces the two loops of IsStoreReader, which asks whether it is 0.

Test: TestFallbackReadsOfLargeConfigurationDoNotOverlap.

--- a/pkg/edge/largeconfig_test.go
+++ b/pkg/edge/largeconfig_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"balsamhill/pkg/feed"
+	"balsamhill/pkg/gossip"
 )
 
 // slowLink limits the rate of everything that is sent through it.
@@ -205,3 +206,27 @@
 		assert.Equal(t, e.storeState.unreachable(), false, "%s", e.self.ID)
 	}
 }
+
+// TestFallbackReadsOfLargeConfigurationDoNotOverlap guards against a link to the store that is
+// saturated because all gateways of a group read the same large configuration at once.
+func TestFallbackReadsOfLargeConfigurationDoNotOverlap(t *testing.T) {
+	const gateways = 6
+	var delays []time.Duration
+	for i := range gateways {
+		e := idleEdge(t, fmt.Sprint("g", i))
+		for j := range gateways {
+			peer := gossip.Gateway{ID: fmt.Sprint("g", j), Region: "r", FailureDomain: "d", HighCapacity: true, Incarnation: 1}
+			e.receive(&gossip.Message{
+				Key: gossip.KeyOf(peer.ID), Incarnation: 1, Sequence: 1, Sender: &peer, StoreReachable: true,
+			})
+		}
+		small := configTable(e, "1 small")
+		assert.Equal(t, small.fallbackDelay(e.now()), time.Duration(0))
+		large := configTable(e, "1 small", "2 "+randomText(fallbackBytesPerSecond/2))
+		delays = append(delays, large.fallbackDelay(e.now()).Round(100*time.Millisecond))
+	}
+	slices.Sort(delays)
+	for i, delay := range delays {
+		assert.Equal(t, delay, time.Duration(i)*time.Second/2)
+	}
+}
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -37,6 +37,10 @@
 	// ageCheckInterval is how often a gateway that does not long-poll the store checks
 	// the age of its copy.
 	ageCheckInterval = 100 * time.Millisecond
+	// fallbackBytesPerSecond is the rate at which a gateway is expected to read from the
+	// store. maxFallbackDelay bounds the delay that follows from it; see fallbackDelay.
+	fallbackBytesPerSecond = 2 << 20
+	maxFallbackDelay       = 5 * time.Second
 	// peerPreferenceDelay is how long after the announcement of a change a read of the
 	// store may still end before the gateway reads from a peer instead.
 	peerPreferenceDelay = 200 * time.Millisecond
@@ -149,7 +153,7 @@
 		return startPeerPollInterval
 	case known && now < w.nextStoreReadAt:
 		return time.Duration(w.nextStoreReadAt - now)
-	case known && !reader && state.Age <= int64(w.edge.maxTableAge):
+	case known && !reader && state.Age <= int64(w.edge.maxTableAge+w.fallbackDelay(now)):
 		return ageCheckInterval
 	}
 	backoff := w.edge.storeBackoff(known, reader)
@@ -166,6 +170,24 @@
 	}
 }
 
+// fallbackDelay returns how much longer than maxTableAge this gateway waits for a peer that
+// has the table. The gateways of a group read the store themselves one after the other, each
+// after the time that the reads of those before it take, if one change moves a large
+// value: together they would saturate the link to the store.
+func (w *watcher) fallbackDelay(now int64) time.Duration {
+	w.mu.Lock()
+	_, value := w.mirror.LargestValue()
+	w.mu.Unlock()
+	if len(value) == 0 {
+		return 0
+	}
+	w.edge.peersMu.Lock()
+	before := w.edge.peers.StoreReadersBefore(now, !w.edge.storeState.unreachable())
+	w.edge.peersMu.Unlock()
+	delay := time.Duration(before) * time.Duration(len(value)) * time.Second / fallbackBytesPerSecond
+	return min(delay, maxFallbackDelay)
+}
+
 // newestSource returns the gateway from which the table is read if it is newer there.
 func (w *watcher) newestSource(now int64) (gossip.TableSource, bool) {
 	maps.DeleteFunc(w.failedUntil, func(_ string, until int64) bool { return now >= until })
--- a/pkg/gossip/peers.go
+++ b/pkg/gossip/peers.go
@@ -257,25 +257,38 @@
 // IsStoreReader reports whether this gateway reads the store for its group: it
 // ranks first among the gateways that are alive and reach the store.
 func (p *Peers) IsStoreReader(now int64, storeReachable bool) bool {
+	return p.StoreReadersBefore(now, storeReachable) == 0
+}
+
+// StoreReadersBefore returns how many gateways of the group are to read the store
+// before this one: those that are alive, reach the store and rank before it. If no
+// gateway reaches the store, all that are alive count.
+func (p *Peers) StoreReadersBefore(now int64, storeReachable bool) int {
 	byDomain := p.GroupedByDomain()
-	anyReachable := storeReachable
-	for _, peer := range p.peers {
-		if peer.active(now) && peer.storeReachable && p.inGroup(peer.gateway, byDomain) {
-			anyReachable = true
-		}
-	}
-	if anyReachable && !storeReachable {
-		return false
-	}
+	reachable, ranked, reachableRanked := 0, 0, 0
 	for _, peer := range p.peers {
-		if !peer.active(now) || !p.inGroup(peer.gateway, byDomain) || (anyReachable && !peer.storeReachable) {
+		if !peer.active(now) || !p.inGroup(peer.gateway, byDomain) {
 			continue
 		}
-		if peer.ranks.leader.before(p.ranks.leader) {
-			return false
+		before := peer.ranks.leader.before(p.ranks.leader)
+		if before {
+			ranked++
+		}
+		if peer.storeReachable {
+			reachable++
+			if before {
+				reachableRanked++
+			}
 		}
 	}
-	return true
+	switch {
+	case storeReachable:
+		return reachableRanked
+	case reachable > 0:
+		return reachable
+	default:
+		return ranked
+	}
 }
 
 // IsInitialReader reports whether this gateway reads the store for its group
