Share the loop over protobuf fields

Packages gossip and tablecodec each had a loop over the fields of an encoded message; both now use package protofield. No decision is changed. Evidence: tests of both packages pass.

--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -22,6 +22,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"balsamhill/pkg/feed"
+	"balsamhill/pkg/protofield"
 )
 
 // Message is one datagram.
@@ -251,7 +252,7 @@
 // Unmarshal decodes a datagram. Unknown fields are ignored.
 func Unmarshal(data []byte) (Message, error) {
 	var m Message
-	err := forEachField(data, func(field protowire.Number, value uint64, content []byte) error {
+	err := protofield.ForEach(data, func(field protowire.Number, value uint64, content []byte) error {
 		return m.set(field, value, content)
 	})
 	if err == nil && m.Key == 0 {
@@ -314,7 +315,7 @@
 
 func unmarshalGateway(data []byte) (Gateway, error) {
 	var gateway Gateway
-	err := forEachField(data, func(field protowire.Number, value uint64, content []byte) error {
+	err := protofield.ForEach(data, func(field protowire.Number, value uint64, content []byte) error {
 		switch field {
 		case gatewayFieldID:
 			gateway.ID = string(content)
@@ -336,7 +337,7 @@
 
 func unmarshalTableState(data []byte) (feed.TableState, error) {
 	var tableState feed.TableState
-	err := forEachField(data, func(field protowire.Number, value uint64, _ []byte) error {
+	err := protofield.ForEach(data, func(field protowire.Number, value uint64, _ []byte) error {
 		switch field {
 		case tableFieldLastChange:
 			tableState.LastChange = value
@@ -352,7 +353,7 @@
 
 func unmarshalReport(data []byte) (Report, error) {
 	var report Report
-	err := forEachField(data, func(field protowire.Number, value uint64, _ []byte) error {
+	err := protofield.ForEach(data, func(field protowire.Number, value uint64, _ []byte) error {
 		switch field {
 		case reportFieldServer:
 			report.Server = uint32(value)
@@ -372,7 +373,7 @@
 
 func unmarshalSuspicion(data []byte) (Suspicion, error) {
 	var suspicion Suspicion
-	err := forEachField(data, func(field protowire.Number, value uint64, _ []byte) error {
+	err := protofield.ForEach(data, func(field protowire.Number, value uint64, _ []byte) error {
 		switch field {
 		case suspicionFieldFingerprint:
 			suspicion.Fingerprint = value
@@ -399,40 +400,3 @@
 func clampAge(microseconds uint64) time.Duration {
 	return time.Duration(min(microseconds, uint64(maxAge/time.Microsecond))) * time.Microsecond
 }
-
-// forEachField visits the fields of an encoded message; value or content is set,
-// depending on the field's wire type.
-func forEachField(data []byte, visit func(field protowire.Number, value uint64, content []byte) error) error {
-	for len(data) > 0 {
-		field, wireType, n := protowire.ConsumeTag(data)
-		if n < 0 {
-			return eris.Wrap(protowire.ParseError(n), "read tag")
-		}
-		data = data[n:]
-		var value uint64
-		var content []byte
-		switch wireType {
-		case protowire.VarintType:
-			value, n = protowire.ConsumeVarint(data)
-		case protowire.BytesType:
-			content, n = protowire.ConsumeBytes(data)
-		case protowire.Fixed64Type:
-			value, n = protowire.ConsumeFixed64(data)
-		case protowire.Fixed32Type:
-			var short uint32
-			short, n = protowire.ConsumeFixed32(data)
-			value = uint64(short)
-		default:
-			n = protowire.ConsumeFieldValue(field, wireType, data)
-		}
-		if n < 0 {
-			return eris.Wrap(protowire.ParseError(n), "read field")
-		}
-		data = data[n:]
-		err := visit(field, value, content)
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/pkg/tablecodec/tablecodec.go
+++ b/pkg/tablecodec/tablecodec.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"balsamhill/pkg/feed"
+	"balsamhill/pkg/protofield"
 )
 
 // Numbers of the protobuf fields of a list of rows and of a row.
@@ -126,7 +127,7 @@
 
 func decodeRows(plain []byte) ([]feed.Row, error) {
 	var rows []feed.Row
-	err := forEachField(plain, func(field protowire.Number, _ uint64, content []byte) error {
+	err := protofield.ForEach(plain, func(field protowire.Number, _ uint64, content []byte) error {
 		if field != fieldRow {
 			return nil
 		}
@@ -139,7 +140,7 @@
 
 func decodeRow(data []byte) (feed.Row, error) {
 	var row feed.Row
-	err := forEachField(data, func(field protowire.Number, value uint64, content []byte) error {
+	err := protofield.ForEach(data, func(field protowire.Number, value uint64, content []byte) error {
 		switch field {
 		case rowFieldKey:
 			row.Key = string(content)
@@ -158,34 +159,3 @@
 	})
 	return row, err
 }
-
-// forEachField visits the fields of an encoded message: value is set for numbers, content
-// for texts. Fields of other types are skipped.
-func forEachField(data []byte, visit func(field protowire.Number, value uint64, content []byte) error) error {
-	for len(data) > 0 {
-		field, wireType, n := protowire.ConsumeTag(data)
-		if n < 0 {
-			return eris.Wrap(protowire.ParseError(n), "read tag")
-		}
-		data = data[n:]
-		var value uint64
-		var content []byte
-		switch wireType {
-		case protowire.VarintType:
-			value, n = protowire.ConsumeVarint(data)
-		case protowire.BytesType:
-			content, n = protowire.ConsumeBytes(data)
-		default:
-			n = protowire.ConsumeFieldValue(field, wireType, data)
-		}
-		if n < 0 {
-			return eris.Wrap(protowire.ParseError(n), "read field")
-		}
-		data = data[n:]
-		err := visit(field, value, content)
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
