Gather table states for a relay's message only if it has receivers

Each gateway gathered the states of its tables for both links every 50 ms, also without a receiver, and longPollsStore took the lock of the peers twice. No decision is changed.

--- a/pkg/edge/receiver.go
+++ b/pkg/edge/receiver.go
@@ -9,23 +9,22 @@
 // isGroupReader reports whether this gateway is the reader of its group: the one that
 // reads the store unless another group reads it for all groups.
 func (e *Edge) isGroupReader(now int64) bool {
-	if e.stopping.Load() {
-		return false
-	}
 	e.peersMu.Lock()
 	defer e.peersMu.Unlock()
-	return e.peers.IsStoreReader(now, !e.storeState.unreachable())
+	return e.ranksFirstAsReader(now)
 }
 
 // longPollsStore reports whether this gateway long-polls the store: it is the reader of
 // its group, and no other group reads for all groups.
 func (e *Edge) longPollsStore(now int64) bool {
-	if !e.isGroupReader(now) {
-		return false
-	}
 	e.peersMu.Lock()
 	defer e.peersMu.Unlock()
-	return !e.peers.OtherGroupReads(now, len(e.watchers), e.otherGroupMaxAge)
+	return e.ranksFirstAsReader(now) && !e.peers.OtherGroupReads(now, len(e.watchers), e.otherGroupMaxAge)
+}
+
+// ranksFirstAsReader requires peersMu.
+func (e *Edge) ranksFirstAsReader(now int64) bool {
+	return !e.stopping.Load() && e.peers.IsStoreReader(now, !e.storeState.unreachable())
 }
 
 // refreshAssignment returns the assignment of probes to gateways, at most one
--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -33,7 +33,7 @@
 // sent again.
 func (l *relayLink) due(now int64, interval time.Duration, targets []string, tableStates []feed.TableState) bool {
 	confirmed := !slices.EqualFunc(l.tableStates, tableStates, func(a, b feed.TableState) bool { return a.AsOf == b.AsOf })
-	if len(targets) == 0 || now-l.sentAt < int64(interval) && !confirmed {
+	if now-l.sentAt < int64(interval) && !confirmed {
 		return false
 	}
 	l.sentAt, l.tableStates = now, tableStates
@@ -81,8 +81,11 @@
 func (s *sender) sendRelay(now int64, link *relayLink, interval time.Duration, targets []string, byDomain bool) {
 	e := s.edge
 	indexed := e.indexed.Load()
+	if indexed == nil || len(targets) == 0 {
+		return
+	}
 	tableStates := e.tableStates(now)
-	if indexed == nil || !link.due(now, interval, targets, tableStates) {
+	if !link.due(now, interval, targets, tableStates) {
 		return
 	}
 	var reports []gossip.Report
