End an answer whose rest has not come at its route's timeout

What callers saw in a test of our own: an answer whose body goes on without end is passed on until the caller leaves, whatever the timeout of its route (the users' rule CONFIG counts calls without a final answer half a second after it).

Cause: the time of a call ended with the header of the response, and a body longer than 64 KB is streamed. That is what `serve` promises for long streams; the platform's timeout is for the whole answer.

Change: TimeoutIncludesBody of the proxy, set on the platform: what has not arrived at the deadline is truncated, visibly for the caller, and the connection to the server is closed. Answers that are complete in the buffer are delivered also later, as before. A truncated answer has a log line of its own, which `explain` prints.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -191,6 +191,7 @@
 		Now:                 e.now,
 		Metrics:             proxy.NewMetrics(e.metrics),
 		ResponseBufferBytes: responseBufferBytes,
+		TimeoutIncludesBody: true,
 		ReplayBodyBytes:     replayBodyBytes,
 		ReplaceRejections:   true,
 		RetryBase:           e.retryBurstShare,
--- a/pkg/edge/observer.go
+++ b/pkg/edge/observer.go
@@ -6,8 +6,8 @@
 	"balsamhill/pkg/proxy"
 )
 
-// observer logs failed attempts and calls that are refused, late, canceled, retried or
-// failed, and a sample of the others.
+// observer logs failed attempts and calls that are refused, late, truncated, canceled, retried
+// or failed, and a sample of the others.
 type observer struct {
 	edge *Edge
 }
@@ -47,6 +47,13 @@
 		"took", event.Took.String(), "target", event.Target.String(), "revision", event.Revision)
 }
 
+// CallTruncated implements proxy.Observer.
+func (o observer) CallTruncated(event proxy.CallEvent, cause error) {
+	o.edge.log.Info("answer truncated", "request", event.RequestID, "route", event.Route, "service", event.Service,
+		"server", event.ServerID, "status", event.Status, "attempts", event.Attempts, "took", event.Took.String(),
+		"error", errorText(cause), "revision", event.Revision)
+}
+
 // CallCanceled implements proxy.Observer.
 func (o observer) CallCanceled(event proxy.CallEvent) {
 	o.edge.log.Info("caller left", "request", event.RequestID, "route", event.Route, "service", event.Service,
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -140,6 +140,9 @@
 		}
 		return fmt.Sprintf("still waits for the answer of attempt %v at server %v of %v after %v (target %v)",
 			field("attempts"), field("server"), field("service"), field("took"), field("target"))
+	case "answer truncated":
+		return fmt.Sprintf("answer %v of server %v of %v broke off after %v and %v attempts: %v; configuration %v", field("status"),
+			field("server"), field("service"), field("took"), field("attempts"), field("error"), field("revision"))
 	case "caller left":
 		return fmt.Sprintf("the caller left after %v and %v attempts at %v", field("took"), field("attempts"), field("service"))
 	default:
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -94,8 +94,8 @@
 	return a
 }
 
-// startTimeout cancels the attempt if the response header does not arrive within
-// the given time; 0 means no limit. The returned function stops the timer.
+// startTimeout cancels the attempt after the given time; 0 means no limit. The returned
+// function stops the timer.
 func (a *attempt) startTimeout(wait time.Duration) (stop func()) {
 	if wait <= 0 {
 		return func() {}
--- a/pkg/proxy/deliver.go
+++ b/pkg/proxy/deliver.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -47,11 +48,15 @@
 	c.setWriteDeadline()
 	c.w.WriteHeader(a.response.StatusCode)
 	c.clearWriteDeadline()
+	if c.proxy.config.TimeoutIncludesBody {
+		stop := a.startTimeout(c.attemptTimeout())
+		defer stop()
+	}
 	recorder := &responseRecorder{enabled: c.ticket != nil}
 	err := c.streamResponse(a, recorder)
 	c.finishClaimedResponse(a, recorder, err)
 	if err != nil {
-		c.countIncomplete(err)
+		c.reportIncomplete(a, err)
 		// Aborts the caller's connection or stream, so that the caller does not take
 		// a truncated response for a complete one.
 		panic(http.ErrAbortHandler)
@@ -231,11 +236,19 @@
 	c.finishClaim(result)
 }
 
-func (c *call) countIncomplete(err error) {
+// reportIncomplete counts a response that was not delivered completely, and sends an event
+// unless the caller left.
+func (c *call) reportIncomplete(a *attempt, err error) {
 	var writeErr callerWriteError
 	if errors.As(err, &writeErr) || c.r.Context().Err() != nil {
 		c.proxy.config.Metrics.canceled.Inc()
 		return
 	}
 	c.proxy.config.Metrics.truncated.Inc()
+	if cause := context.Cause(a.ctx); cause != nil {
+		err = cause
+	}
+	if observer := c.proxy.config.Observer; observer != nil {
+		observer.CallTruncated(c.callEvent(a), err)
+	}
 }
--- a/pkg/proxy/latency_target_test.go
+++ b/pkg/proxy/latency_target_test.go
@@ -67,6 +67,7 @@
 			route(config)
 			config.Protocol = headerProtocol{}
 			config.ResponseBufferBytes = 64 << 10
+			config.TimeoutIncludesBody = true
 			config.ReplayBodyBytes = 1 << 20
 			config.ReplaceRejections = true
 			config.RetryBase = func() float64 { return 5 }
@@ -267,3 +268,41 @@
 	assert.Equal(t, response.StatusCode, http.StatusOK)
 	assert.Assert(t, time.Since(started) < 400*time.Millisecond, "took %s", time.Since(started))
 }
+
+// truncationRecorder records the responses that an observer receives as truncated.
+type truncationRecorder struct {
+	refusalRecorder
+	truncated chan error
+}
+
+func (r *truncationRecorder) CallTruncated(_ proxy.CallEvent, cause error) { r.truncated <- cause }
+
+// TestBodyWithoutEndIsCutAtTimeout guards against a call that lasts longer than its route's
+// timeout because the server goes on sending.
+func TestBodyWithoutEndIsCutAtTimeout(t *testing.T) {
+	const timeout = time.Second
+	closed := make(chan struct{})
+	server := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		defer close(closed)
+		w.Header().Set("Id", r.Header.Get("Id"))
+		block := make([]byte, 16<<10)
+		for r.Context().Err() == nil {
+			_, _ = w.Write(block)
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+	observer := &truncationRecorder{truncated: make(chan error, 1)}
+	p := newObservedProxy(t, preset.ClassFetch, observer, server)
+	request, err := http.NewRequest(http.MethodGet, p.url+"/a", nil)
+	assert.NilError(t, err)
+	request.Header.Set("Id", "7")
+	began := time.Now()
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	assert.Assert(t, time.Since(began) < timeout+500*time.Millisecond, "cut after %s", time.Since(began))
+	<-closed
+	assert.ErrorContains(t, <-observer.truncated, "time for the attempt ended")
+}
--- a/pkg/proxy/observer.go
+++ b/pkg/proxy/observer.go
@@ -59,6 +59,9 @@
 	CallRefused(RefusalEvent)
 	// CallCompleted is called for each server response that was forwarded completely.
 	CallCompleted(CallEvent)
+	// CallTruncated is called for each server response that ended before it was complete,
+	// with the cause.
+	CallTruncated(CallEvent, error)
 	// CallCanceled is called for each call whose caller left before the response.
 	CallCanceled(CallEvent)
 	// CallLate is called for each call without a response at its route's latency
@@ -66,7 +69,7 @@
 	CallLate(CallEvent)
 }
 
-// CallEvent describes a call that was completed or canceled, or that is late. Without
+// CallEvent describes a call that was completed, truncated or canceled, or that is late. Without
 // a response, Status is 0; ServerID is empty for a canceled call, and that of the
 // latest attempt, if any, for a late one.
 type CallEvent struct {
--- a/pkg/proxy/observer_test.go
+++ b/pkg/proxy/observer_test.go
@@ -18,6 +18,7 @@
 func (*refusalRecorder) AttemptFailed(proxy.AttemptEvent)       {}
 func (r *refusalRecorder) CallRefused(event proxy.RefusalEvent) { *r = append(*r, event) }
 func (*refusalRecorder) CallCompleted(proxy.CallEvent)          {}
+func (*refusalRecorder) CallTruncated(proxy.CallEvent, error)   {}
 func (*refusalRecorder) CallCanceled(proxy.CallEvent)           {}
 func (*refusalRecorder) CallLate(proxy.CallEvent)               {}
 
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -30,6 +30,9 @@
 	// response is forwarded. A response that breaks off within them is a failed
 	// attempt. 0 forwards responses without buffering.
 	ResponseBufferBytes int
+	// TimeoutIncludesBody says that the time of a call ends with the whole response and
+	// not with its header. A response whose rest has not arrived by then is truncated.
+	TimeoutIncludesBody bool
 	// ReplaceRejections sends a refusal of the gateway in place of the response of a
 	// server that rejected the call.
 	ReplaceRejections bool
