Split the buffering and the stall timer from body.go of package proxy

body.go had 454 lines with three jobs. Buffering before the first attempt is in bodybuffer.go, the stall timer in bodyprogress.go. Only moved; the tests of the package pass.

--- a/pkg/proxy/body.go
+++ b/pkg/proxy/body.go
@@ -7,18 +7,9 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"balsamhill/pkg/preset"
-	"balsamhill/pkg/retry"
 )
 
 const (
-	// maxBufferedBodyBytes is the size of the largest body that is read in full
-	// before the first attempt.
-	maxBufferedBodyBytes = 64 << 10
-	// initialBufferBytes is the initial size of the buffer for a body of unknown
-	// length.
-	initialBufferBytes = 4 << 10
 	// unreadBodyTimeout limits how long the unread rest of a body is drained after
 	// the response. Closing the connection at once would send a reset, and the caller
 	// could lose the response.
@@ -301,50 +292,6 @@
 	return n, err
 }
 
-// initStallTimer prepares the timer that cancels an attempt whose server reads
-// nothing from a streamed body for the idle timeout. The timer runs only while no
-// read from the caller is in flight.
-func (b *requestBody) initStallTimer(cancel func()) {
-	if !b.present || b.buffered != nil {
-		return
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.stallTimer != nil {
-		b.stallTimer.Stop()
-	}
-	b.stallTimer = time.AfterFunc(b.idleTimeout, cancel)
-	b.stallTimer.Stop()
-}
-
-// responseProgressed restarts the idle timeout of the request body after progress of
-// the response body: the timeout applies only while neither makes progress.
-func (b *requestBody) responseProgressed() {
-	if !b.present || b.buffered != nil {
-		return
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	switch {
-	case b.atEOF || b.closed:
-	case b.readInFlight:
-		_ = b.call.control.SetReadDeadline(time.Now().Add(b.idleTimeout))
-	case b.stallTimer != nil && b.readErr == nil:
-		b.stallTimer.Reset(b.idleTimeout)
-	}
-}
-
-// progressedWithin reports whether a streamed body made progress within the last idle
-// duration.
-func (b *requestBody) progressedWithin(idle time.Duration) bool {
-	if !b.present || b.buffered != nil {
-		return false
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return time.Since(b.lastProgress) < idle
-}
-
 // close makes later reads fail and limits how long net/http drains the unread rest.
 func (b *requestBody) close() {
 	if !b.present {
@@ -370,72 +317,6 @@
 	}
 }
 
-// readUpTo reads to the end of the body or until it has more than limit bytes, and
-// reports whether the body is complete.
-func (b *requestBody) readUpTo(limit int) (data []byte, complete bool, err error) {
-	size := initialBufferBytes
-	if length := b.call.r.ContentLength; length > 0 {
-		size = int(min(length, int64(limit)))
-	}
-	data = make([]byte, 0, size+1)
-	for len(data) <= limit {
-		if len(data) == cap(data) {
-			data = append(data, 0)[:len(data)]
-		}
-		n, err := b.read(data[len(data):min(cap(data), limit+1)], 0)
-		data = data[:len(data)+n]
-		if err == io.EOF {
-			return data, true, nil
-		}
-		if err != nil {
-			return nil, false, err
-		}
-	}
-	return data, false, nil
-}
-
-// bufferBody reads a body of up to maxBufferedBodyBytes before the first attempt if
-// another attempt or the fingerprint of an idempotency key needs it. It refuses the
-// call and returns false if the body is too large or cannot be read.
-func (c *call) bufferBody() bool {
-	b := &c.body
-	if !b.present || c.safety == retry.NonIdempotent || len(c.r.Trailer) > 0 {
-		return true
-	}
-	if c.r.ContentLength > maxBufferedBodyBytes || c.route.Class == preset.ClassUpload && c.r.ContentLength < 0 {
-		return true
-	}
-	data, complete, err := b.readUpTo(maxBufferedBodyBytes)
-	switch {
-	case errors.Is(err, errBodyTooLarge):
-		c.refuseTooLarge()
-		return false
-	case err != nil:
-		c.proxy.config.Metrics.badBody.Inc()
-		c.refuse(http.StatusBadRequest, "the body could not be read")
-		return false
-	case complete:
-		b.buffered = data
-	default:
-		b.overflowed = true
-		b.unread(data)
-	}
-	return true
-}
-
-// unread puts bytes that were read before the first attempt back to the beginning
-// of the body.
-func (b *requestBody) unread(data []byte) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.consumed = false
-	if b.replayComplete() {
-		b.replayOffset = 0
-		return
-	}
-	b.readAhead = data
-}
-
 // closeIfBodyUnread closes an HTTP/1.1 connection after the response if the request
 // body was not read to its end, because the remaining bytes could be parsed as a
 // request. Connections with chunked requests are closed too: net/http does not
