Say in one place that a read of the store is followed by the next step

The functions that read the store returned a delay that was always 0. No decision is changed; the tests of package edge pass.

--- a/pkg/edge/tableread.go
+++ b/pkg/edge/tableread.go
@@ -30,28 +30,27 @@
 }
 
 // readFullTable reads the whole table from the store.
-func (w *watcher) readFullTable(ctx context.Context, backoff feed.Backoff) time.Duration {
+func (w *watcher) readFullTable(ctx context.Context, backoff feed.Backoff) {
 	read := tableRead{table: w.table, source: storeSource, began: w.edge.now()}
-	return w.readStore(ctx, read, backoff, func(ctx context.Context) (feed.Batch, error) {
+	w.readStore(ctx, read, backoff, func(ctx context.Context) (feed.Batch, error) {
 		return w.edge.store.Read(ctx, w.table)
 	})
 }
 
 // readChanges reads the changes after a version from the store, which may delay its
 // response by wait.
-func (w *watcher) readChanges(ctx context.Context, after uint64, wait time.Duration,
-	backoff feed.Backoff,
-) time.Duration {
+func (w *watcher) readChanges(ctx context.Context, after uint64, wait time.Duration, backoff feed.Backoff) {
 	read := tableRead{table: w.table, source: storeSource, after: after, began: w.edge.now(), wait: wait}
-	return w.readStore(ctx, read, backoff, func(ctx context.Context) (feed.Batch, error) {
+	w.readStore(ctx, read, backoff, func(ctx context.Context) (feed.Batch, error) {
 		return w.edge.store.Changes(ctx, w.table, after, wait)
 	})
 }
 
-// readStore makes a read of the store and applies its result.
+// readStore makes a read of the store and applies its result. If the store no longer has the
+// changes, it reads the whole table.
 func (w *watcher) readStore(ctx context.Context, read tableRead, backoff feed.Backoff,
 	makeRead func(context.Context) (feed.Batch, error),
-) time.Duration {
+) {
 	readContext, end := w.beginStoreRead(ctx, read.began)
 	batch, err := makeRead(readContext)
 	if err != nil && errors.Is(context.Cause(readContext), errPeerIsFaster) {
@@ -60,12 +59,14 @@
 	end()
 	if errors.Is(err, ErrHistoryGone) {
 		w.edge.log.Info("store no longer has the changes since this version; reading the whole table", "table", w.table, "after", read.after)
-		return w.readFullTable(ctx, backoff)
+		w.readFullTable(ctx, backoff)
+		return
 	}
 	w.handleStoreResponse(ctx, read, batch, err, backoff)
-	return 0
 }
 
+// handleStoreResponse applies the result of a read of the store, and records whether the
+// store was reached.
 func (w *watcher) handleStoreResponse(ctx context.Context, read tableRead, batch feed.Batch, err error,
 	backoff feed.Backoff,
 ) {
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -162,12 +162,13 @@
 	}
 	switch {
 	case !known:
-		return w.readFullTable(ctx, backoff)
+		w.readFullTable(ctx, backoff)
 	case reader && w.mayLongPoll(state):
-		return w.readChanges(ctx, state.AsOf, w.edge.longPollWait, backoff)
+		w.readChanges(ctx, state.AsOf, w.edge.longPollWait, backoff)
 	default:
-		return w.readChanges(ctx, state.AsOf, 0, backoff)
+		w.readChanges(ctx, state.AsOf, 0, backoff)
 	}
+	return 0
 }
 
 // fallbackDelay returns how much longer than maxTableAge this gateway waits for a peer that
