State the time since the announcement only for the announced change

The line 'configuration in force' took the time of the last announcement of any change. No decision is changed.

Evidence: TestAnnouncementBelongsToChange fails before (5 s instead of 0 for a change without an announcement).

--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -18,8 +18,8 @@
 	storeRecoveredAt int64
 	// source is storeSource or the address of the gateway that sent the rows.
 	source string
-	// receivedAt is when the read ended, announcedAt when a peer last announced a change of
-	// the table, 0 if none did, and confirmedAt when the store confirmed the rows.
+	// receivedAt is when the read ended, announcedAt when a peer announced a change that the
+	// copy lacked until then, 0 if none did, and confirmedAt when the store confirmed the rows.
 	receivedAt, announcedAt, confirmedAt int64
 }
 
--- a/pkg/edge/readlog_test.go
+++ b/pkg/edge/readlog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"log/slog"
 	"sync"
@@ -91,3 +92,21 @@
 		}) != nil
 	})
 }
+
+// TestAnnouncementBelongsToChange guards against logs that state the time since the announcement
+// of an earlier change for one that no peer announced.
+func TestAnnouncementBelongsToChange(t *testing.T) {
+	e := idleEdge(t, "g")
+	w := configTable(e, "1")
+	const announcedAt = int64(5e9)
+	w.confirm(announcedAt, feed.TableState{LastChange: 2, AsOf: 2}, "peer")
+	for _, test := range []struct {
+		version uint64
+		want    int64
+	}{{2, announcedAt}, {3, 0}} {
+		row := feed.Row{Key: "config", Value: []byte("2"), Version: test.version}
+		go w.applyBatch(context.Background(), feed.Batch{Rows: []feed.Row{row}, AsOf: test.version}, storeSource)
+		event := <-e.events
+		assert.Equal(t, event.announcedAt, test.want, "version %d", test.version)
+	}
+}
--- a/pkg/edge/tableread.go
+++ b/pkg/edge/tableread.go
@@ -90,8 +90,11 @@
 	now := w.edge.now()
 	w.mu.Lock()
 	first := !w.mirror.Loaded()
+	announcedAt := int64(0)
+	if w.announced.version > w.mirror.AsOf() {
+		announcedAt = w.announced.at
+	}
 	rows := w.mirror.Apply(now, batch)
-	announced := w.announced
 	confirmedAt := w.mirror.ConfirmedAt()
 	w.mu.Unlock()
 	if len(rows) == 0 && !first {
@@ -100,7 +103,7 @@
 	w.nextStoreReadAt = now + int64(changeCoalesceDelay)
 	event := tableEvent{
 		table: w.table, rows: rows, storeRecoveredAt: w.edge.storeState.recoveredAt(), source: source,
-		receivedAt: now, announcedAt: announced.at, confirmedAt: confirmedAt,
+		receivedAt: now, announcedAt: announcedAt, confirmedAt: confirmedAt,
 	}
 	select {
 	case w.edge.events <- event:
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -204,8 +204,8 @@
 }
 
 // outpaced reports whether a change that was announced during the read is still missing after
-// peerPreferenceDelay. A change that was announced before it is not read from a peer,
-// because such a read has failed.
+// peerPreferenceDelay. If the change was announced before the read, a read from the peer has
+// failed already.
 func (r storeReadInProgress) outpaced(now, announcedAt int64) bool {
 	return r.cancel != nil && announcedAt > r.began && now-announcedAt >= int64(peerPreferenceDelay)
 }
