Keep the delay of fallback reads from overflowing

What callers would see: in a failure domain of 200 gateways with a configuration of 60 MB, all gateways read the store at the same moment once their copies are too old, which is to prevent.

Cause: gateways times bytes times nanoseconds exceeds 63 bits, and the delay was negative.

Change: the time of one read is computed first. Delays without an overflow are the same but for rounding to a nanosecond for each gateway.

Evidence: TestFallbackDelayOfLargeGroupIsBounded fails before (-51m14s instead of 5 s). Two comments are reworded.

--- a/pkg/edge/largeconfig_test.go
+++ b/pkg/edge/largeconfig_test.go
@@ -230,3 +230,20 @@
 		assert.Equal(t, delay, time.Duration(i)*time.Second/2)
 	}
 }
+
+// TestFallbackDelayOfLargeGroupIsBounded guards against a product of group and configuration
+// that overflows, after which all gateways of the group read the store at once.
+func TestFallbackDelayOfLargeGroupIsBounded(t *testing.T) {
+	const others, configBytes = 200, 60_000_000
+	e := idleEdge(t, "last")
+	e.self.HighCapacity = false
+	e.peers = gossip.NewPeers(e.self)
+	for i := range others {
+		peer := gossip.Gateway{ID: fmt.Sprint("g", i), Region: "r", FailureDomain: "d", HighCapacity: true, Incarnation: 1}
+		e.receive(&gossip.Message{
+			Key: gossip.KeyOf(peer.ID), Incarnation: 1, Sequence: 1, Sender: &peer, StoreReachable: true,
+		})
+	}
+	w := configTable(e, string(make([]byte, configBytes)))
+	assert.Equal(t, w.fallbackDelay(e.now()), maxFallbackDelay)
+}
--- a/pkg/edge/receiver.go
+++ b/pkg/edge/receiver.go
@@ -22,7 +22,8 @@
 	return e.ranksFirstAsReader(now) && !e.peers.OtherGroupReads(now, len(e.watchers), e.otherGroupMaxAge)
 }
 
-// ranksFirstAsReader requires peersMu.
+// ranksFirstAsReader reports whether this gateway comes first among those of its group that
+// can read the store. The caller holds peersMu.
 func (e *Edge) ranksFirstAsReader(now int64) bool {
 	return !e.stopping.Load() && e.peers.IsStoreReader(now, !e.storeState.unreachable())
 }
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -79,7 +79,8 @@
 
 // Store is the platform's store. Read and Changes return an error if a response does not
 // begin in time or makes no progress; a slow response of any size is received to its end.
-// With an error, the batch contains only the number of bytes that were received. If Put returns an error, the row may or may not have been written.
+// With an error, the batch contains only the number of bytes that were received. If Put
+// returns an error, the row may or may not have been written.
 type Store interface {
 	// Read returns a whole table.
 	Read(ctx context.Context, table feed.Table) (feed.Batch, error)
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -185,8 +185,8 @@
 	w.edge.peersMu.Lock()
 	before := w.edge.peers.StoreReadersBefore(now, !w.edge.storeState.unreachable())
 	w.edge.peersMu.Unlock()
-	delay := time.Duration(before) * time.Duration(len(value)) * time.Second / fallbackBytesPerSecond
-	return min(delay, maxFallbackDelay)
+	readTime := time.Duration(len(value)) * time.Second / fallbackBytesPerSecond
+	return min(time.Duration(before)*readTime, maxFallbackDelay)
 }
 
 // newestSource returns the gateway from which the table is read if it is newer there.
