Keep to the limits that servers name, together

No gateway read the header.

Cause: nothing in the code knew limits. A limit binds the sum over all gateways, so reading it is not enough: it has to reach the others, and be divided without a message on the way of a call.

Change: package serverlimit.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -125,6 +125,8 @@
 	membersLoaded atomic.Bool
 	directory     directory
 
+	serverLimits *serverLimits
+
 	guard     *crashguard.Guard
 	proxy     *proxy.Proxy
 	transport *proxy.Transports
@@ -177,6 +179,7 @@
 	e.setTableAges(s.Limits)
 	e.peers = gossip.NewPeers(e.self)
 	e.counters = newCounters(e.metrics)
+	e.serverLimits = newServerLimits(e)
 	e.probeTransport = newProbeTransport()
 	for index, table := range feed.Tables() {
 		e.watchers = append(e.watchers, newWatcher(e, table, index))
--- /dev/null
+++ b/pkg/edge/limits.go
@@ -0,0 +1,353 @@
+package edge
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"sync"
+	"time"
+
+	"balsamhill/pkg/gossip"
+	"balsamhill/pkg/routing"
+	"balsamhill/pkg/serverlimit"
+)
+
+const (
+	// demandInterval is how often the demand of this gateway for each service is measured.
+	demandInterval = 500 * time.Millisecond
+	// limitRepeatInterval is how often a relay repeats limits that have not changed, for
+	// gateways that joined and for lost messages.
+	limitRepeatInterval = time.Second
+	// usageLogInterval is how often the usage of shares is logged.
+	usageLogInterval = 5 * time.Second
+	// demandWeight is the weight of one measurement in the moving average of a demand.
+	demandWeight = 0.3
+	// limitsPerMessage is how many limits and leases a message carries, which keeps it below
+	// the usual maximum size of a packet.
+	limitsPerMessage = 48
+	// limitsPerLogLine bounds the servers that one log line describes.
+	limitsPerLogLine = 24
+	// leaseLogRatio is the ratio between two rates of a lease up to which a change is not
+	// logged.
+	leaseLogRatio = 1.25
+)
+
+// serverLimits holds the limits that servers named and what this gateway may send to them.
+// Its methods are safe for concurrent use.
+type serverLimits struct {
+	edge *Edge
+
+	mu   sync.Mutex
+	book *serverlimit.Book
+	// incarnations holds the incarnations of the servers in the book.
+	incarnations map[uint32]uint64
+	// loggedRates holds the rate of each lease that was logged last.
+	loggedRates map[uint32]float64
+	// demands holds the measured demand for each service by name.
+	demands    map[string]demand
+	measuredAt int64
+	// usageLoggedAt is when the usage of the shares was logged last, and sentBefore how many
+	// requests had been sent to limited servers then.
+	usageLoggedAt int64
+	sentBefore    uint64
+	// relayed is what this gateway, as the relay, last told its group.
+	relayed relayedLimits
+}
+
+// relayedLimits says which limits a relay told a group last, and when.
+type relayedLimits struct {
+	revision uint64
+	at       int64
+}
+
+// due reports whether the limits have to be told, and records that they are.
+func (r *relayedLimits) due(now int64, book *serverlimit.Book) bool {
+	if book.Revision() == r.revision && now-r.at < int64(limitRepeatInterval) {
+		return false
+	}
+	r.revision, r.at = book.Revision(), now
+	return true
+}
+
+// demand is the rate of this gateway's calls to a service.
+type demand struct {
+	calls int64
+	rate  float64
+}
+
+func newServerLimits(e *Edge) *serverLimits {
+	return &serverLimits{
+		edge: e, book: serverlimit.NewBook(gossip.KeyOf(e.self.ID)), incarnations: make(map[uint32]uint64),
+		loggedRates: make(map[uint32]float64), demands: make(map[string]demand),
+	}
+}
+
+// tick reads the answers of the servers, grants leases and returns the notices for the
+// group of this gateway.
+func (l *serverLimits) tick(now int64, assignment *gossip.Assignment) []serverlimit.Notice {
+	indexed := l.edge.indexed.Load()
+	if indexed == nil {
+		return nil
+	}
+	l.measureDemands(now, indexed.snapshot)
+	view := l.view(now, assignment, indexed)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	changed := l.readAnswers(indexed)
+	notices := l.book.Tick(now, view)
+	if l.edge.isRelay.Load() && l.relayed.due(now, l.book) {
+		notices = append(notices, l.book.UncoordinatedStatements(now)...)
+	}
+	l.logChanges(now, indexed, changed)
+	var leases []string
+	for _, allowance := range l.book.Allowances(now) {
+		leases = l.allow(now, indexed, allowance, leases)
+	}
+	l.logLeases(leases)
+	l.logUsage(now, indexed)
+	return notices
+}
+
+// logUsage logs every usageLogInterval what this gateway may send to the servers with a
+// limit, and how many requests it sent them.
+func (l *serverLimits) logUsage(now int64, indexed *indexedSnapshot) {
+	if now-l.usageLoggedAt < int64(usageLogInterval) {
+		return
+	}
+	l.usageLoggedAt = now
+	count, limits, shares, sent := 0, 0.0, 0.0, uint64(0)
+	for _, allowance := range l.book.Allowances(now) {
+		server := indexed.byKey[allowance.Server]
+		if server == nil || !allowance.Limited {
+			continue
+		}
+		count++
+		limits += allowance.Limit
+		shares += allowance.Rate
+		sent += server.Stats.Gate.Sent()
+	}
+	if count > 0 {
+		l.edge.log.Info("server limits in force", "count", count, "limits", limits, "ownShares", shares,
+			"sent", sent-min(sent, l.sentBefore))
+	}
+	l.sentBefore = sent
+}
+
+// readAnswers reads what the servers answered since the last call and returns the keys of
+// those whose limit changed.
+func (l *serverLimits) readAnswers(indexed *indexedSnapshot) []uint32 {
+	var changed []uint32
+	for key, server := range indexed.byKey {
+		gate := &server.Stats.Gate
+		if l.book.Knows(key) && l.incarnations[key] != server.Incarnation {
+			if l.incarnations[key] != 0 {
+				l.book.Forget(l.edge.now(), key)
+			}
+			l.incarnations[key] = server.Incarnation
+		}
+		if !gate.Limited() {
+			continue
+		}
+		answers := gate.TakeAnswers()
+		if answers.NamedAt != 0 && l.book.Name(answers.NamedAt, key, answers.Rate) {
+			changed = append(changed, key)
+		}
+		if answers.UnnamedAt != 0 && l.book.End(answers.UnnamedAt, key, answers.UnnamedSentAt) {
+			changed = append(changed, key)
+		}
+		if !l.book.Knows(key) {
+			gate.Allow(l.edge.now(), serverlimit.Allowance{})
+		}
+	}
+	return changed
+}
+
+// apply applies the notices of another gateway.
+func (l *serverLimits) apply(now int64, from uint64, notices []serverlimit.Notice) {
+	indexed := l.edge.indexed.Load()
+	if len(notices) == 0 || indexed == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var changed []uint32
+	var leases []string
+	for _, notice := range notices {
+		if l.book.Apply(now, from, notice) {
+			changed = append(changed, notice.Server)
+		}
+		leases = l.allow(now, indexed, l.book.Allowance(now, notice.Server), leases)
+	}
+	l.logChanges(now, indexed, changed)
+	l.logLeases(leases)
+}
+
+// allow passes an allowance to the traffic path and appends a description of the lease
+// to lines if it changed.
+func (l *serverLimits) allow(now int64, indexed *indexedSnapshot, allowance serverlimit.Allowance, lines []string) []string {
+	server := indexed.byKey[allowance.Server]
+	if server == nil {
+		return lines
+	}
+	server.Stats.Gate.Allow(now, allowance)
+	logged := l.loggedRates[allowance.Server]
+	if (logged == 0) == (allowance.Rate == 0) && max(logged, allowance.Rate) <= leaseLogRatio*min(logged, allowance.Rate) {
+		return lines
+	}
+	if allowance.Rate == 0 {
+		delete(l.loggedRates, allowance.Server)
+	} else {
+		l.loggedRates[allowance.Server] = allowance.Rate
+	}
+	if logged == allowance.Rate {
+		return lines
+	}
+	return append(lines, fmt.Sprintf("%s=%.2f of %.2f", server.ID, allowance.Rate, allowance.Limit))
+}
+
+// logChanges logs which limits this gateway learnt of, from whom and since when.
+func (l *serverLimits) logChanges(now int64, indexed *indexedSnapshot, changed []uint32) {
+	if len(changed) == 0 {
+		return
+	}
+	lines := make([]string, 0, len(changed))
+	for _, key := range changed {
+		statement := l.book.Allowance(now, key).Statement
+		id := fmt.Sprintf("%08x", key)
+		if server := indexed.byKey[key]; server != nil {
+			id = server.ID
+		}
+		limit := "none"
+		if !statement.Ended {
+			limit = fmt.Sprintf("%.2f", statement.Rate)
+		}
+		lines = append(lines, fmt.Sprintf("%s=%s from %s since %s", id, limit, l.sourceOf(statement),
+			time.Duration(now-statement.Since).Round(time.Millisecond)))
+	}
+	l.edge.log.Info("server limits changed", "count", len(lines), "limits", joinForLog(lines))
+}
+
+func (l *serverLimits) sourceOf(statement serverlimit.Statement) string {
+	if statement.From == 0 {
+		return "its answer"
+	}
+	l.edge.peersMu.Lock()
+	defer l.edge.peersMu.Unlock()
+	return l.edge.peers.IDOf(statement.From)
+}
+
+func (l *serverLimits) logLeases(lines []string) {
+	if len(lines) > 0 {
+		l.edge.log.Info("own share of server limits changed", "count", len(lines), "shares", joinForLog(lines))
+	}
+}
+
+func joinForLog(lines []string) string {
+	return strings.Join(lines[:min(len(lines), limitsPerLogLine)], "; ")
+}
+
+// view returns what this gateway knows of its group and of the servers.
+func (l *serverLimits) view(now int64, assignment *gossip.Assignment, indexed *indexedSnapshot) serverlimit.View {
+	e := l.edge
+	coverage := make(map[string]serverlimit.Coverage, len(e.settings.Regions))
+	demands := l.outgoingDemands()
+	e.peersMu.Lock()
+	members, live, known := e.peers.LimitMembers(now, assignment)
+	if !e.stopping.Load() {
+		members = append(members, e.peers.LimitMember(assignment, demands))
+	}
+	for domain, region := range e.settings.Regions {
+		coverage[domain] = e.peers.LimitCoverage(now, region, domain)
+	}
+	e.peersMu.Unlock()
+	return serverlimit.View{Members: members, Live: live, Known: known, Server: func(key uint32) (serverlimit.Server, bool) {
+		server := indexed.byKey[key]
+		if server == nil {
+			return serverlimit.Server{}, false
+		}
+		return serverlimit.Server{
+			Service: gossip.ServiceKey(server.Service), FailureDomain: server.FailureDomain, Coverage: coverage[server.FailureDomain],
+		}, true
+	}}
+}
+
+// measureDemands measures the rates of the calls to each service every demandInterval.
+func (l *serverLimits) measureDemands(now int64, snapshot *routing.Snapshot) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	elapsed := time.Duration(now - l.measuredAt)
+	if elapsed < demandInterval {
+		return
+	}
+	first := l.measuredAt == 0
+	l.measuredAt = now
+	for name := range snapshot.Services {
+		calls := l.edge.proxy.Calls(name)
+		last := l.demands[name]
+		current := float64(calls-last.calls) / elapsed.Seconds()
+		if !first {
+			last.rate += demandWeight * (current - last.rate)
+		}
+		l.demands[name] = demand{calls: calls, rate: last.rate}
+	}
+}
+
+// outgoingDemands returns the demands for the services with limited servers.
+func (l *serverLimits) outgoingDemands() []gossip.Demand {
+	indexed := l.edge.indexed.Load()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limited := l.book.Limited()
+	if indexed == nil || len(limited) == 0 {
+		return nil
+	}
+	services := make(map[string]bool)
+	for _, key := range limited {
+		if server := indexed.byKey[key]; server != nil {
+			services[server.Service] = true
+		}
+	}
+	demands := make([]gossip.Demand, 0, len(services))
+	for name := range services {
+		demands = append(demands, gossip.Demand{Service: gossip.ServiceKey(name), Rate: l.demands[name].rate})
+	}
+	return demands
+}
+
+// statementsFor returns the limits that are due to other groups.
+func (l *serverLimits) statementsFor(now int64, relayed *relayedLimits) []serverlimit.Notice {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !relayed.due(now, l.book) {
+		return nil
+	}
+	return l.book.Statements(now)
+}
+
+// totals returns the number of limited servers of a service, and the sum of what this
+// gateway may send to them in requests per second.
+func (l *serverLimits) totals(now int64, service string) (limited int, share float64) {
+	indexed := l.edge.indexed.Load()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, allowance := range l.book.Allowances(now) {
+		if server := indexed.byKey[allowance.Server]; server != nil && allowance.Limited && server.Service == service {
+			limited++
+			share += allowance.Rate
+		}
+	}
+	return limited, share
+}
+
+// limitedProbeInterval returns how often a server with a limit is probed at most.
+func limitedProbeInterval(gate *serverlimit.Gate) time.Duration {
+	limit, limited := gate.Limit()
+	if !limited {
+		return 0
+	}
+	interval := float64(time.Second) / (serverlimit.ProbeShare * limit)
+	return time.Duration(math.Min(interval, float64(maxLimitedProbeInterval)))
+}
+
+// maxLimitedProbeInterval bounds the time between two probes of a server with a low limit.
+const maxLimitedProbeInterval = 10 * time.Second
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -126,6 +126,9 @@
 		gauge(meanReportAge(now, view), `balsamhill_report_age_seconds{service=%q}`, name)
 		gauge(float64(state.Waiting), `balsamhill_calls_waiting{service=%q}`, name)
 		gauge(float64(state.RetriesRemaining), `balsamhill_retries_left{service=%q}`, name)
+		limited, share := e.serverLimits.totals(now, name)
+		gauge(float64(limited), `balsamhill_servers_limited{service=%q}`, name)
+		gauge(share, `balsamhill_limit_share{service=%q}`, name)
 		gauge(state.SaturationFactor, `balsamhill_crowded_factor{service=%q}`, name)
 	}
 }
--- a/pkg/edge/probes.go
+++ b/pkg/edge/probes.go
@@ -10,6 +10,7 @@
 
 	"balsamhill/pkg/gossip"
 	"balsamhill/pkg/prober"
+	"balsamhill/pkg/proxy"
 	"balsamhill/pkg/routing"
 )
 
@@ -183,6 +184,9 @@
 
 // due reports whether the server has to be probed.
 func (s *probeState) due(now int64, interval time.Duration) bool {
+	if now-s.startedAt < int64(limitedProbeInterval(&s.server.Stats.Gate)) {
+		return false
+	}
 	if s.failures >= unresponsiveThreshold {
 		return now-s.startedAt >= int64(unresponsiveProbeInterval)
 	}
@@ -225,6 +229,9 @@
 	if id != server.ID {
 		return false
 	}
+	if limit := e.codec.Protocol().ServerLimit(response.Header); limit.Kind == proxy.LimitNamed {
+		server.Stats.Gate.RecordNamed(e.now(), limit.Rate)
+	}
 	if ok {
 		server.Stats.ReportLoad(e.now(), report.InFlight, report.SlowdownPermille)
 	}
--- a/pkg/edge/receiver.go
+++ b/pkg/edge/receiver.go
@@ -84,6 +84,7 @@
 			e.watchers[i].confirm(now, state, sender)
 		}
 	}
+	e.serverLimits.apply(now, message.Key, message.Limits)
 	indexed := e.indexed.Load()
 	if indexed == nil {
 		return
--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -26,6 +26,7 @@
 	targets     []string
 	sent        map[string]sentReport
 	tableStates []feed.TableState
+	limits      relayedLimits
 }
 
 // due reports whether the next message is due and records its targets. A message is due
@@ -40,6 +41,7 @@
 	if !slices.Equal(targets, l.targets) {
 		l.targets = targets
 		clear(l.sent)
+		l.limits = relayedLimits{}
 	}
 	return true
 }
@@ -98,6 +100,7 @@
 	message.Sender = &e.self
 	message.TableStates = tableStates
 	s.send(targets, message, reports)
+	s.sendNotices(now, targets, interval, e.serverLimits.statementsFor(now, &link.limits))
 }
 
 // inOwnGroup reports whether a server belongs to the group of this gateway: its failure
--- a/pkg/edge/sender.go
+++ b/pkg/edge/sender.go
@@ -10,6 +10,7 @@
 	"balsamhill/pkg/crashguard"
 	"balsamhill/pkg/feed"
 	"balsamhill/pkg/gossip"
+	"balsamhill/pkg/serverlimit"
 )
 
 const (
@@ -79,6 +80,7 @@
 	now := e.now()
 	assignment := e.refreshAssignment(now)
 	s.relayReports(now)
+	s.sendLimits(now, assignment)
 	if e.ready() && !assignment.SendsReports() && !e.isGroupReader(now) {
 		s.sendPassive(now, assignment)
 		return heartbeatInterval
@@ -151,6 +153,7 @@
 	e := s.edge
 	s.describedAt = now
 	message.Sender = &e.self
+	message.Demands = e.serverLimits.outgoingDemands()
 	e.peersMu.Lock()
 	defer e.peersMu.Unlock()
 	message.KnownGateways = e.peers.SampleAlive(now, gatewaysPerMessage, s.random)
@@ -168,6 +171,7 @@
 		SentAt:         now,
 		Stopping:       e.stopping.Load(),
 		StoreReachable: !e.storeState.unreachable(),
+		KeepsLimits:    true,
 		Interval:       interval,
 	}
 }
@@ -184,9 +188,48 @@
 		s.buffer = message.Marshal(s.buffer[:0])
 		e.sendTo(targets, s.buffer)
 		message.TableStates, message.Sender, message.KnownGateways, message.Suspicions = nil, nil, nil, nil
+		message.Demands = nil
 	}
 }
 
+// sendLimits sends the notices about limits of servers that are due to the group.
+func (s *sender) sendLimits(now int64, assignment *gossip.Assignment) {
+	e := s.edge
+	notices := e.serverLimits.tick(now, assignment)
+	if len(notices) == 0 {
+		return
+	}
+	e.peersMu.Lock()
+	targets := e.peers.NextTargets(now)
+	e.peersMu.Unlock()
+	interval := heartbeatInterval
+	if !assignment.SendsReports() {
+		interval = passiveBroadcastInterval
+	}
+	s.sendNotices(now, targets, interval, notices)
+}
+
+// sendNotices sends notices in as many messages as they need.
+func (s *sender) sendNotices(now int64, targets []string, interval time.Duration, notices []serverlimit.Notice) {
+	for len(notices) > 0 {
+		count := noticesForMessage(notices)
+		message := s.edge.newMessage(now, interval)
+		message.Limits = notices[:count]
+		s.send(targets, message, nil)
+		notices = notices[count:]
+	}
+}
+
+// noticesForMessage returns how many of the notices, at least one, fit into a message.
+func noticesForMessage(notices []serverlimit.Notice) int {
+	count, size := 0, 0
+	for count < len(notices) && (count == 0 || size+1+len(notices[count].Leases) <= limitsPerMessage) {
+		size += 1 + len(notices[count].Leases)
+		count++
+	}
+	return count
+}
+
 // suspicionsPerMessage keeps messages below the usual maximum size of a packet.
 const suspicionsPerMessage = 20
 
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"balsamhill/pkg/feed"
+	"balsamhill/pkg/serverlimit"
 )
 
 func drawMessage(t *rapid.T) Message {
@@ -49,9 +50,35 @@
 			Fingerprint: rapid.Uint64().Draw(t, "fingerprint"), Server: rapid.Uint32().Draw(t, "server"),
 		})
 	}
+	m.KeepsLimits = rapid.Bool().Draw(t, "keeps limits")
+	for range rapid.IntRange(0, 2).Draw(t, "limits") {
+		m.Limits = append(m.Limits, drawLimit(t))
+	}
+	for range rapid.IntRange(0, 2).Draw(t, "demands") {
+		m.Demands = append(m.Demands, Demand{Service: rapid.Uint32().Draw(t, "service"), Rate: drawRate(t)})
+	}
 	return m
 }
 
+func drawLimit(t *rapid.T) serverlimit.Notice {
+	notice := serverlimit.Notice{
+		Server: rapid.Uint32().Draw(t, "server"), Rate: drawRate(t), Ended: rapid.Bool().Draw(t, "ended"),
+		Age:      time.Duration(rapid.IntRange(0, 1e6).Draw(t, "age")) * time.Microsecond,
+		SinceAge: time.Duration(rapid.IntRange(0, 1e6).Draw(t, "since")) * time.Microsecond, Coordinated: rapid.Bool().Draw(t, "coordinated"),
+	}
+	for range rapid.IntRange(0, 2).Draw(t, "leases") {
+		notice.Leases = append(notice.Leases, serverlimit.Lease{
+			Holder: rapid.Uint64().Draw(t, "holder"), Rate: drawRate(t),
+			TTL: time.Duration(rapid.IntRange(0, 1e6).Draw(t, "ttl")) * time.Microsecond,
+		})
+	}
+	return notice
+}
+
+func drawRate(t *rapid.T) float64 {
+	return float64(rapid.IntRange(0, 100_000).Draw(t, "rate")) / 1000
+}
+
 // TestMessageRoundTrip guards against a field that is lost or decoded wrongly.
 func TestMessageRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -67,6 +94,8 @@
 func FuzzUnmarshal(f *testing.F) {
 	m := Message{Key: 1, Sender: &Gateway{ID: "g"}, Reports: []Report{{Server: 1, SlowdownPermille: 7000}}}
 	f.Add(m.Marshal(nil))
+	limited := Message{Key: 1, KeepsLimits: true, Limits: []serverlimit.Notice{{Server: 1, Rate: 2.5, Leases: []serverlimit.Lease{{Holder: 1, Rate: 1}}}}}
+	f.Add(limited.Marshal(nil))
 	f.Add([]byte{0xff})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		got, err := Unmarshal(data)
@@ -78,6 +107,11 @@
 				t.Fatalf("unbounded report %+v", report)
 			}
 		}
+		for _, limit := range got.Limits {
+			if !(limit.Rate >= 0 && limit.Rate <= maxRate) || limit.Age < 0 || limit.SinceAge < 0 {
+				t.Fatalf("unbounded limit %+v", limit)
+			}
+		}
 		if got.Interval < 0 || got.Interval > maxInterval {
 			t.Fatalf("interval %s", got.Interval)
 		}
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -23,6 +23,7 @@
 
 	"balsamhill/pkg/feed"
 	"balsamhill/pkg/protofield"
+	"balsamhill/pkg/serverlimit"
 )
 
 // Message is one datagram.
@@ -53,6 +54,22 @@
 	TableStates []feed.TableState
 	Reports     []Report
 	Suspicions  []Suspicion
+	// KeepsLimits says that the sender keeps to the limits that servers name. Gateways of
+	// older builds do not.
+	KeepsLimits bool
+	// Limits are the limits of servers and the leases that the sender granted.
+	Limits []serverlimit.Notice
+	// Demands are the rates of the sender's calls by service. They are left out for
+	// services whose servers name no limit.
+	Demands []Demand
+}
+
+// Demand is the rate of a gateway's calls to a service.
+type Demand struct {
+	// Service is the ServiceKey.
+	Service uint32
+	// Rate is in calls per second.
+	Rate float64
 }
 
 // Gateway describes a gateway to others.
@@ -81,6 +98,11 @@
 	return uint32(xxhash.Sum64String(id))
 }
 
+// ServiceKey returns the key of a service in demands, a hash of its name.
+func ServiceKey(name string) uint32 {
+	return uint32(xxhash.Sum64String(name))
+}
+
 // Report is the load of a server as the sender observed it.
 type Report struct {
 	// Server is the ServerKey.
@@ -115,11 +137,14 @@
 	fieldSuspicion
 	fieldKnownGateway
 	fieldSentAtMicros
+	fieldLimit
+	fieldDemand
 )
 
 const (
 	flagStopping = 1 << iota
 	flagStoreReachable
+	flagKeepsLimits
 )
 
 // Field numbers of gateways, table states, reports and suspicions.
@@ -163,6 +188,9 @@
 	if m.StoreReachable {
 		flags |= flagStoreReachable
 	}
+	if m.KeepsLimits {
+		flags |= flagKeepsLimits
+	}
 	buffer = appendVarint(buffer, fieldFlags, flags)
 	buffer = appendVarint(buffer, fieldIntervalMillis, uint64(max(0, m.Interval.Milliseconds())))
 	buffer = appendVarint(buffer, fieldSentAtMicros, microseconds(time.Duration(m.SentAt)))
@@ -190,6 +218,12 @@
 		encoded = appendFixed32(encoded, suspicionFieldServer, suspicion.Server)
 		buffer = appendEmbedded(buffer, fieldSuspicion, encoded)
 	}
+	for i := range m.Limits {
+		buffer = appendEmbedded(buffer, fieldLimit, marshalLimit(&m.Limits[i]))
+	}
+	for _, demand := range m.Demands {
+		buffer = appendEmbedded(buffer, fieldDemand, demand.marshal())
+	}
 	return buffer
 }
 
@@ -275,6 +309,7 @@
 	case fieldFlags:
 		m.Stopping = value&flagStopping != 0
 		m.StoreReachable = value&flagStoreReachable != 0
+		m.KeepsLimits = value&flagKeepsLimits != 0
 	case fieldIntervalMillis:
 		m.Interval = time.Duration(min(value, uint64(maxInterval/time.Millisecond))) * time.Millisecond
 	case fieldSentAtMicros:
@@ -299,6 +334,14 @@
 		suspicion, err := unmarshalSuspicion(content)
 		m.Suspicions = append(m.Suspicions, suspicion)
 		return err
+	case fieldLimit:
+		limit, err := unmarshalLimit(content)
+		m.Limits = append(m.Limits, limit)
+		return err
+	case fieldDemand:
+		demand, err := unmarshalDemand(content)
+		m.Demands = append(m.Demands, demand)
+		return err
 	}
 	return nil
 }
@@ -311,6 +354,9 @@
 	for i := range m.Reports {
 		m.Reports[i].Age += d
 	}
+	for i := range m.Limits {
+		addLimitAge(&m.Limits[i], d)
+	}
 }
 
 func unmarshalGateway(data []byte) (Gateway, error) {
--- a/pkg/gossip/peers.go
+++ b/pkg/gossip/peers.go
@@ -52,6 +52,9 @@
 	tableStates    []feed.TableState
 	tableStatesAt  int64
 	delay          delay.Estimate
+	// keepsLimits is from the last message, demands from the last one with demands.
+	keepsLimits bool
+	demands     []Demand
 }
 
 // recordMessage records a message of the gateway and reports whether it is newer
@@ -67,6 +70,10 @@
 	}
 	c.stopping = message.Stopping
 	c.storeReachable = message.StoreReachable
+	c.keepsLimits = message.KeepsLimits
+	if message.Demands != nil {
+		c.demands = message.Demands
+	}
 	if len(message.TableStates) > 0 {
 		c.tableStates, c.tableStatesAt = message.TableStates, now
 	}
--- a/pkg/gossip/relay.go
+++ b/pkg/gossip/relay.go
@@ -15,6 +15,9 @@
 	// remoteTimeout is how long the relay of another group counts as alive after
 	// its last message, several times the interval of such messages.
 	remoteTimeout = time.Second
+	// standInDelay is how long no gateway of another group must have been heard before
+	// this group coordinates the limits of its servers.
+	standInDelay = 5 * time.Second
 	// discoveryFanout is how many gateways of a group get a message at a time
 	// while its relay is not known.
 	discoveryFanout = 2
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -29,7 +29,9 @@
 	serviceTime routing.ServiceTimeEstimator
 	// waitingForHeadroom counts the calls that wait until a server has headroom.
 	waitingForHeadroom atomic.Int64
-	Metrics            *serviceMetrics
+	// calls counts the calls to the service, whatever becomes of them.
+	calls   atomic.Int64
+	Metrics *serviceMetrics
 }
 
 // minRetriesPerWindow is how many retries a service may make within
@@ -69,6 +71,11 @@
 	}
 }
 
+// Calls returns how many calls to a service have arrived.
+func (p *Proxy) Calls(name string) int64 {
+	return p.service(name).calls.Load()
+}
+
 // call is one caller's request while it is processed. It belongs to the handler's
 // goroutine; hedgedCall guards the fields that parallel attempts change.
 type call struct {
@@ -129,6 +136,8 @@
 	// latestAttempt is the attempt that was started last. It is atomic because
 	// reportLate reads it in the timer's goroutine.
 	latestAttempt atomic.Pointer[attempt]
+	// atLimit says that the call is refused because of the limits that servers named.
+	atLimit bool
 	// notRunCount is the number of attempts that certainly did not run.
 	notRunCount int
 }
@@ -163,6 +172,7 @@
 	c.startLateTimer()
 	c.informational.w = c.w
 	c.informational.protocol = c.proxy.config.Protocol
+	c.service.calls.Add(1)
 	c.service.retryBudget.RecordCall(c.arrived)
 	c.service.hedgeBudget.RecordCall(c.arrived)
 	if limits.MaxBodyBytes > 0 && c.r.ContentLength > limits.MaxBodyBytes {
@@ -220,6 +230,13 @@
 	c.refuse(http.StatusServiceUnavailable, "no server of "+c.serviceName+" is available")
 }
 
+// refuseAtLimit refuses a call because this gateway may not send it to any server now.
+func (c *call) refuseAtLimit() {
+	c.atLimit = true
+	c.proxy.config.Metrics.serversAtLimit.Inc()
+	c.refuse(http.StatusServiceUnavailable, "all servers of "+c.serviceName+" have reached the limits that they named")
+}
+
 // admit waits until the service's limit on calls in flight allows the call, and
 // refuses the call if it does not.
 func (c *call) admit() bool {
@@ -346,7 +363,7 @@
 		if a.result == retry.ResponseReceived || !c.takeRetry(a) {
 			return a
 		}
-		next := c.choose()
+		next := c.chooseToSend()
 		if next == nil {
 			return a
 		}
--- a/pkg/proxy/choose.go
+++ b/pkg/proxy/choose.go
@@ -18,6 +18,17 @@
 	return c.markTried(c.view.Choose(c.pick(random)))
 }
 
+// chooseToSend is like choose, and takes one of the requests that this gateway may send
+// to the server.
+func (c *call) chooseToSend() *routing.Server {
+	for {
+		server := c.choose()
+		if server == nil || server.Stats.Gate.Take(c.proxy.config.Now()) {
+			return server
+		}
+	}
+}
+
 // chooseWithHeadroom returns the best server, of any region, that has headroom and
 // can respond within the latency target, nil if there is none. Policies other than
 // LeastExpectedLatency ignore both conditions.
@@ -54,23 +65,27 @@
 	waitUntil := c.arrived + int64(c.route.LatencyTarget)/headroomWaitDivisor
 	for waited := false; ; waited = true {
 		server := c.choose()
+		now := c.proxy.config.Now()
 		if server == nil {
 			c.releaseCrashGuard()
-			c.refuseWithoutServer()
+			c.refuseUnchosen()
 			return nil
 		}
-		now := c.proxy.config.Now()
 		headroom := routing.HeadroomFree
 		if c.route.LatencyTarget > 0 {
 			headroom = c.view.HeadroomOf(server, now, c.service.serviceTime.SaturationFactor())
 		}
 		switch {
 		case headroom == routing.HeadroomFree && c.takesSlot(server, waited):
-			return server
+			if server.Stats.Gate.Take(now) {
+				return server
+			}
 		case now >= waitUntil && headroom == routing.HeadroomTight:
-			return server
+			if server.Stats.Gate.Take(now) {
+				return server
+			}
 		case now >= waitUntil:
-			if server = c.chooseWithHeadroom(); server != nil {
+			if server = c.chooseWithHeadroom(); server != nil && server.Stats.Gate.Take(now) {
 				return server
 			}
 			c.releaseCrashGuard()
@@ -90,6 +105,16 @@
 	}
 }
 
+// refuseUnchosen refuses a call for which no server could be chosen for its first
+// attempt. If there are servers, all of them are at the limits that they named.
+func (c *call) refuseUnchosen() {
+	if c.candidateCount() > 0 {
+		c.refuseAtLimit()
+		return
+	}
+	c.refuseWithoutServer()
+}
+
 // takesSlot decides at random whether the call takes one of the server's spare
 // slots, so that calls that wait at the same time, here and at other gateways, do
 // not all take the same one; see routing.SlotProbability.
@@ -98,7 +123,8 @@
 	if c.proxy.config.GatewayCount != nil {
 		competing *= c.proxy.config.GatewayCount()
 	}
-	if c.route.LatencyTarget <= 0 || competing == 0 {
+	// What this gateway may send to a server with a limit is not shared with others.
+	if c.route.LatencyTarget <= 0 || competing == 0 || server.Stats.Gate.Limited() {
 		return true
 	}
 	random := randPool.Get().(*rand.Rand)
--- a/pkg/proxy/hedge.go
+++ b/pkg/proxy/hedge.go
@@ -194,7 +194,7 @@
 	if !c.takeRetry(a) {
 		return a, true
 	}
-	server := c.choose()
+	server := c.chooseToSend()
 	if server == nil {
 		return a, true
 	}
@@ -213,7 +213,7 @@
 		c.service.Metrics.hedgesDenied.Inc()
 		return
 	}
-	server := c.choose()
+	server := c.chooseToSend()
 	if server == nil {
 		return
 	}
@@ -259,8 +259,8 @@
 	if h.first.reused.Load() {
 		c.proxy.config.Transport.CloseIdle(c.serviceName)
 	}
-	server := c.choose()
-	if server == nil && h.first.reused.Load() {
+	server := c.chooseToSend()
+	if server == nil && h.first.reused.Load() && h.first.server.Stats.Gate.Take(c.proxy.config.Now()) {
 		return h.first.server
 	}
 	return server
--- a/pkg/proxy/latency_target_test.go
+++ b/pkg/proxy/latency_target_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -41,6 +42,17 @@
 func (headerProtocol) LoadReport(http.Header) (loadreport.Report, bool) {
 	return loadreport.Report{}, false
 }
+func (headerProtocol) ServerLimit(header http.Header) proxy.ServerLimit {
+	text := header.Get("Limit")
+	rate, err := strconv.ParseFloat(text, 64)
+	switch {
+	case text == "":
+		return proxy.ServerLimit{}
+	case err != nil:
+		return proxy.ServerLimit{Kind: proxy.LimitUnreadable}
+	}
+	return proxy.ServerLimit{Kind: proxy.LimitNamed, Rate: rate}
+}
 func (headerProtocol) IsInternal(string) bool { return false }
 func (headerProtocol) Refuse(w http.ResponseWriter, refusal proxy.Refusal) {
 	w.Header().Set("Outcome", string(refusal.Outcome))
--- a/pkg/proxy/metrics.go
+++ b/pkg/proxy/metrics.go
@@ -26,6 +26,7 @@
 	badBody          *metrics.Counter
 	unframedResponse *metrics.Counter
 	serversFull      *metrics.Counter
+	serversAtLimit   *metrics.Counter
 	guardBusy        *metrics.Counter
 	guardBlocked     *metrics.Counter
 	shed             map[admission.Decision]*metrics.Counter
@@ -65,6 +66,7 @@
 		badBody:          calls("body_failed"),
 		unframedResponse: calls("unframed_answer"),
 		serversFull:      calls("servers_full"),
+		serversAtLimit:   calls("servers_at_limit"),
 		guardBusy:        calls("crash_guard_busy"),
 		guardBlocked:     calls("crash_guard_blocked"),
 		shed: map[admission.Decision]*metrics.Counter{
--- a/pkg/proxy/observer.go
+++ b/pkg/proxy/observer.go
@@ -30,6 +30,7 @@
 	if report, ok := a.call.proxy.config.Protocol.LoadReport(response.Header); ok {
 		stats.ReportLoad(now, report.InFlight, report.SlowdownPermille)
 	}
+	a.recordServerLimit(now, served)
 	if served {
 		a.observeServiceTime(now)
 	}
@@ -38,6 +39,19 @@
 	}
 }
 
+// recordServerLimit records what a response says of its server's limit. A rejection or
+// a failure that names none says nothing of it.
+func (a *attempt) recordServerLimit(now int64, served bool) {
+	gate := &a.server.Stats.Gate
+	limit := a.call.proxy.config.Protocol.ServerLimit(a.response.Header)
+	switch {
+	case limit.Kind == LimitNamed:
+		gate.RecordNamed(now, limit.Rate)
+	case limit.Kind == LimitUnnamed && served:
+		gate.RecordUnnamed(now, a.startedAt)
+	}
+}
+
 // observeServiceTime adds a response to the service-time estimate.
 func (a *attempt) observeServiceTime(now int64) {
 	a.call.service.serviceTime.Observe(routing.ServiceTimeSample{
--- a/pkg/proxy/outcome.go
+++ b/pkg/proxy/outcome.go
@@ -82,6 +82,9 @@
 // accept the next call, so a short delay is enough. To find a server with headroom,
 // it clears the list of tried servers.
 func (c *call) retryAfter() time.Duration {
+	if c.atLimit {
+		return c.limitRetryAfter()
+	}
 	if c.notRunCount == 0 {
 		return defaultRetryAfter
 	}
@@ -92,6 +95,20 @@
 	return shortRetryAfter
 }
 
+// maxLimitRetryAfter is when a caller may retry if this gateway holds no lease of a
+// server with a limit. Other gateways may.
+const maxLimitRetryAfter = time.Second
+
+// limitRetryAfter returns when this gateway may send the next request to a server that
+// named a limit.
+func (c *call) limitRetryAfter() time.Duration {
+	wait, ok := c.view.LimitWait(c.proxy.config.Now())
+	if !ok {
+		return maxLimitRetryAfter
+	}
+	return min(max(wait, defaultRetryAfter), maxLimitRetryAfter)
+}
+
 // reportRefusal sends an event for a refusal, or for a call whose caller left.
 func (c *call) reportRefusal(status int, outcome Outcome, detail string) {
 	observer := c.proxy.config.Observer
--- a/pkg/proxy/progress.go
+++ b/pkg/proxy/progress.go
@@ -85,6 +85,9 @@
 		c.service.Metrics.hedgesDenied.Inc()
 		return
 	}
+	if !server.Stats.Gate.Take(now) {
+		return
+	}
 	c.tried = append(c.tried, server)
 	c.service.Metrics.hedges.Inc()
 	h.hedged = true
--- a/pkg/proxy/protocol.go
+++ b/pkg/proxy/protocol.go
@@ -29,12 +29,35 @@
 	ClassifyResponse(response *http.Response, dispatch Dispatch) ResponseKind
 	// LoadReport returns the server's load report in the header of a response, if any.
 	LoadReport(header http.Header) (loadreport.Report, bool)
+	// ServerLimit returns the requests per second that the server takes from all gateways
+	// together, according to the header of a response.
+	ServerLimit(header http.Header) ServerLimit
 	// IsInternal reports whether a response header is meant for gateways only.
 	IsInternal(name string) bool
 	// Refuse writes a refusal as the response.
 	Refuse(w http.ResponseWriter, refusal Refusal)
 }
 
+// ServerLimit is what a response says of its server's limit.
+type ServerLimit struct {
+	Kind ServerLimitKind
+	// Rate is in requests per second, set if Kind is LimitNamed.
+	Rate float64
+}
+
+// ServerLimitKind is the kind of a ServerLimit.
+type ServerLimitKind int
+
+const (
+	// LimitUnnamed means that the response names no limit.
+	LimitUnnamed ServerLimitKind = iota
+	// LimitNamed means that the response names a limit.
+	LimitNamed
+	// LimitUnreadable means that the response names a limit that cannot be read. The
+	// limit that was known before stays.
+	LimitUnreadable
+)
+
 // Dispatch describes one request to one server.
 type Dispatch struct {
 	RequestID string
@@ -119,6 +142,11 @@
 	return loadreport.Report{InFlight: inFlight}, ok
 }
 
+// ServerLimit implements Protocol. Servers of this protocol name no limits.
+func (defaultProtocol) ServerLimit(http.Header) ServerLimit {
+	return ServerLimit{}
+}
+
 func (defaultProtocol) IsInternal(name string) bool {
 	return name == loadreport.Header || name == requestIDHeader || strings.HasPrefix(name, internalPrefix)
 }
--- a/pkg/routing/leastexpectedlatency.go
+++ b/pkg/routing/leastexpectedlatency.go
@@ -33,14 +33,14 @@
 	unresponsiveFactor = 100
 )
 
-// Choose implements Policy. It returns nil if each candidate was tried or, with
+// Choose implements Policy. It returns nil if each candidate was tried, is at its limit or, with
 // pick.MaxLatency set, fails withinLimits.
 func (LeastExpectedLatency) Choose(candidates []*Server, pick Pick) *Server {
 	means := meansOf(candidates, pick.Now)
 	var best *Server
 	bestCost := math.Inf(1)
 	for _, server := range candidates {
-		if contains(pick.Tried, server) {
+		if pick.excludes(server) {
 			continue
 		}
 		cost := expectedCost(server, pick, means)
@@ -127,6 +127,11 @@
 // HotCold uses, has no such mean.
 func (s *Stats) blendedInFlight(now int64, mean float64) float64 {
 	own := s.inFlight.Load()
+	if s.Gate.Limited() {
+		// A server that names a limit has less work than the others, whose mean would
+		// make it look full between its rare reports.
+		mean = 0
+	}
 	freshness := 0.0
 	if reportedAt := s.reportedAt.Load(); reportedAt != 0 {
 		freshness = math.Exp2(-float64(max(0, now-reportedAt)) / inFlightHalfLife)
@@ -182,7 +187,8 @@
 			slowdownSum += float64(permille)
 			slowdownCount++
 		}
-		if at := stats.reportedAt.Load(); at != 0 && now-at <= maxMeanReportAge {
+		// Servers with a limit are idler than the others.
+		if at := stats.reportedAt.Load(); at != 0 && now-at <= maxMeanReportAge && !stats.Gate.Limited() {
 			inFlightSum += float64(stats.reportedInFlight.Load())
 			inFlightCount++
 		}
--- a/pkg/routing/server.go
+++ b/pkg/routing/server.go
@@ -8,6 +8,8 @@
 import (
 	"math"
 	"sync/atomic"
+
+	"balsamhill/pkg/serverlimit"
 )
 
 // Availability says whether a server may receive new calls.
@@ -111,6 +113,8 @@
 	ConsecutiveFailures atomic.Int64
 	// DrainNoticedAt is the time of the last drain notice in a response, 0 for none.
 	DrainNoticedAt atomic.Int64
+	// Gate bounds the requests of this gateway while the server names a limit.
+	Gate serverlimit.Gate
 }
 
 // latencyWeight is the weight of one sample in the moving average of latencies.
--- a/pkg/routing/snapshot.go
+++ b/pkg/routing/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"balsamhill/pkg/preset"
 )
@@ -75,6 +76,26 @@
 	Choose(candidates []*Server, pick Pick) *Server
 }
 
+// LimitWait returns the shortest time until this gateway may send a request to one of
+// the servers of the service, false if it holds no lease of any of them.
+func (v *ServiceView) LimitWait(now int64) (wait time.Duration, ok bool) {
+	for _, server := range v.candidates() {
+		current, held := server.Stats.Gate.Wait(now)
+		if held && (!ok || current < wait) {
+			wait, ok = current, true
+		}
+	}
+	return wait, ok
+}
+
+// candidates returns the available servers, those of last resort if there are none.
+func (v *ServiceView) candidates() []*Server {
+	if len(v.All) == 0 {
+		return v.LastResort
+	}
+	return v.All
+}
+
 // Usable returns the number of available servers, without those of last resort.
 func (v *ServiceView) Usable() int {
 	return len(v.Local) + len(v.Remote)
@@ -108,11 +129,7 @@
 }
 
 func (v *ServiceView) chooseByExpectedLatency(pick Pick) *Server {
-	candidates := v.All
-	if len(candidates) == 0 {
-		candidates = v.LastResort
-	}
-	server := v.policy.Choose(candidates, pick)
+	server := v.policy.Choose(v.candidates(), pick)
 	if server != nil {
 		server.Stats.recordChoice(pick.Now)
 	}
@@ -125,7 +142,7 @@
 	}
 	for range maxChoiceAttempts {
 		server := v.policy.Choose(candidates, pick)
-		if !contains(pick.Tried, server) {
+		if !pick.excludes(server) {
 			return server
 		}
 	}
@@ -134,13 +151,19 @@
 	start := pick.Rand.IntN(len(candidates))
 	for i := range candidates {
 		server := candidates[(start+i)%len(candidates)]
-		if !contains(pick.Tried, server) {
+		if !pick.excludes(server) {
 			return server
 		}
 	}
 	return nil
 }
 
+// excludes reports whether a server must not be chosen: it was tried, or it named a
+// limit and this gateway may not send it a request now.
+func (p *Pick) excludes(server *Server) bool {
+	return contains(p.Tried, server) || !server.Stats.Gate.MaySend(p.Now)
+}
+
 func contains(servers []*Server, wanted *Server) bool {
 	for _, server := range servers {
 		if server.ID == wanted.ID {
