Use a leased server outside the gateway's subset

Cause: a lease goes to a gateway of the server's group, whose subset may lack the server; then nobody used that part of the limit.

Change: a server outside the subset counts as available while this gateway holds a part of its limit.

Evidence: TestLeasedServerIsUsedOutsideSubset failed before.

--- a/pkg/control/control_test.go
+++ b/pkg/control/control_test.go
@@ -10,6 +10,7 @@
 	"balsamhill/pkg/platform"
 	"balsamhill/pkg/preset"
 	"balsamhill/pkg/routing"
+	"balsamhill/pkg/serverlimit"
 )
 
 const second = int64(time.Second)
@@ -255,3 +256,24 @@
 	}
 	assert.DeepEqual(t, used, map[string]int{"d1": subsetSize / 2, "d2": subsetSize / 4, "d3": subsetSize / 4})
 }
+
+// TestLeasedServerIsUsedOutsideSubset guards against a part of a server's limit that
+// nobody uses, because it was leased to a gateway whose subset lacks the server.
+func TestLeasedServerIsUsedOutsideSubset(t *testing.T) {
+	h := newHarness("g")
+	h.state.Apply(second, ServerListRead{VMs: liveVMs(2 * subsetSize)})
+	h.state.Apply(second, PresetOffered{Version: version(1)})
+	h.tick(second)
+	var outside *serverRow
+	for _, row := range h.state.sortedServers() {
+		if row.outsideSubset {
+			outside = row
+		}
+	}
+	assert.Equal(t, outside.published.availability, routing.OutsideSubset)
+	outside.stats.Gate.Allow(second, serverlimit.Allowance{Limited: true, Limit: 2, Rate: 1, Until: 3 * second})
+	h.tick(2 * second)
+	assert.Equal(t, outside.published.availability, routing.Available)
+	h.tick(4 * second)
+	assert.Equal(t, outside.published.availability, routing.OutsideSubset)
+}
--- a/pkg/control/publish.go
+++ b/pkg/control/publish.go
@@ -163,7 +163,7 @@
 	case row.drain.NoticeValid(now):
 		result.availability = routing.Draining
 		result.lastResort = true
-	case row.outsideSubset:
+	case row.outsideSubset && !row.stats.Gate.Leased(now):
 		result.availability = routing.OutsideSubset
 	case row.ejection.Ejected() && !health.PanicThresholdReached(row.counts.ejected, row.counts.eligible):
 		result.availability = routing.Ejected
--- a/pkg/control/subset.go
+++ b/pkg/control/subset.go
@@ -20,7 +20,9 @@
 // updateSubset selects the servers that this gateway uses: mostly close ones,
 // and among equally close ones by rendezvous hashing (Thaler and Ravishankar,
 // IEEE/ACM ToN 1998), so that a change of one server changes few members of the
-// subset. Servers that get no work anyway are left out.
+// subset. Servers that get no work anyway are left out. A server outside the subset
+// is used while this gateway holds a part of the limit that the server named, because
+// the others do not use that part.
 func (s *State) updateSubset(now int64) {
 	byService := make(map[string][]*serverRow)
 	for _, row := range s.sortedServers() {
--- a/pkg/serverlimit/gate.go
+++ b/pkg/serverlimit/gate.go
@@ -117,6 +117,16 @@
 	return g.sent
 }
 
+// Leased reports whether the server named a limit and the gateway holds a part of it.
+func (g *Gate) Leased(now int64) bool {
+	if !g.limited.Load() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.rate > 0 && now < g.until
+}
+
 // MaySend reports whether a request may be sent now.
 func (g *Gate) MaySend(now int64) bool {
 	if !g.limited.Load() {
