Order copies of tables by the era of the store

Cause: versions were compared as numbers. After its return from an older copy the store gives them out again, so all that it said counted as old, and each refused table was read again at once. Once its counter had passed the copies, changes were applied to the copy of another history.

Change: the store's era, a header of all its answers, comes before the version wherever versions are compared: copies, messages, announcements, choice of the source, bases and kept encodings. The first batch of an era must be a whole table. Changes read in another era are dropped and the table is read whole. A refused answer delays the next read by 0.5 s. Configurations have a rank, their revision: a copy keeps the highest one that it holds and passes it on, so that gateways that start meanwhile get it too. A return counts as an outage for missing entries; the reader writes the gateways' rows again. Gateways of the build before get whole tables after a return, and confirm nothing in an era.

Tests changed: TestLogsShowHowConfigurationArrived looks for the line of the older configuration in the logs of both gateways, because only the one that reads the store sees that configuration now; TestChangesAreRelativeToHeldValue and TestMirrorsMatchTable give positions instead of versions.

--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -18,6 +18,8 @@
 	storeRecoveredAt int64
 	// source is storeSource or the address of the gateway that sent the rows.
 	source string
+	// era is the era of the store to which the versions of the rows belong.
+	era uint64
 	// receivedAt is when the read ended, announcedAt when a peer announced a change that the
 	// copy lacked until then, 0 if none did, and confirmedAt when the store confirmed the rows.
 	receivedAt, announcedAt, confirmedAt int64
@@ -73,7 +75,7 @@
 	if err != nil {
 		e.counters.invalidConfigs.Inc()
 		e.log.Warn("configuration cannot be read; the one in force stays", "error", err, "source", event.source,
-			"rowVersion", row.Version)
+			"rowVersion", row.Version, "era", event.era)
 		return
 	}
 	if document == nil {
@@ -81,7 +83,7 @@
 	}
 	if snapshot := e.snapshot.Load(); snapshot != nil && document.Revision <= snapshot.Version.Revision {
 		e.log.Info("configuration is not newer; the one in force stays", "revision", document.Revision,
-			"inForce", snapshot.Version.Revision, "source", event.source, "rowVersion", row.Version)
+			"inForce", snapshot.Version.Revision, "source", event.source, "rowVersion", row.Version, "era", event.era)
 	}
 	e.configReceipt = configReceipt{rowVersion: row.Version, event: event, decoding: time.Duration(e.now() - began)}
 	e.state.Apply(e.now(), control.PresetOffered{Version: e.presetVersion(document), Source: event.source})
@@ -175,7 +177,7 @@
 		e.counters.configDelay.Update(delay.Seconds())
 	}
 	e.log.Info("configuration in force", "revision", adopted.Version.Revision, "previous", adopted.Previous,
-		"source", adopted.Source, "routes", len(adopted.Version.Routing.Rules), "rowVersion", receipt.rowVersion,
+		"source", adopted.Source, "routes", len(adopted.Version.Routing.Rules), "rowVersion", receipt.rowVersion, "era", receipt.event.era,
 		"sinceAnnounced", sinceAnnounced, "sinceReceived", time.Duration(now-receipt.event.receivedAt).String(),
 		"decoding", receipt.decoding.String(), "storeAge", time.Duration(now-receipt.event.confirmedAt).String())
 }
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -123,7 +123,9 @@
 	announcePending atomic.Bool
 	// membersLoaded is set once the addresses of the other gateways were read.
 	membersLoaded atomic.Bool
-	directory     directory
+	// membersLost receives a value when the store may have lost the table Members.
+	membersLost chan struct{}
+	directory   directory
 
 	serverLimits *serverLimits
 
@@ -169,6 +171,7 @@
 		servers:     registry.New(s.Regions),
 		regionCount: countRegions(s.Regions),
 		events:      make(chan tableEvent, eventQueueSize),
+		membersLost: make(chan struct{}, 1),
 		startup:     newStartupGate(),
 		metrics:     metrics.NewSet(),
 		transport: proxy.NewSharedTransports(proxy.TransportLimits{
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -33,6 +34,7 @@
 	mu      sync.Mutex
 	down    bool
 	version uint64
+	era     uint64
 	rows    map[feed.Table]map[string]feed.Row
 	changed chan struct{}
 	calls   int
@@ -74,15 +76,39 @@
 	if s.down {
 		return feed.Batch{}, nil, errDown
 	}
+	if version > s.version {
+		return feed.Batch{}, nil, ErrHistoryGone
+	}
 	for _, row := range s.rows[table] {
 		if row.Version > version {
 			batch.Rows = append(batch.Rows, row)
 		}
 	}
-	batch.AsOf = s.version
+	batch.Era, batch.AsOf = s.era, s.version
 	return batch, s.changed, nil
 }
 
+// copyRows returns a copy of the store's state.
+func (s *fakeStore) copyRows() (rows map[feed.Table]map[string]feed.Row, version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rows = make(map[feed.Table]map[string]feed.Row)
+	for table, content := range s.rows {
+		rows[table] = maps.Clone(content)
+	}
+	return rows, s.version
+}
+
+// returnFrom lets the store return from an earlier copy, in a new era.
+func (s *fakeStore) returnFrom(rows map[feed.Table]map[string]feed.Row, version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.version = rows, version
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *fakeStore) recordCall() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -139,6 +165,15 @@
 	}}, err
 }
 
+func (fakeCodec) ConfigRevision(row feed.Row) uint64 {
+	number, _, _ := strings.Cut(string(row.Value), " ")
+	revision, err := strconv.ParseUint(number, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return revision
+}
+
 func (fakeCodec) DecodeEntry(row feed.Row) (registry.Entry, error) {
 	var entry registry.Entry
 	err := json.Unmarshal(row.Value, &entry)
--- a/pkg/edge/join.go
+++ b/pkg/edge/join.go
@@ -103,6 +103,7 @@
 	for {
 		select {
 		case <-time.After(delay + jitter(delay)):
+		case <-e.membersLost:
 		case <-ctx.Done():
 			return
 		}
--- a/pkg/edge/readlog.go
+++ b/pkg/edge/readlog.go
@@ -20,8 +20,9 @@
 	table feed.Table
 	// source is storeSource or the address of a gateway.
 	source string
-	// after is the version since which the changes were read, 0 for the whole table.
-	after uint64
+	// after is the position since which the changes were read, the zero value for the
+	// whole table.
+	after feed.Position
 	began int64
 	// wait is how long the store may have waited for a change.
 	wait time.Duration
@@ -37,18 +38,34 @@
 		return
 	}
 	if err != nil {
-		e.logTable(read.table, "table read failed", "source", read.source, "after", read.after, "result", result,
+		e.logTable(read.table, "table read failed", "source", read.source, "after", read.after.Version, "era", read.after.Era, "result", result,
 			"took", took.String(), "wait", read.wait.String(), "bytes", batch.Bytes, "error", err.Error())
 		return
 	}
 	if len(batch.Rows) == 0 {
 		return
 	}
-	e.logTable(read.table, "table read", "source", read.source, "after", read.after, "asOf", batch.AsOf,
+	e.logTable(read.table, "table read", "source", read.source, "after", read.after.Version, "asOf", batch.AsOf, "era", batch.Era,
 		"took", took.String(), "wait", read.wait.String(), "bytes", batch.Bytes, "full", batch.Full,
 		"age", time.Duration(batch.Age).String())
 }
 
+// logApplied logs what a batch did to the copy beside changing rows.
+func (w *watcher) logApplied(batch feed.Batch, before feed.Position, applied feed.Applied, source string) {
+	if applied.Refused && len(batch.Rows) > 0 {
+		w.edge.log.Info("table is not newer than the copy", "table", w.table, "source", source, "asOf", batch.AsOf, "era", batch.Era,
+			"heldAsOf", before.Version, "heldEra", before.Era)
+	}
+	if applied.NewEra {
+		w.edge.log.Warn("store has returned from an older copy", "table", w.table, "source", source, "asOf", batch.AsOf, "era", batch.Era,
+			"heldAsOf", before.Version, "heldEra", before.Era, "changed", len(applied.Changes), "kept", len(applied.Kept))
+	}
+	for _, row := range applied.Kept {
+		w.edge.log.Info("configuration is not newer; the one in force stays", "revision", w.edge.codec.ConfigRevision(row),
+			"inForce", before.Rank, "source", source, "rowVersion", row.Version, "era", batch.Era)
+	}
+}
+
 // logTable logs an event of a table. Those of the configuration are always logged; the
 // entries of servers change too often for that.
 func (e *Edge) logTable(table feed.Table, message string, fields ...any) {
--- a/pkg/edge/readlog_test.go
+++ b/pkg/edge/readlog_test.go
@@ -45,23 +45,29 @@
 // version a gateway held, from whom and when.
 func TestLogsShowHowConfigurationArrived(t *testing.T) {
 	store := storeWith("a")
-	first := startEdge(t, "first", store)
+	first := openEdge(t, "first", "r", "d", store)
+	firstLogs, logs := &logBuffer{}, &logBuffer{}
+	first.log = slog.New(slog.NewJSONHandler(firstLogs, nil))
+	runUntilCleanup(t, first)
 	second := openEdge(t, "second", "r", "d", store, first.settings.BootstrapAddress)
-	logs := &logBuffer{}
 	second.log = slog.New(slog.NewJSONHandler(logs, nil))
 	runUntilCleanup(t, second)
 	eventually(t, "second is ready", 5*time.Second, second.ready)
-	if second.isGroupReader(second.now()) {
-		first, second = second, first
-	}
 	store.write(feed.Config, "config", []byte("5"), false)
 	rowVersion := store.version
 	eventually(t, "version 5", 5*time.Second, func() bool { return first.revision() == 5 && second.revision() == 5 })
 	anyLine := func(map[string]any) bool { return true }
 	isFive := func(fields map[string]any) bool { return fields["revision"] == 5.0 }
 	store.write(feed.Config, "config", []byte("4"), false)
+	// Only the gateway that reads the store sees the older version.
+	var older map[string]any
 	eventually(t, "a line for the older version", 5*time.Second, func() bool {
-		return logs.find(t, "configuration is not newer; the one in force stays", anyLine) != nil
+		for _, buffer := range []*logBuffer{firstLogs, logs} {
+			if line := buffer.find(t, "configuration is not newer; the one in force stays", anyLine); line != nil {
+				older = line
+			}
+		}
+		return older != nil
 	})
 	adopted := logs.find(t, "configuration in force", isFive)
 	assert.Assert(t, adopted != nil)
@@ -71,7 +77,6 @@
 		assert.Assert(t, adopted[field] != "", field)
 	}
 	assert.Assert(t, logs.find(t, "table read", anyLine) != nil)
-	older := logs.find(t, "configuration is not newer; the one in force stays", anyLine)
 	assert.Equal(t, older["revision"], 4.0)
 	assert.Equal(t, older["inForce"], 5.0)
 }
--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -33,7 +33,9 @@
 // at once if the store has confirmed the tables. If the targets change, all reports are
 // sent again.
 func (l *relayLink) due(now int64, interval time.Duration, targets []string, tableStates []feed.TableState) bool {
-	confirmed := !slices.EqualFunc(l.tableStates, tableStates, func(a, b feed.TableState) bool { return a.AsOf == b.AsOf })
+	confirmed := !slices.EqualFunc(l.tableStates, tableStates, func(a, b feed.TableState) bool {
+		return a.Era == b.Era && a.AsOf == b.AsOf && a.Rank == b.Rank
+	})
 	if now-l.sentAt < int64(interval) && !confirmed {
 		return false
 	}
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -104,6 +104,9 @@
 	// DecodeConfig decodes a row of the table feed.Config. It returns nil and no error if
 	// the row is not the configuration.
 	DecodeConfig(row feed.Row) (*Document, error)
+	// ConfigRevision returns the revision of a configuration without decoding the rest of
+	// it, 0 if the row is not the configuration or has none that can be read.
+	ConfigRevision(row feed.Row) uint64
 	// DecodeEntry decodes a row of the table feed.Servers.
 	DecodeEntry(row feed.Row) (registry.Entry, error)
 	// Protocol returns the header protocol of callers and servers.
--- a/pkg/edge/storestate.go
+++ b/pkg/edge/storestate.go
@@ -85,6 +85,15 @@
 	s.outage.RecordPeerRecovery(at)
 }
 
+// recordReturn records that the store returned from an older copy, after which entries may
+// be missing for a while as after an outage. Its clock may differ from that before.
+func (s *storeState) recordReturn(now int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outage.RecordPeerRecovery(now)
+	s.delay = delay.Estimate{}
+}
+
 // recoveredAt returns when the last outage of the store ended, 0 if there was none.
 func (s *storeState) recoveredAt() int64 {
 	s.mu.Lock()
--- a/pkg/edge/tableclient.go
+++ b/pkg/edge/tableclient.go
@@ -85,11 +85,15 @@
 func (c *tableClient) newRequest(ctx context.Context, address string, query tableQuery) (*http.Request, error) {
 	values := url.Values{}
 	if !query.full {
-		values.Set(paramAfter, strconv.FormatUint(query.after, 10))
+		values.Set(paramAfter, strconv.FormatUint(query.after.Version, 10))
+		values.Set(paramEra, strconv.FormatUint(query.after.Era, 10))
+		values.Set(paramRank, strconv.FormatUint(query.after.Rank, 10))
 	}
 	if query.base != (feed.Base{}) {
 		values.Set(paramBaseKey, query.base.Key)
 		values.Set(paramBaseVersion, strconv.FormatUint(query.base.Version, 10))
+		values.Set(paramBaseEra, strconv.FormatUint(query.base.Era, 10))
+		values.Set(paramBaseRank, strconv.FormatUint(query.base.Rank, 10))
 	}
 	target := url.URL{Scheme: "http", Host: address, Path: tablePath + string(c.table), RawQuery: values.Encode()}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
@@ -132,6 +136,12 @@
 	if err != nil {
 		return batch, eris.Wrapf(err, "parse header %s", headerAsOf)
 	}
+	if text := header.Get(headerEra); text != "" {
+		batch.Era, err = strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return batch, eris.Wrapf(err, "parse header %s", headerEra)
+		}
+	}
 	batch.Age, err = strconv.ParseInt(header.Get(headerAge), 10, 64)
 	if err != nil {
 		return batch, eris.Wrapf(err, "parse header %s", headerAge)
--- a/pkg/edge/tableclient_test.go
+++ b/pkg/edge/tableclient_test.go
@@ -122,7 +122,7 @@
 		t.Run(fmt.Sprint("version ", held+1), func(t *testing.T) {
 			client := tableClient{table: feed.Config}
 			query := tableQuery{
-				after: uint64(held + 1), base: feed.Base{Key: "config", Version: uint64(held + 1)}, baseValue: []byte(values[held]),
+				after: feed.Position{Version: uint64(held + 1), Rank: uint64(held)}, base: feed.Base{Key: "config", Version: uint64(held + 1), Rank: uint64(held)}, baseValue: []byte(values[held]),
 			}
 			batch, err := client.read(context.Background(), address, query)
 			assert.NilError(t, err)
--- a/pkg/edge/tableread.go
+++ b/pkg/edge/tableread.go
@@ -14,6 +14,11 @@
 // gateway already holds the change.
 var errPeerIsFaster = eris.New("another gateway holds the change already")
 
+// errOtherEra means that the store answered a read of changes in another era than that of
+// the copy. The answer lacks what was written between the older copy from which the store
+// returned and the version since which the changes were read.
+var errOtherEra = eris.New("the store has returned from an older copy")
+
 // beginStoreRead returns the context of a read of the store. The function that it returns
 // must be called when the read has ended.
 func (w *watcher) beginStoreRead(ctx context.Context, began int64) (context.Context, func()) {
@@ -39,10 +44,14 @@
 
 // readChanges reads the changes after a version from the store, which may delay its
 // response by wait.
-func (w *watcher) readChanges(ctx context.Context, after uint64, wait time.Duration, backoff feed.Backoff) {
+func (w *watcher) readChanges(ctx context.Context, after feed.Position, wait time.Duration, backoff feed.Backoff) {
 	read := tableRead{table: w.table, source: storeSource, after: after, began: w.edge.now(), wait: wait}
 	w.readStore(ctx, read, backoff, func(ctx context.Context) (feed.Batch, error) {
-		return w.edge.store.Changes(ctx, w.table, after, wait)
+		batch, err := w.edge.store.Changes(ctx, w.table, after.Version, wait)
+		if err == nil && batch.Era != after.Era {
+			return feed.Batch{Era: batch.Era, Bytes: batch.Bytes}, errOtherEra
+		}
+		return batch, err
 	})
 }
 
@@ -57,8 +66,10 @@
 		err = errPeerIsFaster
 	}
 	end()
-	if errors.Is(err, ErrHistoryGone) {
-		w.edge.log.Info("store no longer has the changes since this version; reading the whole table", "table", w.table, "after", read.after)
+	if errors.Is(err, ErrHistoryGone) || errors.Is(err, errOtherEra) {
+		w.edge.log.Info("store no longer has the changes since this version; reading the whole table", "table", w.table,
+			"after", read.after.Version, "era", read.after.Era, "reason", err.Error())
+		w.edge.counters.recordStoreCall(w.table, nil)
 		w.readFullTable(ctx, backoff)
 		return
 	}
@@ -91,18 +102,26 @@
 	w.mu.Lock()
 	first := !w.mirror.Loaded()
 	announcedAt := int64(0)
-	if w.announced.version > w.mirror.AsOf() {
+	before := w.mirror.Position()
+	if before.Before(w.announced.position) {
 		announcedAt = w.announced.at
 	}
-	rows := w.mirror.Apply(now, batch)
+	applied := w.mirror.Apply(now, batch)
 	confirmedAt := w.mirror.ConfirmedAt()
 	w.mu.Unlock()
-	if len(rows) == 0 && !first {
+	w.logApplied(batch, before, applied, source)
+	if applied.NewEra {
+		w.edge.storeReturned(now)
+	}
+	if applied.Refused && source == storeSource {
+		w.nextStoreReadAt = now + int64(refusedReadDelay)
+	}
+	if len(applied.Changes) == 0 && !first {
 		return
 	}
 	w.nextStoreReadAt = now + int64(changeCoalesceDelay)
 	event := tableEvent{
-		table: w.table, rows: rows, storeRecoveredAt: w.edge.storeState.recoveredAt(), source: source,
+		table: w.table, rows: applied.Changes, storeRecoveredAt: w.edge.storeState.recoveredAt(), source: source, era: batch.Era,
 		receivedAt: now, announcedAt: announcedAt, confirmedAt: confirmedAt,
 	}
 	select {
@@ -113,9 +132,10 @@
 
 // readPeer reads the changes of the table from another gateway, or the whole table if
 // there is no copy yet. It reports whether the copy became newer.
-func (w *watcher) readPeer(ctx context.Context, address string, after uint64, known bool) bool {
-	query := tableQuery{full: !known, after: after}
+func (w *watcher) readPeer(ctx context.Context, address string, known bool) bool {
 	w.mu.Lock()
+	after := w.mirror.Position()
+	query := tableQuery{full: !known, after: after}
 	query.base, query.baseValue = w.mirror.LargestValue()
 	w.mu.Unlock()
 	read := tableRead{table: w.table, source: address, after: after, began: w.edge.now()}
@@ -129,8 +149,9 @@
 		w.edge.storeState.recordPeerRecovery(w.edge.now() - batch.RecoveryAge)
 	}
 	w.applyBatch(ctx, batch, address)
-	state, nowKnown := w.state(w.edge.now())
-	return nowKnown && (!known || state.AsOf > after)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.mirror.Loaded() && (!known || after.Before(w.mirror.Position()))
 }
 
 // batchFor returns the batch for another gateway and the value relative to which it can
@@ -142,9 +163,13 @@
 	if !w.mirror.Loaded() {
 		return feed.Batch{}, nil, false
 	}
-	if query.full {
+	switch {
+	case query.full, query.eraUnknown && w.mirror.EraChanged():
 		batch = w.mirror.FullBatch(now)
-	} else {
+	default:
+		if query.eraUnknown {
+			query.after.Era = w.mirror.Position().Era
+		}
 		batch = w.mirror.ChangesSince(now, query.after)
 	}
 	if ended := w.edge.storeState.recoveredAt(); ended != 0 {
--- a/pkg/edge/tables.go
+++ b/pkg/edge/tables.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
 
 	"balsamhill/pkg/feed"
 	"balsamhill/pkg/tablecodec"
@@ -29,6 +30,9 @@
 // rows and therefore the same ETag.
 const (
 	headerAsOf = "Table-As-Of"
+	// headerEra is the era of the store to which the versions belong. It is absent in
+	// responses of older builds and if the store sends none.
+	headerEra = "Table-Era"
 	// headerAge and headerRecoveryAge are in nanoseconds; see feed.Batch.
 	headerAge         = "Table-Age"
 	headerRecoveryAge = "Table-Recovery-Age"
@@ -41,8 +45,10 @@
 // tableQuery says which rows a gateway reads from another one.
 type tableQuery struct {
 	full bool
-	// after is the version since which the changes are read, unless full is set.
-	after uint64
+	// after is the position since which the changes are read, unless full is set.
+	after feed.Position
+	// eraUnknown says that the reader is of an older build, which sends no era.
+	eraUnknown bool
 	// base names a value that the reader holds, and baseValue is that value.
 	base      feed.Base
 	baseValue []byte
@@ -51,22 +57,37 @@
 // Names of the parameters of a table request.
 const (
 	paramAfter       = "after"
+	paramEra         = "era"
+	paramRank        = "rank"
 	paramBaseKey     = "base"
 	paramBaseVersion = "baseVersion"
+	paramBaseEra     = "baseEra"
+	paramBaseRank    = "baseRank"
 )
 
 func parseTableQuery(r *http.Request) (tableQuery, error) {
 	values := r.URL.Query()
-	query := tableQuery{full: values.Get(paramAfter) == ""}
-	var err error
-	if !query.full {
-		query.after, err = strconv.ParseUint(values.Get(paramAfter), 10, 64)
+	query := tableQuery{full: values.Get(paramAfter) == "", eraUnknown: !values.Has(paramEra)}
+	query.base.Key = values.Get(paramBaseKey)
+	numbers := []struct {
+		name string
+		to   *uint64
+	}{
+		{paramAfter, &query.after.Version}, {paramEra, &query.after.Era}, {paramRank, &query.after.Rank},
+		{paramBaseVersion, &query.base.Version}, {paramBaseEra, &query.base.Era}, {paramBaseRank, &query.base.Rank},
 	}
-	if err == nil && values.Has(paramBaseKey) {
-		query.base.Key = values.Get(paramBaseKey)
-		query.base.Version, err = strconv.ParseUint(values.Get(paramBaseVersion), 10, 64)
+	for _, number := range numbers {
+		text := values.Get(number.name)
+		if text == "" {
+			continue
+		}
+		value, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return query, eris.Wrapf(err, "parameter %s", number.name)
+		}
+		*number.to = value
 	}
-	return query, err
+	return query, nil
 }
 
 // peerHandler serves the copies of the tables to other gateways, and /metrics.
@@ -97,7 +118,7 @@
 		_ = json.NewEncoder(w).Encode(batch)
 		return
 	}
-	encoded, err := watched.encodings.encode(batch.Rows, query.base, baseValue)
+	encoded, err := watched.encodings.encode(batch, query.base, baseValue)
 	if err != nil {
 		e.log.Warn("cannot encode a table for another gateway", "table", watched.table, "error", err)
 		http.Error(w, "cannot encode the table", http.StatusInternalServerError)
@@ -114,6 +135,9 @@
 
 func setBatchHeaders(header http.Header, batch feed.Batch) {
 	header.Set(headerAsOf, strconv.FormatUint(batch.AsOf, 10))
+	if batch.Era != 0 {
+		header.Set(headerEra, strconv.FormatUint(batch.Era, 10))
+	}
 	header.Set(headerAge, strconv.FormatInt(batch.Age, 10))
 	if batch.RecoveryAge != 0 {
 		header.Set(headerRecoveryAge, strconv.FormatInt(batch.RecoveryAge, 10))
@@ -146,12 +170,13 @@
 	kept []encodedRows
 }
 
-// encode encodes rows relative to a value of another row, if that is not nil.
-func (e *encodings) encode(rows []feed.Row, base feed.Base, baseValue []byte) (encodedRows, error) {
+// encode encodes the rows of a batch relative to a value of another row, if that is not nil.
+func (e *encodings) encode(batch feed.Batch, base feed.Base, baseValue []byte) (encodedRows, error) {
+	rows := batch.Rows
 	if baseValue == nil {
 		base = feed.Base{}
 	}
-	id, size := identify(rows, base)
+	id, size := identify(batch, base)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, kept := range e.kept {
@@ -170,13 +195,15 @@
 	return encoded, err
 }
 
-// identify returns a hash of the names and versions of rows and of their base, and the size
-// of the rows.
-func identify(rows []feed.Row, base feed.Base) (id uint64, size int) {
+// identify returns a hash of the rows of a batch and of the name of their base, and the
+// size of the rows. It covers the values, because a version does not identify the value
+// of a row whose earlier value was kept when the store returned from an older copy.
+func identify(batch feed.Batch, base feed.Base) (id uint64, size int) {
 	digest := xxhash.New()
-	_, _ = fmt.Fprintf(digest, "%q %d", base.Key, base.Version)
-	for _, row := range rows {
-		_, _ = fmt.Fprintf(digest, " %q %d %t", row.Key, row.Version, row.Deleted)
+	_, _ = fmt.Fprintf(digest, "%q %d %d %d %d", base.Key, base.Era, base.Version, base.Rank, batch.Era)
+	for _, row := range batch.Rows {
+		_, _ = fmt.Fprintf(digest, " %q %d %t ", row.Key, row.Version, row.Deleted)
+		_, _ = digest.Write(row.Value)
 		size += len(row.Value)
 	}
 	return digest.Sum64(), size
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -44,6 +44,9 @@
 	// peerPreferenceDelay is how long after the announcement of a change a read of the
 	// store may still end before the gateway reads from a peer instead.
 	peerPreferenceDelay = 200 * time.Millisecond
+	// refusedReadDelay is the delay after a response of the store that was older than the
+	// copy.
+	refusedReadDelay = 500 * time.Millisecond
 	// changeCoalesceDelay is the delay between a change and the next read of the store,
 	// so that one response carries several changes in quick succession.
 	changeCoalesceDelay = 150 * time.Millisecond
@@ -100,9 +103,9 @@
 
 // announcement is a change of a table of which a gateway was notified.
 type announcement struct {
-	// version is the version of the change, at the time of the first notice.
-	version uint64
-	at      int64
+	// position is that of the change, at the time of the first notice.
+	position feed.Position
+	at       int64
 }
 
 // earlierConfigs is how many replaced configurations a gateway with high capacity keeps.
@@ -115,7 +118,7 @@
 		earlier = earlierConfigs
 	}
 	return &watcher{
-		edge: e, table: table, index: index, wake: make(chan struct{}, 1), mirror: feed.NewMirror(earlier),
+		edge: e, table: table, index: index, wake: make(chan struct{}, 1), mirror: feed.NewMirror(earlier, e.rankFunction(table)),
 		failedUntil: make(map[string]int64), client: tableClient{table: table},
 	}
 }
@@ -140,9 +143,9 @@
 	now := w.edge.now()
 	state, known := w.state(now)
 	source, ok := w.newestSource(now)
-	behind := ok && (!known || source.State.LastChange > state.AsOf)
+	behind := ok && (!known || source.State.Newer(state))
 	if behind && source.State.Age < int64(w.edge.maxTableAge) {
-		if w.readPeer(ctx, source.Address, state.AsOf, known) {
+		if w.readPeer(ctx, source.Address, known) {
 			return 0
 		}
 		w.failedUntil[source.Address] = w.edge.now() + int64(peerRetryDelay+jitter(peerRetryDelay))
@@ -160,13 +163,14 @@
 	if wait := w.edge.storeState.retryDelay(now, backoff); wait > 0 {
 		return min(wait, ageCheckInterval)
 	}
+	position := w.position()
 	switch {
 	case !known:
 		w.readFullTable(ctx, backoff)
 	case reader && w.mayLongPoll(state):
-		w.readChanges(ctx, state.AsOf, w.edge.longPollWait, backoff)
+		w.readChanges(ctx, position, w.edge.longPollWait, backoff)
 	default:
-		w.readChanges(ctx, state.AsOf, 0, backoff)
+		w.readChanges(ctx, position, 0, backoff)
 	}
 	return 0
 }
@@ -233,17 +237,44 @@
 	return w.mirror.State(now), w.mirror.Loaded()
 }
 
+func (w *watcher) position() feed.Position {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.mirror.Position()
+}
+
+// rankFunction returns the function that ranks the rows of a table: configurations by
+// their revision, so that an older one from a store that returned from an older copy does
+// not replace the newest one. Rows of other tables have no rank.
+func (e *Edge) rankFunction(table feed.Table) func(feed.Row) uint64 {
+	if table != feed.Config {
+		return nil
+	}
+	return e.codec.ConfigRevision
+}
+
+// storeReturned records that the store returned from an older copy: entries of servers may
+// be missing until they are written again, and the gateways' own rows may be lost.
+func (e *Edge) storeReturned(now int64) {
+	e.storeState.recordReturn(now)
+	select {
+	case e.membersLost <- struct{}{}:
+	default:
+	}
+}
+
 // confirm applies the table state of a peer, given by its ID, and wakes the watcher if
 // the peer holds changes that this gateway lacks. It ends a slow read of the store in
 // favor of the peer.
 func (w *watcher) confirm(now int64, state feed.TableState, peer string) {
 	w.mu.Lock()
 	behind := w.mirror.Confirm(now, state)
-	first := behind && state.LastChange > w.announced.version
+	change := feed.Position{Era: state.Era, Version: state.LastChange, Rank: state.Rank}
+	first := behind && w.announced.position.Before(change)
 	if first {
-		w.announced = announcement{version: state.LastChange, at: now}
+		w.announced = announcement{position: change, at: now}
 	}
-	held := w.mirror.AsOf()
+	held := w.mirror.Position()
 	if behind && state.Age < int64(w.edge.maxTableAge) && w.storeRead.outpaced(now, w.announced.at) {
 		w.storeRead.cancel(errPeerIsFaster)
 	}
@@ -253,7 +284,7 @@
 	}
 	if first {
 		w.edge.logTable(w.table, "newer table announced", "gateway", peer, "change", state.LastChange,
-			"heldAsOf", held, "peerAge", time.Duration(state.Age).String())
+			"era", state.Era, "heldAsOf", held.Version, "heldEra", held.Era, "peerAge", time.Duration(state.Age).String())
 	}
 	select {
 	case w.wake <- struct{}{}:
--- a/pkg/feed/mirror.go
+++ b/pkg/feed/mirror.go
@@ -2,11 +2,13 @@
 // the operators' configuration and the entries of the servers. Each copy records
 // the version of the table that it holds and when the store last confirmed it, so
 // that gateways can read changes from each other and still know the age of their
-// data. Package edge does the reads. The package does no I/O, starts no goroutine
+// data. The store may return from an older copy of itself; it then gives out versions
+// again in a new era, so copies are ordered by era first. Package edge does the reads. The package does no I/O, starts no goroutine
 // and reads no clock: times are nanoseconds on the gateway's monotonic clock.
 package feed
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 )
@@ -40,6 +42,9 @@
 	Rows []Row `json:"rows"`
 	// Full says that the rows are the whole table.
 	Full bool `json:"full,omitempty"`
+	// Era is the era of the store to which the versions of the batch belong, 0 if it is
+	// unknown.
+	Era uint64 `json:"era,omitempty"`
 	// AsOf is the version of the store up to which the batch is complete.
 	AsOf uint64 `json:"asOf"`
 	// Age is the time since the store confirmed AsOf, in nanoseconds.
@@ -57,6 +62,10 @@
 
 // TableState describes a gateway's copy of a table.
 type TableState struct {
+	// Era is the era of the store to which the versions belong, 0 if it is unknown.
+	Era uint64
+	// Rank is the highest rank of a row in the copy; see NewMirror.
+	Rank uint64
 	// LastChange is the version of the newest change in the copy.
 	LastChange uint64
 	// AsOf is the version of the store up to which the copy holds all changes.
@@ -65,10 +74,47 @@
 	Age int64
 }
 
+// Newer reports whether the copy holds changes that another copy lacks.
+func (s TableState) Newer(than TableState) bool {
+	if s.Era != than.Era {
+		return s.Era > than.Era
+	}
+	return s.LastChange > than.AsOf || s.Rank > than.Rank
+}
+
+// Position says up to which point a copy holds the changes of a table.
+type Position struct {
+	Era, Version uint64
+	// Rank is the highest rank of a row in the copy.
+	Rank uint64
+}
+
+// Before reports whether a copy at this position is older than one at the other.
+func (p Position) Before(other Position) bool {
+	return cmp.Or(cmp.Compare(p.Era, other.Era), cmp.Compare(p.Version, other.Version), cmp.Compare(p.Rank, other.Rank)) < 0
+}
+
+// Applied is the result of applying a batch to a copy.
+type Applied struct {
+	// Changes are the rows that changed.
+	Changes []Row
+	// Kept are the rows of the batch that did not replace a row of higher rank.
+	Kept []Row
+	// Refused says that the batch is older than the copy, or lacks the rows between both.
+	Refused bool
+	// NewEra says that the batch is the first one of a later era than the copy.
+	NewEra bool
+}
+
 // Mirror is a copy of one table. It is not safe for concurrent use. The zero
 // value is an empty copy that was never read.
 type Mirror struct {
 	rows map[string]Row
+	// rankOf returns the rank of a row; ranks holds those of the rows that have one.
+	rankOf func(Row) uint64
+	ranks  map[string]uint64
+	// era is the era of the versions below, firstEra that of the first batch.
+	era, firstEra uint64
 	// historyStart is the oldest version since which changes can be returned:
 	// deletions before it are not known.
 	historyStart uint64
@@ -79,9 +125,12 @@
 }
 
 // NewMirror returns an empty copy that keeps the last earlierCount replaced values of
-// large rows, as bases for transfers to other gateways.
-func NewMirror(earlierCount int) Mirror {
-	return Mirror{earlier: earlierValues{limit: earlierCount}}
+// large rows, as bases for transfers to other gateways. rankOf, which may be nil,
+// returns the rank of a row, 0 for none. The value of a row is not replaced by one with
+// a lower rank: a store that returned from an older copy lacks the newest values until
+// they are written again.
+func NewMirror(earlierCount int, rankOf func(Row) uint64) Mirror {
+	return Mirror{earlier: earlierValues{limit: earlierCount}, rankOf: rankOf, ranks: make(map[string]uint64)}
 }
 
 // Loaded reports whether the table was read.
@@ -94,75 +143,181 @@
 	return m.asOf
 }
 
+// Position returns the position of the copy.
+func (m *Mirror) Position() Position {
+	return Position{Era: m.era, Version: m.asOf, Rank: m.rank()}
+}
+
+// EraChanged reports whether the store returned from an older copy while this copy was
+// kept.
+func (m *Mirror) EraChanged() bool {
+	return m.era != m.firstEra
+}
+
 // ConfirmedAt returns when the store last confirmed the copy.
 func (m *Mirror) ConfirmedAt() int64 {
 	return m.confirmedAt
 }
 
-// Apply applies a batch and returns the rows that changed. A batch that is older
-// than the copy changes nothing.
-func (m *Mirror) Apply(now int64, batch Batch) []Row {
-	if batch.AsOf < m.asOf || (!batch.Full && !m.Loaded()) {
-		return nil
+// Apply applies a batch. One that is older than the copy changes nothing. The first
+// batch of a later era must be a whole table, because the changes of an era continue
+// from the older copy from which the store returned.
+func (m *Mirror) Apply(now int64, batch Batch) Applied {
+	if !m.accepts(batch) {
+		return Applied{Refused: true}
+	}
+	applied := Applied{NewEra: m.Loaded() && batch.Era != m.era}
+	if !m.Loaded() {
+		m.firstEra = batch.Era
+	}
+	if applied.NewEra {
+		m.startEra()
 	}
-	var changes []Row
+	m.era = batch.Era
 	if batch.Full {
-		changes = m.replace(batch)
+		m.replace(batch, &applied)
 	} else {
-		changes = m.merge(batch.Rows)
+		m.merge(batch.Rows, &applied)
 	}
 	m.asOf = batch.AsOf
 	m.confirmedAt = max(m.confirmedAt, now-batch.Age)
-	return changes
+	return applied
+}
+
+// accepts reports whether a batch can be applied to the copy.
+func (m *Mirror) accepts(batch Batch) bool {
+	switch {
+	case !m.Loaded():
+		return batch.Full
+	case batch.Era != m.era:
+		return batch.Full && batch.Era > m.era
+	default:
+		return batch.AsOf >= m.asOf
+	}
 }
 
-func (m *Mirror) merge(rows []Row) []Row {
-	var changes []Row
+// startEra forgets what belongs to versions of the last era. Its values must not serve
+// as bases, because their versions are given out again.
+func (m *Mirror) startEra() {
+	m.lastChange, m.confirmedAt = 0, 0
+	m.earlier.rows = nil
+}
+
+func (m *Mirror) merge(rows []Row, applied *Applied) {
 	for _, row := range rows {
-		if old, ok := m.rows[row.Key]; ok && old.Version >= row.Version {
+		old, ok := m.rows[row.Key]
+		rank := m.computeRank(row)
+		switch {
+		case ok && (old.Version > row.Version || old.Version == row.Version && rank <= m.ranks[row.Key]):
 			continue
+		case ok && m.outranks(old, row, rank):
+			m.keep(old, row.Version)
+			applied.Kept = append(applied.Kept, row)
+		default:
+			m.earlier.add(old, m.ranks[row.Key])
+			m.put(row, rank)
+			applied.Changes = append(applied.Changes, row)
 		}
-		m.earlier.add(m.rows[row.Key])
-		m.rows[row.Key] = row
 		m.lastChange = max(m.lastChange, row.Version)
-		changes = append(changes, row)
 	}
-	return changes
 }
 
 // replace applies a whole table; rows that it lacks were deleted.
-func (m *Mirror) replace(batch Batch) []Row {
+func (m *Mirror) replace(batch Batch, applied *Applied) {
 	old := m.rows
 	m.rows = make(map[string]Row, len(batch.Rows))
-	var changes []Row
 	for _, row := range batch.Rows {
-		m.rows[row.Key] = row
-		if before, ok := old[row.Key]; !ok || before.Version != row.Version {
-			m.earlier.add(before)
-			changes = append(changes, row)
-		}
+		before, ok := old[row.Key]
 		delete(old, row.Key)
-	}
-	for key, row := range old {
-		if !row.Deleted {
-			changes = append(changes, Row{Key: key, Version: batch.AsOf, Deleted: true})
+		rank := m.computeRank(row)
+		if ok && m.outranks(before, row, rank) {
+			m.keep(before, row.Version)
+			applied.Kept = append(applied.Kept, row)
+			continue
 		}
+		if !ok || before.Version != row.Version || applied.NewEra && !bytes.Equal(before.Value, row.Value) {
+			applied.Changes = append(applied.Changes, row)
+			if !applied.NewEra {
+				m.earlier.add(before, m.ranks[row.Key])
+			}
+		}
+		m.put(row, rank)
 	}
+	m.removeMissing(old, batch.AsOf, applied)
 	m.historyStart = batch.AsOf
 	m.lastChange = max(m.lastChange, batch.AsOf)
-	slices.SortFunc(changes, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
-	return changes
+	slices.SortFunc(applied.Changes, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
+}
+
+// removeMissing removes the rows that a whole table as of a version lacks.
+func (m *Mirror) removeMissing(missing map[string]Row, asOf uint64, applied *Applied) {
+	for key, row := range missing {
+		deleted := Row{Key: key, Version: asOf, Deleted: true}
+		switch {
+		case row.Deleted:
+		case m.outranks(row, deleted, 0):
+			m.keep(row, asOf)
+			applied.Kept = append(applied.Kept, deleted)
+		default:
+			delete(m.ranks, key)
+			applied.Changes = append(applied.Changes, deleted)
+		}
+	}
+}
+
+// outranks reports whether the value of a row is kept although another one replaces it:
+// both have a rank and that of the replacement is lower, or the row was deleted.
+func (m *Mirror) outranks(old, replacement Row, rank uint64) bool {
+	oldRank := m.ranks[old.Key]
+	if old.Deleted || oldRank == 0 {
+		return false
+	}
+	return replacement.Deleted || rank > 0 && rank < oldRank
+}
+
+// keep keeps the value of a row at the version of the one that it outranks, so that each
+// later write replaces it.
+func (m *Mirror) keep(old Row, version uint64) {
+	m.rows[old.Key] = Row{Key: old.Key, Value: old.Value, Version: version}
+}
+
+func (m *Mirror) put(row Row, rank uint64) {
+	m.rows[row.Key] = row
+	if rank > 0 {
+		m.ranks[row.Key] = rank
+	} else {
+		delete(m.ranks, row.Key)
+	}
+}
+
+func (m *Mirror) computeRank(row Row) uint64 {
+	if m.rankOf == nil || row.Deleted {
+		return 0
+	}
+	return m.rankOf(row)
+}
+
+// rank returns the highest rank of a row.
+func (m *Mirror) rank() uint64 {
+	highest := uint64(0)
+	for _, rank := range m.ranks {
+		highest = max(highest, rank)
+	}
+	return highest
 }
 
 // Confirm applies the table state of a peer. If the copy holds all changes that
 // the peer holds, it takes over the peer's version and confirmation time where they
 // are newer. It reports whether the peer holds changes that the copy lacks; for a
-// copy that is not loaded, whether the peer has loaded the table.
+// copy that is not loaded, whether the peer has loaded the table. The state of an
+// earlier era, or of a peer that does not know the era, confirms nothing.
 func (m *Mirror) Confirm(now int64, state TableState) (behind bool) {
-	if !m.Loaded() || state.LastChange > m.asOf {
+	switch {
+	case !m.Loaded():
 		return state.AsOf > 0
-	}
-	if state.AsOf >= m.asOf {
+	case state.Newer(m.State(now)):
+		return state.AsOf > 0
+	case state.Era == m.era && state.AsOf >= m.asOf:
 		m.asOf = state.AsOf
 		m.confirmedAt = max(m.confirmedAt, now-state.Age)
 	}
@@ -171,25 +326,25 @@
 
 // State describes the copy.
 func (m *Mirror) State(now int64) TableState {
-	return TableState{LastChange: m.lastChange, AsOf: m.asOf, Age: now - m.confirmedAt}
+	return TableState{Era: m.era, Rank: m.rank(), LastChange: m.lastChange, AsOf: m.asOf, Age: now - m.confirmedAt}
 }
 
 // FullBatch returns the whole table, for a gateway that holds none of it. A batch
 // of changes needs a version to start from.
 func (m *Mirror) FullBatch(now int64) Batch {
-	return m.batch(now, 0, true)
+	return m.batch(now, Position{}, true)
 }
 
-// ChangesSince returns the changes after a version, or the whole table if the
-// deletions since then are not known.
-func (m *Mirror) ChangesSince(now int64, version uint64) Batch {
-	return m.batch(now, version, version < m.historyStart)
+// ChangesSince returns the changes that a copy at a position lacks, or the whole table
+// if the deletions since then are not known or the position is of another era.
+func (m *Mirror) ChangesSince(now int64, since Position) Batch {
+	return m.batch(now, since, since.Era != m.era || since.Version < m.historyStart)
 }
 
-func (m *Mirror) batch(now int64, version uint64, full bool) Batch {
-	batch := Batch{AsOf: m.asOf, Age: now - m.confirmedAt, Full: full}
+func (m *Mirror) batch(now int64, since Position, full bool) Batch {
+	batch := Batch{Era: m.era, AsOf: m.asOf, Age: now - m.confirmedAt, Full: full}
 	for _, row := range m.rows {
-		if batch.Full && row.Deleted || !batch.Full && row.Version <= version {
+		if batch.Full && row.Deleted || !batch.Full && row.Version <= since.Version && m.ranks[row.Key] <= since.Rank {
 			continue
 		}
 		batch.Rows = append(batch.Rows, row)
--- a/pkg/feed/mirror_test.go
+++ b/pkg/feed/mirror_test.go
@@ -37,7 +37,7 @@
 				case !storeCopy.Loaded():
 					return
 				case peerCopy.Loaded():
-					peerCopy.Apply(now, storeCopy.ChangesSince(now, peerCopy.AsOf()))
+					peerCopy.Apply(now, storeCopy.ChangesSince(now, peerCopy.Position()))
 				default:
 					peerCopy.Apply(now, storeCopy.FullBatch(now))
 				}
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -34,6 +34,7 @@
 	}
 	for range rapid.IntRange(0, 2).Draw(t, "table states") {
 		m.TableStates = append(m.TableStates, feed.TableState{
+			Era: rapid.Uint64().Draw(t, "era"), Rank: rapid.Uint64().Draw(t, "rank"),
 			LastChange: rapid.Uint64().Draw(t, "last change"), AsOf: rapid.Uint64().Draw(t, "as of"),
 			Age: rapid.Int64Range(0, 3600e6).Draw(t, "age") * 1000,
 		})
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -161,6 +161,8 @@
 	tableFieldLastChange protowire.Number = iota + 1
 	tableFieldAsOf
 	tableFieldAgeMicros
+	tableFieldEra
+	tableFieldRank
 )
 
 const (
@@ -207,6 +209,8 @@
 		encoded = appendVarint(encoded, tableFieldLastChange, tableState.LastChange)
 		encoded = appendVarint(encoded, tableFieldAsOf, tableState.AsOf)
 		encoded = appendVarint(encoded, tableFieldAgeMicros, microseconds(time.Duration(tableState.Age)))
+		encoded = appendVarint(encoded, tableFieldEra, tableState.Era)
+		encoded = appendVarint(encoded, tableFieldRank, tableState.Rank)
 		buffer = appendEmbedded(buffer, fieldTableState, encoded)
 	}
 	for _, report := range m.Reports {
@@ -391,6 +395,10 @@
 			tableState.AsOf = value
 		case tableFieldAgeMicros:
 			tableState.Age = int64(clampAge(value))
+		case tableFieldEra:
+			tableState.Era = value
+		case tableFieldRank:
+			tableState.Rank = value
 		}
 		return nil
 	})
--- a/pkg/gossip/peers.go
+++ b/pkg/gossip/peers.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"cmp"
 	"iter"
 	"maps"
 	"math/rand/v2"
@@ -340,8 +341,13 @@
 }
 
 func (s TableSource) before(other TableSource) bool {
-	if s.State.LastChange != other.State.LastChange {
-		return s.State.LastChange > other.State.LastChange
+	newer := cmp.Or(
+		cmp.Compare(s.State.Era, other.State.Era),
+		cmp.Compare(s.State.LastChange, other.State.LastChange),
+		cmp.Compare(s.State.Rank, other.State.Rank),
+	)
+	if newer != 0 {
+		return newer > 0
 	}
 	return s.rank.before(other.rank)
 }
