--- a/pkg/claimstore/table_test.go
+++ b/pkg/claimstore/table_test.go
@@ -28,6 +28,8 @@
 	rng     *rand.Rand
 	rows    *memtable.Table
 	commits int
+	// applied holds the transactions that were applied, in order.
+	applied []platform.Txn
 	pending sync.WaitGroup
 }
 
@@ -55,9 +57,22 @@
 	if len(conflicts) > 0 {
 		return platform.CommitResult{Status: platform.CommitConflict, Conflicts: conflicts, Time: time.Now()}
 	}
+	f.applied = append(f.applied, txn)
 	return platform.CommitResult{Status: platform.CommitApplied, Version: version, Time: time.Now()}
 }
 
+// returnFrom lets the table return from a copy that holds only the first transactions that
+// were applied. Their versions are given out again.
+func (f *fakeTable) returnFrom(applied int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rows = memtable.New()
+	f.applied = f.applied[:applied]
+	for _, txn := range f.applied {
+		f.rows.Commit(txn)
+	}
+}
+
 // changed returns the rows with a version above after, tombstones included.
 func (f *fakeTable) changed(prefix string, after uint64, limit int) platform.ReadResult {
 	f.mu.Lock()
