--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -107,6 +107,7 @@
 		state, known := w.state(now)
 		if known {
 			gauge(float64(state.Age)/float64(time.Second), `balsamhill_table_age_seconds{table=%q}`, w.table)
+			gauge(float64(state.Era), `balsamhill_store_era{table=%q}`, w.table)
 		}
 	}
 	e.peersMu.Lock()
--- a/pkg/serverlimit/property_test.go
+++ b/pkg/serverlimit/property_test.go
@@ -68,7 +68,6 @@
 	// arrivals holds the times of requests from gateways that count.
 	arrivals []int64
 	sent     int
-	sentFrom int64
 }
 
 const serverKey = uint32(77)
