Look at limits of servers only while some are named

Cause: each tick of the sender (20 to 100 ms) collected the members of the group and compared all servers with the book, also without any limit.

Change: without limits the view of the group is refreshed every 0.5 s, so that a coordinator still knows at once whether its group is settled.

--- a/pkg/edge/limits.go
+++ b/pkg/edge/limits.go
@@ -22,6 +22,9 @@
 	usageLogInterval = 5 * time.Second
 	// demandWeight is the weight of one measurement in the moving average of a demand.
 	demandWeight = 0.3
+	// idleLimitsInterval is how often the view of the group is refreshed while no server
+	// names a limit, so that a coordinator knows at once whether its group is settled.
+	idleLimitsInterval = 500 * time.Millisecond
 	// limitsPerMessage is how many limits and leases a message carries, which keeps it below
 	// the usual maximum size of a packet.
 	limitsPerMessage = 48
@@ -39,13 +42,15 @@
 
 	mu   sync.Mutex
 	book *serverlimit.Book
-	// incarnations holds the incarnations of the servers in the book.
+	// incarnations holds the incarnations of the limited servers.
 	incarnations map[uint32]uint64
 	// loggedRates holds the rate of each lease that was logged last.
 	loggedRates map[uint32]float64
 	// demands holds the measured demand for each service by name.
 	demands    map[string]demand
 	measuredAt int64
+	// tickedAt is when the book was ticked last.
+	tickedAt int64
 	// usageLoggedAt is when the usage of the shares was logged last, and sentBefore how many
 	// requests had been sent to limited servers then.
 	usageLoggedAt int64
@@ -90,10 +95,14 @@
 		return nil
 	}
 	l.measureDemands(now, indexed.snapshot)
+	changed, due := l.readAnswers(now, indexed)
+	if !due {
+		return nil
+	}
 	view := l.view(now, assignment, indexed)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	changed := l.readAnswers(indexed)
+	l.tickedAt = now
 	notices := l.book.Tick(now, view)
 	if l.edge.isRelay.Load() && l.relayed.due(now, l.book) {
 		notices = append(notices, l.book.UncoordinatedStatements(now)...)
@@ -133,18 +142,14 @@
 	l.sentBefore = sent
 }
 
-// readAnswers reads what the servers answered since the last call and returns the keys of
-// those whose limit changed.
-func (l *serverLimits) readAnswers(indexed *indexedSnapshot) []uint32 {
-	var changed []uint32
+// readAnswers reads what the servers answered since the last call. It returns the keys of
+// those whose limit changed, and whether the book has to be ticked.
+func (l *serverLimits) readAnswers(now int64, indexed *indexedSnapshot) (changed []uint32, due bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.forgetRestarted(now, indexed)
 	for key, server := range indexed.byKey {
 		gate := &server.Stats.Gate
-		if l.book.Knows(key) && l.incarnations[key] != server.Incarnation {
-			if l.incarnations[key] != 0 {
-				l.book.Forget(l.edge.now(), key)
-			}
-			l.incarnations[key] = server.Incarnation
-		}
 		if !gate.Limited() {
 			continue
 		}
@@ -156,10 +161,27 @@
 			changed = append(changed, key)
 		}
 		if !l.book.Knows(key) {
-			gate.Allow(l.edge.now(), serverlimit.Allowance{})
+			gate.Allow(now, serverlimit.Allowance{})
+		}
+	}
+	return changed, !l.book.Empty() || now-l.tickedAt >= int64(idleLimitsInterval)
+}
+
+// forgetRestarted drops the limits of servers that have started again.
+func (l *serverLimits) forgetRestarted(now int64, indexed *indexedSnapshot) {
+	limited := l.book.Limited()
+	incarnations := make(map[uint32]uint64, len(limited))
+	for _, key := range limited {
+		server := indexed.byKey[key]
+		if server == nil {
+			continue
+		}
+		if known, ok := l.incarnations[key]; ok && known != server.Incarnation {
+			l.book.Forget(now, key)
 		}
+		incarnations[key] = server.Incarnation
 	}
-	return changed
+	l.incarnations = incarnations
 }
 
 // apply applies the notices of another gateway.
--- a/pkg/serverlimit/book.go
+++ b/pkg/serverlimit/book.go
@@ -95,6 +95,11 @@
 	return keys
 }
 
+// Empty reports whether the book holds no limit and no end of one.
+func (b *Book) Empty() bool {
+	return len(b.entries) == 0
+}
+
 // Knows reports whether the book holds a limit of a server, or the end of one.
 func (b *Book) Knows(server uint32) bool {
 	return b.entries[server] != nil
