Move the log lines about limits to a file of their own

No change of behavior: the check whether a share changed enough for a line is a function of its own.

--- a/pkg/edge/limits.go
+++ b/pkg/edge/limits.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"strings"
 	"sync"
 	"time"
 
@@ -18,8 +17,6 @@
 	// limitRepeatInterval is how often a relay repeats limits that have not changed, for
 	// gateways that joined and for lost messages.
 	limitRepeatInterval = time.Second
-	// usageLogInterval is how often the usage of shares is logged.
-	usageLogInterval = 5 * time.Second
 	// demandWeight is the weight of one measurement in the moving average of a demand.
 	demandWeight = 0.3
 	// idleLimitsInterval is how often the view of the group is refreshed while no server
@@ -28,11 +25,6 @@
 	// limitsPerMessage is how many limits and leases a message carries, which keeps it below
 	// the usual maximum size of a packet.
 	limitsPerMessage = 48
-	// limitsPerLogLine bounds the servers that one log line describes.
-	limitsPerLogLine = 24
-	// leaseLogRatio is the ratio between two rates of a lease up to which a change is not
-	// logged.
-	leaseLogRatio = 1.25
 )
 
 // serverLimits holds the limits that servers named and what this gateway may send to them.
@@ -117,31 +109,6 @@
 	return notices
 }
 
-// logUsage logs every usageLogInterval what this gateway may send to the servers with a
-// limit, and how many requests it sent them.
-func (l *serverLimits) logUsage(now int64, indexed *indexedSnapshot) {
-	if now-l.usageLoggedAt < int64(usageLogInterval) {
-		return
-	}
-	l.usageLoggedAt = now
-	count, limits, shares, sent := 0, 0.0, 0.0, uint64(0)
-	for _, allowance := range l.book.Allowances(now) {
-		server := indexed.byKey[allowance.Server]
-		if server == nil || !allowance.Limited {
-			continue
-		}
-		count++
-		limits += allowance.Limit
-		shares += allowance.Rate
-		sent += server.Stats.Gate.Sent()
-	}
-	if count > 0 {
-		l.edge.log.Info("server limits in force", "count", count, "limits", limits, "ownShares", shares,
-			"sent", sent-min(sent, l.sentBefore))
-	}
-	l.sentBefore = sent
-}
-
 // readAnswers reads what the servers answered since the last call. It returns the keys of
 // those whose limit changed, and whether the book has to be ticked.
 func (l *serverLimits) readAnswers(now int64, indexed *indexedSnapshot) (changed []uint32, due bool) {
@@ -212,62 +179,12 @@
 		return lines
 	}
 	server.Stats.Gate.Allow(now, allowance)
-	logged := l.loggedRates[allowance.Server]
-	if (logged == 0) == (allowance.Rate == 0) && max(logged, allowance.Rate) <= leaseLogRatio*min(logged, allowance.Rate) {
-		return lines
-	}
-	if allowance.Rate == 0 {
-		delete(l.loggedRates, allowance.Server)
-	} else {
-		l.loggedRates[allowance.Server] = allowance.Rate
-	}
-	if logged == allowance.Rate {
+	if !l.shareChanged(allowance) {
 		return lines
 	}
 	return append(lines, fmt.Sprintf("%s=%.2f of %.2f", server.ID, allowance.Rate, allowance.Limit))
 }
 
-// logChanges logs which limits this gateway learnt of, from whom and since when.
-func (l *serverLimits) logChanges(now int64, indexed *indexedSnapshot, changed []uint32) {
-	if len(changed) == 0 {
-		return
-	}
-	lines := make([]string, 0, len(changed))
-	for _, key := range changed {
-		statement := l.book.Allowance(now, key).Statement
-		id := fmt.Sprintf("%08x", key)
-		if server := indexed.byKey[key]; server != nil {
-			id = server.ID
-		}
-		limit := "none"
-		if !statement.Ended {
-			limit = fmt.Sprintf("%.2f", statement.Rate)
-		}
-		lines = append(lines, fmt.Sprintf("%s=%s from %s since %s", id, limit, l.sourceOf(statement),
-			time.Duration(now-statement.Since).Round(time.Millisecond)))
-	}
-	l.edge.log.Info("server limits changed", "count", len(lines), "limits", joinForLog(lines))
-}
-
-func (l *serverLimits) sourceOf(statement serverlimit.Statement) string {
-	if statement.From == 0 {
-		return "its answer"
-	}
-	l.edge.peersMu.Lock()
-	defer l.edge.peersMu.Unlock()
-	return l.edge.peers.IDOf(statement.From)
-}
-
-func (l *serverLimits) logLeases(lines []string) {
-	if len(lines) > 0 {
-		l.edge.log.Info("own share of server limits changed", "count", len(lines), "shares", joinForLog(lines))
-	}
-}
-
-func joinForLog(lines []string) string {
-	return strings.Join(lines[:min(len(lines), limitsPerLogLine)], "; ")
-}
-
 // view returns what this gateway knows of its group and of the servers.
 func (l *serverLimits) view(now int64, assignment *gossip.Assignment, indexed *indexedSnapshot) serverlimit.View {
 	e := l.edge
