Create the text of a large configuration before peers count as live

Traced: peers count as live for 0.6 s after their message, and the test made 1 MB of text between the messages and the check. The check is unchanged.

--- a/pkg/edge/largeconfig_test.go
+++ b/pkg/edge/largeconfig_test.go
@@ -211,6 +211,9 @@
 // saturated because all gateways of a group read the same large configuration at once.
 func TestFallbackReadsOfLargeConfigurationDoNotOverlap(t *testing.T) {
 	const gateways = 6
+	// Gateways count as live for a short time after their message, so that the text must exist
+	// before.
+	text := "2 " + randomText(fallbackBytesPerSecond/2)
 	var delays []time.Duration
 	for i := range gateways {
 		e := idleEdge(t, fmt.Sprint("g", i))
@@ -222,7 +225,7 @@
 		}
 		small := configTable(e, "1 small")
 		assert.Equal(t, small.fallbackDelay(e.now()), time.Duration(0))
-		large := configTable(e, "1 small", "2 "+randomText(fallbackBytesPerSecond/2))
+		large := configTable(e, "1 small", text)
 		delays = append(delays, large.fallbackDelay(e.now()).Round(100*time.Millisecond))
 	}
 	slices.Sort(delays)
