--- a/pkg/edge/largeconfig_test.go
+++ b/pkg/edge/largeconfig_test.go
@@ -239,6 +239,7 @@
 func TestFallbackDelayOfLargeGroupIsBounded(t *testing.T) {
 	const others, configBytes = 200, 60_000_000
 	e := idleEdge(t, "last")
+	w := configTable(e, string(make([]byte, configBytes)))
 	e.self.HighCapacity = false
 	e.peers = gossip.NewPeers(e.self)
 	for i := range others {
@@ -247,6 +248,5 @@
 			Key: gossip.KeyOf(peer.ID), Incarnation: 1, Sequence: 1, Sender: &peer, StoreReachable: true,
 		})
 	}
-	w := configTable(e, string(make([]byte, configBytes)))
 	assert.Equal(t, w.fallbackDelay(e.now()), maxFallbackDelay)
 }
