--- a/pkg/feed/mirror.go
+++ b/pkg/feed/mirror.go
@@ -3,8 +3,9 @@
 // the version of the table that it holds and when the store last confirmed it, so
 // that gateways can read changes from each other and still know the age of their
 // data. The store may return from an older copy of itself; it then gives out versions
-// again in a new era, so copies are ordered by era first. Package edge does the reads. The package does no I/O, starts no goroutine
-// and reads no clock: times are nanoseconds on the gateway's monotonic clock.
+// again in a new era, so copies are ordered by era first. Package edge does the
+// reads. The package does no I/O, starts no goroutine and reads no clock: times are
+// nanoseconds on the gateway's monotonic clock.
 package feed
 
 import (
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -4,9 +4,9 @@
 // their servers run, and the servers write them again shortly after the store
 // recovers. A store that returned from an older copy of itself shows entries of
 // servers that have left, and states that servers have left behind; the sequence
-// numbers of the entries tell them apart. The control loop of pkg/edge applies the changes of the entries. The
-// package does no I/O and reads no clock: times are nanoseconds on the gateway's
-// monotonic clock.
+// numbers of the entries tell them apart. The control loop of pkg/edge applies the
+// changes of the entries. The package does no I/O and reads no clock: times are
+// nanoseconds on the gateway's monotonic clock.
 package registry
 
 import (
