--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -202,13 +202,7 @@
 		buffer = appendEmbedded(buffer, fieldKnownGateway, encoded)
 	}
 	for _, tableState := range m.TableStates {
-		var encoded []byte
-		encoded = appendVarint(encoded, tableFieldLastChange, tableState.LastChange)
-		encoded = appendVarint(encoded, tableFieldAsOf, tableState.AsOf)
-		encoded = appendVarint(encoded, tableFieldAgeMicros, microseconds(time.Duration(tableState.Age)))
-		encoded = appendVarint(encoded, tableFieldEra, tableState.Era)
-		encoded = appendVarint(encoded, tableFieldRank, tableState.Rank)
-		buffer = appendEmbedded(buffer, fieldTableState, encoded)
+		buffer = appendEmbedded(buffer, fieldTableState, marshalTableState(tableState))
 	}
 	for _, report := range m.Reports {
 		buffer = appendEmbedded(buffer, fieldReport, report.marshal())
@@ -228,6 +222,16 @@
 	return buffer
 }
 
+func marshalTableState(s feed.TableState) []byte {
+	var encoded []byte
+	encoded = appendVarint(encoded, tableFieldLastChange, s.LastChange)
+	encoded = appendVarint(encoded, tableFieldAsOf, s.AsOf)
+	encoded = appendVarint(encoded, tableFieldAgeMicros, microseconds(time.Duration(s.Age)))
+	encoded = appendVarint(encoded, tableFieldEra, s.Era)
+	encoded = appendVarint(encoded, tableFieldRank, s.Rank)
+	return encoded
+}
+
 func (g *Gateway) marshal() []byte {
 	var encoded []byte
 	encoded = appendString(encoded, gatewayFieldID, g.ID)
