--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -14,6 +14,8 @@
 	"departure-late":  playDepartureAfterOutage,
 	"retry-old-view":  playRetryWithOldView,
 	"config-stale":    playConfigAfterOutage,
+	"brief-return":    playBriefReturn,
+	"store-moves":     playStoreMoves,
 	"crash-elsewhere": playCrashElsewhere,
 }
 
--- a/review/standin/config.go
+++ b/review/standin/config.go
@@ -10,13 +10,12 @@
 const (
 	// configApplyTime is configApplyMs of the site signline-gw.
 	configApplyTime = 2500 * time.Millisecond
-	// callsUntilLongDelay is the number of calls after which a gateway that does not read
-	// the store for others waits longest until the next one.
-	callsUntilLongDelay = 5
-	// separateCalls is the time from which two calls of a gateway are not made together.
-	separateCalls = 300 * time.Millisecond
-	// longestOutage bounds an outage of the store.
-	longestOutage = 15 * time.Second
+	// longOutage is the length of the first outage of a round, and betweenOutages the time
+	// until the second one. The second one ends when the gateway that is not the reader
+	// has called the store, at the latest after shortOutage.
+	longOutage     = 8 * time.Second
+	betweenOutages = 2 * time.Second
+	shortOutage    = 4500 * time.Millisecond
 	// rounds is how often the disruption comes at most, calmTime the time before a round,
 	// and lastRound the time since the start of the case after which none begins.
 	rounds    = 3
@@ -33,7 +32,7 @@
 }
 
 // playConfigAfterOutage writes a configuration that moves a route, at the moment at which
-// the gateway that reads the store is cut off from it, some seconds after an outage of the
+// the gateway that reads the store is cut off from it, some seconds after two outages of the
 // store. It does so up to three times, each time with gateways that have just been started.
 func playConfigAfterOutage(w *world) error {
 	service, other := "north", "south"
@@ -88,7 +87,7 @@
 		return err
 	}
 	if w.trouble {
-		w.playOutage(reader)
+		w.playOutages(reader)
 	}
 	time.Sleep(stable + 50*time.Millisecond)
 	if w.trouble {
@@ -104,31 +103,30 @@
 	return w.checkOldService(ack, time.Now(), from, reader)
 }
 
-// playOutage takes the store down until the gateway that is not the reader has made a few
-// calls, at most for longestOutage.
-func (w *world) playOutage(reader *gateway) {
+// playOutages takes the store down twice.
+func (w *world) playOutages(reader *gateway) {
+	w.store.setSilent(true)
+	w.record.note("store", "is down")
+	time.Sleep(longOutage)
+	w.store.setSilent(false)
+	w.record.note("store", "is back")
+	time.Sleep(betweenOutages)
 	for len(w.store.ignored) > 0 {
 		<-w.store.ignored
 	}
 	w.store.setSilent(true)
-	w.record.note("store", "is down")
-	defer func() {
-		w.store.setSilent(false)
-		w.record.note("store", "is back")
-	}()
-	calls, last := 0, time.Time{}
-	for end := time.After(longestOutage); calls < callsUntilLongDelay; {
+	w.record.note("store", "is down again")
+	end := time.After(shortOutage)
+	for called := false; !called; {
 		select {
 		case caller := <-w.store.ignored:
-			if caller == reader.proxy.address() || time.Since(last) < separateCalls {
-				continue
-			}
-			calls++
-			last = time.Now()
+			called = caller != reader.proxy.address()
 		case <-end:
-			return
+			called = true
 		}
 	}
+	w.store.setSilent(false)
+	w.record.note("store", "is back")
 }
 
 // checkOldService fails if the old service ran a request that was sent to an undisturbed
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -30,6 +30,8 @@
 	storeServer    *http.Server
 	storeAddress   string
 	gateways       []*gateway
+	// seeds are the addresses of the gateways at which others register.
+	seeds []string
 
 	mu        sync.Mutex
 	instances []*instanceProcess
@@ -121,7 +123,6 @@
 
 // startGateways starts one gateway in each of the zones and waits until all are ready.
 func (w *world) startGateways(zones ...string) error {
-	seeds := []string{}
 	for attempt := 0; len(w.gateways) < len(zones); attempt++ {
 		if attempt > 50 {
 			return errors.New("no free loopback addresses")
@@ -141,11 +142,11 @@
 			client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32, DisableCompression: true}},
 		})
 		if number < 3 {
-			seeds = append(seeds, ip)
+			w.seeds = append(w.seeds, ip)
 		}
 	}
 	for _, g := range w.gateways {
-		err := g.writeSettings(seeds)
+		err := g.writeSettings(w.seeds)
 		if err != nil {
 			return err
 		}
