Show that a read is refused for a minute after the crash of a zone

Cause: a request that was in flight at three servers whose connections broke counts as one that crashes servers, also if many callers send it.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -15,6 +15,7 @@
 	"retry-old-view":  playRetryWithOldView,
 	"config-stale":    playConfigAfterOutage,
 	"brief-return":    playBriefReturn,
+	"domain-crash":    playDomainCrash,
 	"store-moves":     playStoreMoves,
 	"crash-elsewhere": playCrashElsewhere,
 }
@@ -64,7 +65,7 @@
 				}
 				delete(downSince, i)
 				if !sameID {
-					// The old entry lapses; the platform has removed it by now.
+					// The old entry has expired after three heartbeat intervals of silence.
 					w.store.put("servers", i.id, nil)
 					number++
 					i.id = fmt.Sprintf("%s-n%d", i.id, number)
@@ -152,7 +153,7 @@
 	if err := w.startGateways("khomas-a", "khomas-b", "erongo-a"); err != nil {
 		return err
 	}
-	endRestarts := w.restartCrashed(3*time.Second, false)
+	endRestarts := w.restartCrashed(3*heartbeatTime+500*time.Millisecond, false)
 	defer endRestarts()
 	innocent := w.startTraffic(w.gateways, "a", http.MethodPost, "/desk/book", "seat", 100*time.Millisecond, 2500*time.Millisecond)
 	began := time.Now()
