Log a read of the store that waits for a delay

Cause: the logs named failed reads, but not a read that was due and not made, so they could not tell a delay drawn in an outage from a wrong choice of the reader or a call that hung. Change: one line for each delay, with the age of the copy and whether this gateway is the reader.

--- a/pkg/edge/readlog.go
+++ b/pkg/edge/readlog.go
@@ -66,6 +66,16 @@
 	}
 }
 
+// logDelayedRead logs once for each delay that a read of the store is due and waits for it.
+func (w *watcher) logDelayedRead(now int64, wait time.Duration, state feed.TableState, known, reader bool) {
+	if now < w.delayLoggedUntil {
+		return
+	}
+	w.delayLoggedUntil = now + int64(wait)
+	w.edge.log.Info("read of the store is delayed after a failed call", "table", w.table, "wait", wait.String(),
+		"known", known, "age", time.Duration(state.Age).String(), "reader", reader)
+}
+
 // logTable logs an event of a table. Those of the configuration are always logged; the
 // entries of servers change too often for that.
 func (e *Edge) logTable(table feed.Table, message string, fields ...any) {
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -79,6 +79,8 @@
 	// nextStoreReadAt is the earliest time of the next read of the store; see
 	// changeCoalesceDelay.
 	nextStoreReadAt int64
+	// delayLoggedUntil is the end of the delay that logDelayedRead has logged last.
+	delayLoggedUntil int64
 	// failedUntil holds the gateways from which a read has failed, by address, and when
 	// they may be read from again.
 	failedUntil map[string]int64
@@ -161,6 +163,7 @@
 	}
 	backoff := w.edge.storeBackoff(known, reader)
 	if wait := w.edge.storeState.retryDelay(now, backoff); wait > 0 {
+		w.logDelayedRead(now, wait, state, known, reader)
 		return min(wait, ageCheckInterval)
 	}
 	position := w.position()
