End an outage of the store when another gateway reaches it

Cause: only a call of its own ended a gateway's outage. One that takes its tables from others makes none, so it kept a delay of up to 12 s that it had drawn in the outage, and waited it out when its copy was too old. On the same grounds its first call since the outage counted as the end of it, and servers whose entries were removed then were used for another 2.2 s. Change: a confirmation by another gateway that is younger than the last failed call ends the outage and its delay. The gateway still says that it does not reach the store until a call of its own succeeds.

--- a/pkg/edge/storestate.go
+++ b/pkg/edge/storestate.go
@@ -78,6 +78,14 @@
 	return s.outage.RetryDelay(now, backoff, rand.Float64())
 }
 
+// recordPeerResponse records that the store responded to another gateway, and reports
+// whether that ended an outage; see feed.Outage.
+func (s *storeState) recordPeerResponse(at int64) (ended bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.outage.RecordPeerResponse(at)
+}
+
 // recordPeerRecovery records that another gateway reached the store again at a time.
 func (s *storeState) recordPeerRecovery(at int64) {
 	s.mu.Lock()
--- a/pkg/feed/outage.go
+++ b/pkg/feed/outage.go
@@ -18,7 +18,11 @@
 // share it, so that one call checks the store for all of them. It is not safe
 // for concurrent use.
 type Outage struct {
-	since     int64
+	since int64
+	// lastFailure is the time of the last failed call.
+	lastFailure int64
+	// over says that the store has responded to another gateway since lastFailure.
+	over      bool
 	baseDelay time.Duration
 	retryAt   int64
 	endedAt   int64
@@ -40,30 +44,47 @@
 	o.endedAt = max(o.endedAt, at)
 }
 
+// RecordPeerResponse records that the store responded to another gateway at a time. If
+// that was after the last failed call of this gateway, the outage is over and its delay no
+// longer applies. Active still reports true, because this gateway may be cut off.
+func (o *Outage) RecordPeerResponse(at int64) (ended bool) {
+	if !o.Active() || o.over || at <= o.lastFailure {
+		return false
+	}
+	o.over = true
+	if at-o.since >= int64(minOutage) {
+		o.endedAt = max(o.endedAt, at)
+	}
+	return true
+}
+
 // RecordFailure records a failed call. random is between 0 and 1 and spreads the
 // calls of several gateways.
 func (o *Outage) RecordFailure(now int64, backoff Backoff, random float64) {
-	if o.Active() {
+	o.lastFailure = now
+	if o.Active() && !o.over {
 		return
 	}
 	o.since = now
+	o.over = false
 	o.baseDelay = 0
 	o.retryAt = now + o.nextDelay(backoff, random)
 }
 
 // RecordSuccess records a response of the store.
 func (o *Outage) RecordSuccess(now int64) {
-	if o.Active() && now-o.since >= int64(minOutage) {
+	if o.Active() && !o.over && now-o.since >= int64(minOutage) {
 		o.endedAt = now
 	}
 	o.since = 0
+	o.over = false
 }
 
 // RetryDelay returns how long to wait before the next call to the store, 0 for a
 // call now. During an outage, the result 0 also starts the next delay, so that all
 // tables together make one call per delay.
 func (o *Outage) RetryDelay(now int64, backoff Backoff, random float64) time.Duration {
-	if !o.Active() {
+	if !o.Active() || o.over {
 		return 0
 	}
 	// Limits a delay that was drawn with a longer backoff, for example before this
--- a/pkg/feed/outage_test.go
+++ b/pkg/feed/outage_test.go
@@ -63,3 +63,47 @@
 	o.RecordPeerRecovery(end - 1)
 	assert.Equal(t, o.EndedAt(), end)
 }
+
+// TestDelayEndsWhenPeerReachesStore guards against a gateway that does not call the store for
+// seconds because of a delay that it drew during an outage, although another gateway has
+// reached the store since.
+func TestDelayEndsWhenPeerReachesStore(t *testing.T) {
+	o := &Outage{}
+	backoff := Backoff{Min: 8 * time.Second, Max: 8 * time.Second}
+	o.RecordFailure(outageStart, backoff, 0.5)
+	o.RecordPeerResponse(outageStart)
+	assert.Assert(t, o.RetryDelay(outageStart, backoff, 0.5) > 0, "the response precedes the failure")
+	recovered := outageStart + int64(time.Second)
+	o.RecordPeerResponse(recovered)
+	assert.Equal(t, o.RetryDelay(recovered, backoff, 0.5), time.Duration(0))
+	assert.Assert(t, o.Active(), "this gateway has not reached the store itself")
+	assert.Equal(t, o.EndedAt(), recovered)
+}
+
+// TestPeerEndsOutage guards against entries that count as expired in an outage long after the
+// outage, because the first call of this gateway since then counts as its end.
+func TestPeerEndsOutage(t *testing.T) {
+	o := &Outage{}
+	backoff := Backoff{Min: time.Second, Max: time.Second}
+	o.RecordFailure(outageStart, backoff, 0)
+	recovered := outageStart + int64(2*time.Second)
+	o.RecordPeerResponse(recovered)
+	o.RecordSuccess(recovered + int64(6*time.Second))
+	assert.Equal(t, o.EndedAt(), recovered)
+	assert.Assert(t, !o.Active())
+}
+
+// TestNextOutageStartsNewDelays guards against an outage whose first delay continues those of
+// the outage before, if this gateway made no call in between.
+func TestNextOutageStartsNewDelays(t *testing.T) {
+	o := &Outage{}
+	backoff := Backoff{Min: time.Second, Max: 8 * time.Second}
+	countCalls(o, 8*time.Second, backoff)
+	o.RecordPeerResponse(outageStart + int64(9*time.Second))
+	next := outageStart + int64(11*time.Second)
+	o.RecordFailure(next, backoff, 0.5)
+	assert.Equal(t, o.RetryDelay(next, backoff, 0.5), time.Second)
+	end := next + int64(time.Second)
+	o.RecordSuccess(end)
+	assert.Equal(t, o.EndedAt(), end)
+}
