Count crashes of a server that has started again as further crashes

Cause: the crash guard counted IDs of servers, so a service with two servers never had three crashed ones. Evidence: with IDs alone compared, TestCrashesOfRestartedServerCount gets Busy in place of Blocked after the crash of a second run. Change: a suspicion names the server and its incarnation, in the guard, in the datagrams of package gossip and in the frames of package peer. Without one, as from an older build, it counts for any run of the server.

--- a/pkg/crashguard/guard.go
+++ b/pkg/crashguard/guard.go
@@ -23,7 +23,7 @@
 // the fingerprint was in flight.
 type Suspicion struct {
 	Fingerprint Fingerprint
-	ServerID    string
+	Server      Server
 	// From is the peer that reported the suspicion, empty if this gateway lost the
 	// connection itself. A gateway sends its own suspicions to all peers. Those of
 	// peers need relaying only if some gateways have no session with each other, and
@@ -33,8 +33,8 @@
 
 // suspectedRequest is the state of one suspected fingerprint.
 type suspectedRequest struct {
-	// servers lists the IDs of the servers that were lost, at most Limits.Servers.
-	servers []string
+	// servers lists the servers that were lost, at most Limits.Servers.
+	servers []Server
 	// expiresAt is when the suspicion or the block expires.
 	expiresAt int64
 	// attemptInFlight is set while an attempt that was admitted after the suspicion
@@ -49,8 +49,8 @@
 
 // Limits configure when and for how long a fingerprint is blocked.
 type Limits struct {
-	// Servers is the number of different servers that must have crashed before a
-	// fingerprint is blocked.
+	// Servers is the number of crashes, of different servers or of one that started
+	// again, after which a fingerprint is blocked.
 	Servers int
 	// BlockDuration is how long a fingerprint stays blocked, and how long a suspicion
 	// below the threshold is kept.
@@ -121,7 +121,7 @@
 }
 
 // Done records the result of an admitted attempt.
-func (g *Guard) Done(now int64, fingerprint Fingerprint, result Result, serverID string) {
+func (g *Guard) Done(now int64, fingerprint Fingerprint, result Result, server Server) {
 	if result != ResultConnectionLost && g.suspected.Load() == 0 {
 		return
 	}
@@ -140,8 +140,8 @@
 			g.remove(fingerprint)
 		}
 	case ResultConnectionLost:
-		if g.addSuspicion(now, fingerprint, serverID) {
-			g.enqueue(Suspicion{Fingerprint: fingerprint, ServerID: serverID})
+		if g.addSuspicion(now, fingerprint, server) {
+			g.enqueue(Suspicion{Fingerprint: fingerprint, Server: server})
 		}
 	case ResultOther:
 	}
@@ -150,11 +150,11 @@
 // AddPeerSuspicion adds a suspicion that a peer reported. A new suspicion is queued
 // once with From set, so that the caller of Outgoing may relay it; a known one is not,
 // so that suspicions do not circulate.
-func (g *Guard) AddPeerSuspicion(now int64, fingerprint Fingerprint, serverID, fromPeer string) {
+func (g *Guard) AddPeerSuspicion(now int64, fingerprint Fingerprint, server Server, fromPeer string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.addSuspicion(now, fingerprint, serverID) {
-		g.enqueue(Suspicion{Fingerprint: fingerprint, ServerID: serverID, From: fromPeer})
+	if g.addSuspicion(now, fingerprint, server) {
+		g.enqueue(Suspicion{Fingerprint: fingerprint, Server: server, From: fromPeer})
 	}
 }
 
@@ -212,7 +212,7 @@
 
 // addSuspicion adds a suspicion and reports whether it is new. A repeated one only
 // extends the time that it is kept.
-func (g *Guard) addSuspicion(now int64, fingerprint Fingerprint, serverID string) bool {
+func (g *Guard) addSuspicion(now int64, fingerprint Fingerprint, server Server) bool {
 	s := g.unexpired(now, fingerprint)
 	if s == nil {
 		g.evictIfFull(now)
@@ -223,13 +223,14 @@
 	if g.blocked(s) {
 		return false
 	}
-	for _, known := range s.servers {
-		if known == serverID {
+	for i, known := range s.servers {
+		if known.sameRun(server) {
+			s.servers[i].Incarnation = max(known.Incarnation, server.Incarnation)
 			s.expiresAt = now + int64(g.limits.BlockDuration)
 			return false
 		}
 	}
-	s.servers = append(s.servers, serverID)
+	s.servers = append(s.servers, server)
 	s.expiresAt = now + int64(g.limits.BlockDuration)
 	return true
 }
--- a/pkg/crashguard/guard_test.go
+++ b/pkg/crashguard/guard_test.go
@@ -16,14 +16,14 @@
 	g := New()
 	now := int64(time.Second)
 	assert.Equal(t, g.Admit(now, 1), Allowed)
-	g.Done(now, 1, ResultConnectionLost, "a")
-	g.AddPeerSuspicion(now, 1, "a", "peer")
+	g.Done(now, 1, ResultConnectionLost, Server{ID: "a"})
+	g.AddPeerSuspicion(now, 1, Server{ID: "a"}, "peer")
 	assert.Equal(t, g.Admit(now, 1), Allowed)
 	assert.Equal(t, g.Admit(now, 1), Busy)
 	assert.Equal(t, g.Admit(now, 2), Allowed)
-	g.Done(now, 1, ResultOther, "b")
+	g.Done(now, 1, ResultOther, Server{ID: "b"})
 	assert.Equal(t, g.Admit(now, 1), Allowed)
-	g.Done(now, 1, ResultResponded, "b")
+	g.Done(now, 1, ResultResponded, Server{ID: "b"})
 	assert.Equal(t, g.Admit(now, 1), Allowed)
 	assert.Equal(t, g.Admit(now, 1), Allowed)
 	assert.Equal(t, g.suspected.Load(), int64(0))
@@ -33,14 +33,14 @@
 func TestBlockExpires(t *testing.T) {
 	g := New()
 	now := int64(time.Second)
-	g.Done(now, 1, ResultConnectionLost, "a")
-	g.AddPeerSuspicion(now, 1, "b", "peer")
+	g.Done(now, 1, ResultConnectionLost, Server{ID: "a"})
+	g.AddPeerSuspicion(now, 1, Server{ID: "b"}, "peer")
 	assert.Equal(t, g.Admit(now, 1), Blocked)
 	assert.Equal(t, g.Admit(now+int64(DefaultBlockDuration)-1, 1), Blocked)
 	assert.Equal(t, g.Admit(now+int64(DefaultBlockDuration), 1), Allowed)
 	assert.Equal(t, g.Expire(now+int64(DefaultBlockDuration)).Suspected, 0)
 	assert.DeepEqual(t, g.Outgoing(), []Suspicion{
-		{Fingerprint: 1, ServerID: "a"}, {Fingerprint: 1, ServerID: "b", From: "peer"},
+		{Fingerprint: 1, Server: Server{ID: "a"}}, {Fingerprint: 1, Server: Server{ID: "b"}, From: "peer"},
 	})
 }
 
@@ -50,10 +50,10 @@
 func TestMemoryIsBounded(t *testing.T) {
 	g := New()
 	now := int64(time.Second)
-	g.Done(now, 0, ResultConnectionLost, "a")
-	g.Done(now, 0, ResultConnectionLost, "b")
+	g.Done(now, 0, ResultConnectionLost, Server{ID: "a"})
+	g.Done(now, 0, ResultConnectionLost, Server{ID: "b"})
 	for i := range 2 * MaxSuspectedFingerprints {
-		g.Done(now, Fingerprint(i+1), ResultConnectionLost, "a")
+		g.Done(now, Fingerprint(i+1), ResultConnectionLost, Server{ID: "a"})
 	}
 	assert.Equal(t, len(g.suspects), MaxSuspectedFingerprints)
 	assert.Equal(t, g.suspected.Load(), int64(MaxSuspectedFingerprints))
@@ -92,7 +92,7 @@
 			rest = append(rest, m)
 			continue
 		}
-		f.guards[m.recipient].AddPeerSuspicion(int64(f.now), m.Fingerprint, m.ServerID, "peer")
+		f.guards[m.recipient].AddPeerSuspicion(int64(f.now), m.Fingerprint, m.Server, "peer")
 	}
 	f.pending = rest
 }
@@ -100,7 +100,7 @@
 func (f *fleet) crash(t *rapid.T, gateway int) {
 	server := fmt.Sprint("server-", len(f.crashed))
 	f.crashed[server] = true
-	f.guards[gateway].Done(int64(f.now), 1, ResultConnectionLost, server)
+	f.guards[gateway].Done(int64(f.now), 1, ResultConnectionLost, Server{ID: server})
 	for _, s := range f.guards[gateway].Outgoing() {
 		if s.From != "" {
 			continue
@@ -180,7 +180,33 @@
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
 			g.Admit(1, 1)
-			g.Done(1, 1, ResultResponded, "a")
+			g.Done(1, 1, ResultResponded, Server{ID: "a"})
 		}
 	})
 }
+
+// TestCrashesOfRestartedServerCount guards against a request that crashes the same few servers
+// again and again, because a server that has started again under its ID counts as the same one.
+func TestCrashesOfRestartedServerCount(t *testing.T) {
+	g := NewWithLimits(Limits{Servers: 3, BlockDuration: time.Minute})
+	now := int64(time.Second)
+	g.Done(now, 1, ResultConnectionLost, Server{ID: "a", Incarnation: 1})
+	g.Done(now, 1, ResultConnectionLost, Server{ID: "b", Incarnation: 1})
+	g.Done(now, 1, ResultConnectionLost, Server{ID: "a", Incarnation: 1})
+	assert.Equal(t, g.Admit(now, 1), Allowed)
+	g.AddPeerSuspicion(now, 1, Server{ID: "a", Incarnation: 2}, "peer")
+	assert.Equal(t, g.Admit(now, 1), Blocked)
+}
+
+// TestUnknownIncarnationCountsOnce guards against one crash that counts twice because a peer
+// of an older build reports it without the incarnation of the server.
+func TestUnknownIncarnationCountsOnce(t *testing.T) {
+	g := New()
+	now := int64(time.Second)
+	g.AddPeerSuspicion(now, 1, Server{ID: "a"}, "peer")
+	g.Done(now, 1, ResultConnectionLost, Server{ID: "a", Incarnation: 4})
+	g.AddPeerSuspicion(now, 1, Server{ID: "a"}, "peer")
+	assert.Equal(t, g.Admit(now, 1), Allowed)
+	g.Done(now, 1, ResultConnectionLost, Server{ID: "a", Incarnation: 5})
+	assert.Equal(t, g.Admit(now, 1), Blocked)
+}
--- a/pkg/crashguard/types.go
+++ b/pkg/crashguard/types.go
@@ -9,6 +9,19 @@
 // only compares it.
 type Fingerprint uint64
 
+// Server identifies one run of a server: one that has started again under its ID is
+// another Server.
+type Server struct {
+	ID string
+	// Incarnation rises with each start of the server. It is 0 if it is unknown.
+	Incarnation uint64
+}
+
+// sameRun reports whether two servers may be the same run.
+func (s Server) sameRun(other Server) bool {
+	return s.ID == other.ID && (s.Incarnation == other.Incarnation || s.Incarnation == 0 || other.Incarnation == 0)
+}
+
 // Admission is the decision whether a request may be sent.
 type Admission int
 
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -46,9 +46,9 @@
 	// that no caller within its limits is disconnected.
 	headerTimeout     = 10 * time.Second
 	callerIdleTimeout = 5 * time.Minute
-	// crashedServersToBlock is the number of servers whose connections must break while
-	// they run a request before that request is refused. Connections also break for
-	// other reasons, but rarely three times for the same request.
+	// crashedServersToBlock is the number of servers, or of runs of a server, whose
+	// connections must break while they run a request before that request is refused.
+	// Connections also break for other reasons, but rarely three times for the same request.
 	crashedServersToBlock = 3
 	// crashBlockDuration is how long a request that crashes servers is refused.
 	crashBlockDuration = time.Minute
--- a/pkg/edge/receiver.go
+++ b/pkg/edge/receiver.go
@@ -91,7 +91,8 @@
 	}
 	for _, suspicion := range message.Suspicions {
 		if server, ok := indexed.byKey[suspicion.Server]; ok {
-			e.guard.AddPeerSuspicion(now, crashguard.Fingerprint(suspicion.Fingerprint), server.ID, "peer")
+			lost := crashguard.Server{ID: server.ID, Incarnation: suspicion.Incarnation}
+			e.guard.AddPeerSuspicion(now, crashguard.Fingerprint(suspicion.Fingerprint), lost, "peer")
 		}
 	}
 	assignment := e.assignment.Load()
--- a/pkg/edge/sender.go
+++ b/pkg/edge/sender.go
@@ -240,7 +240,8 @@
 	for _, suspicion := range suspicions {
 		if suspicion.From == "" && len(own) < suspicionsPerMessage {
 			own = append(own, gossip.Suspicion{
-				Fingerprint: uint64(suspicion.Fingerprint), Server: gossip.ServerKey(suspicion.ServerID),
+				Fingerprint: uint64(suspicion.Fingerprint), Server: gossip.ServerKey(suspicion.Server.ID),
+				Incarnation: suspicion.Server.Incarnation,
 			})
 		}
 	}
--- a/pkg/gateway/crashguard.go
+++ b/pkg/gateway/crashguard.go
@@ -40,8 +40,8 @@
 }
 
 // Done implements proxy.CrashGuard.
-func (c crashGuard) Done(now int64, fingerprint crashguard.Fingerprint, result crashguard.Result, serverID string) {
-	c.Guard.Done(now, fingerprint, result, serverID)
+func (c crashGuard) Done(now int64, fingerprint crashguard.Fingerprint, result crashguard.Result, server crashguard.Server) {
+	c.Guard.Done(now, fingerprint, result, server)
 	if result == crashguard.ResultConnectionLost {
 		c.notifyPeers()
 	}
@@ -52,7 +52,7 @@
 func (c crashGuard) notifyPeers() {
 	for _, suspicion := range c.Outgoing() {
 		if suspicion.From == "" && c.peers != nil {
-			c.peers.exchange.AnnounceSuspicion(suspicion.Fingerprint, suspicion.ServerID)
+			c.peers.exchange.AnnounceSuspicion(suspicion.Fingerprint, suspicion.Server)
 		}
 	}
 }
@@ -65,8 +65,8 @@
 	}
 	g.peers.hooks = peerHooks{
 		hasAttempt: g.claims.store.HasAttempt,
-		suspicion: func(fingerprint crashguard.Fingerprint, serverID, from string) {
-			g.guard.AddPeerSuspicion(g.now(), fingerprint, serverID, from)
+		suspicion: func(fingerprint crashguard.Fingerprint, server crashguard.Server, from string) {
+			g.guard.AddPeerSuspicion(g.now(), fingerprint, server, from)
 		},
 	}
 }
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -40,7 +40,7 @@
 	// attempt.
 	hasAttempt func(service, key string) bool
 	// suspicion receives the suspicions of peers. If it is nil, they are ignored.
-	suspicion func(fingerprint crashguard.Fingerprint, serverID, from string)
+	suspicion func(fingerprint crashguard.Fingerprint, server crashguard.Server, from string)
 }
 
 // peers connects a gateway to its exchange with other gateways. It is nil if settings
@@ -123,9 +123,9 @@
 		Summary: p.onSummary,
 		Joined:  func(id string) { p.send(control.PeerJoined{Peer: id}) },
 		Lost:    func(id string) { p.send(control.PeerLost{Peer: id}) },
-		Suspicion: func(from string, fingerprint crashguard.Fingerprint, serverID string) {
+		Suspicion: func(from string, fingerprint crashguard.Fingerprint, server crashguard.Server) {
 			if p.hooks.suspicion != nil {
-				p.hooks.suspicion(fingerprint, serverID, from)
+				p.hooks.suspicion(fingerprint, server, from)
 			}
 		},
 		HasAttempt: func(service, key string) bool {
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -49,6 +49,7 @@
 	for range rapid.IntRange(0, 2).Draw(t, "suspicions") {
 		m.Suspicions = append(m.Suspicions, Suspicion{
 			Fingerprint: rapid.Uint64().Draw(t, "fingerprint"), Server: rapid.Uint32().Draw(t, "server"),
+			Incarnation: rapid.Uint64().Draw(t, "incarnation"),
 		})
 	}
 	m.KeepsLimits = rapid.Bool().Draw(t, "keeps limits")
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -119,6 +119,8 @@
 	Fingerprint uint64
 	// Server is the ServerKey.
 	Server uint32
+	// Incarnation is that of the server, 0 in messages of older builds.
+	Incarnation uint64
 }
 
 // Field numbers of a message.
@@ -173,6 +175,7 @@
 const (
 	suspicionFieldFingerprint protowire.Number = iota + 1
 	suspicionFieldServer
+	suspicionFieldIncarnation
 )
 
 // Marshal appends the encoded message to buffer.
@@ -208,10 +211,7 @@
 		buffer = appendEmbedded(buffer, fieldReport, report.marshal())
 	}
 	for _, suspicion := range m.Suspicions {
-		var encoded []byte
-		encoded = appendFixed64(encoded, suspicionFieldFingerprint, suspicion.Fingerprint)
-		encoded = appendFixed32(encoded, suspicionFieldServer, suspicion.Server)
-		buffer = appendEmbedded(buffer, fieldSuspicion, encoded)
+		buffer = appendEmbedded(buffer, fieldSuspicion, suspicion.marshal())
 	}
 	for i := range m.Limits {
 		buffer = appendEmbedded(buffer, fieldLimit, marshalLimit(&m.Limits[i]))
@@ -222,6 +222,13 @@
 	return buffer
 }
 
+func (s *Suspicion) marshal() []byte {
+	var encoded []byte
+	encoded = appendFixed64(encoded, suspicionFieldFingerprint, s.Fingerprint)
+	encoded = appendFixed32(encoded, suspicionFieldServer, s.Server)
+	return appendVarint(encoded, suspicionFieldIncarnation, s.Incarnation)
+}
+
 func marshalTableState(s feed.TableState) []byte {
 	var encoded []byte
 	encoded = appendVarint(encoded, tableFieldLastChange, s.LastChange)
--- a/pkg/gossip/unmarshal.go
+++ b/pkg/gossip/unmarshal.go
@@ -157,6 +157,8 @@
 			suspicion.Fingerprint = value
 		case suspicionFieldServer:
 			suspicion.Server = uint32(value)
+		case suspicionFieldIncarnation:
+			suspicion.Incarnation = value
 		}
 		return nil
 	})
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -41,7 +41,7 @@
 	// it. Lost is called when the session ends or a newer one replaces it.
 	Joined    func(peer string)
 	Lost      func(peer string)
-	Suspicion func(peer string, fingerprint crashguard.Fingerprint, serverID string)
+	Suspicion func(peer string, fingerprint crashguard.Fingerprint, server crashguard.Server)
 	// HasAttempt answers key queries. If it is nil, the reply is that there may be
 	// an attempt.
 	HasAttempt func(service, key string) bool
--- a/pkg/peer/fleet_test.go
+++ b/pkg/peer/fleet_test.go
@@ -136,8 +136,8 @@
 			Preset: n.offer,
 			Drain:  n.drain,
 			Joined: n.sendDrains,
-			Suspicion: func(_ string, f crashguard.Fingerprint, server string) {
-				n.record(&n.suspicions, uint64(f), " ", server)
+			Suspicion: func(_ string, f crashguard.Fingerprint, server crashguard.Server) {
+				n.record(&n.suspicions, uint64(f), " ", server.ID, " ", server.Incarnation)
 			},
 			Summary: n.summary,
 			Lost:    func(peer string) { n.record(&n.lost, peer) },
--- a/pkg/peer/handle.go
+++ b/pkg/peer/handle.go
@@ -84,6 +84,7 @@
 	}
 	if e.config.Handler.Suspicion != nil {
 		fingerprint := crashguard.Fingerprint(suspicion.GetFingerprint())
-		e.config.Handler.Suspicion(s.id, fingerprint, suspicion.GetServerId())
+		server := crashguard.Server{ID: suspicion.GetServerId(), Incarnation: suspicion.GetIncarnation()}
+		e.config.Handler.Suspicion(s.id, fingerprint, server)
 	}
 }
--- a/pkg/peer/messages_test.go
+++ b/pkg/peer/messages_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"balsamhill/pkg/crashguard"
 )
 
 // TestNoticesReachAll guards the delivery of notices: each drain notice and each
@@ -18,8 +20,8 @@
 func TestNoticesReachAll(t *testing.T) {
 	runRegions(t, 18, 3, func(f *testFleet) {
 		f.nodes[3].AnnounceDrain(Drain{ServerID: "server-1", Incarnation: 7, Age: 3 * time.Second})
-		f.nodes[3].AnnounceSuspicion(42, "server-2")
-		f.nodes[3].AnnounceSuspicion(42, "server-2")
+		f.nodes[3].AnnounceSuspicion(42, crashguard.Server{ID: "server-2", Incarnation: 7})
+		f.nodes[3].AnnounceSuspicion(42, crashguard.Server{ID: "server-2", Incarnation: 7})
 		time.Sleep(time.Second)
 		synctest.Wait()
 		reports := 0
@@ -33,7 +35,7 @@
 				continue
 			}
 			assert.Assert(t, len(n.drains) > 0, n.id)
-			assert.Equal(t, fmt.Sprint(n.suspicions), "[42 server-2 42 server-2]", n.id)
+			assert.Equal(t, fmt.Sprint(n.suspicions), "[42 server-2 7 42 server-2 7]", n.id)
 		}
 		time.Sleep(time.Second)
 		synctest.Wait()
--- a/pkg/peer/notices.go
+++ b/pkg/peer/notices.go
@@ -109,13 +109,14 @@
 
 // AnnounceSuspicion sends to the peers that a connection to the server was lost while
 // a request with the fingerprint was in flight.
-func (e *Exchange) AnnounceSuspicion(fingerprint crashguard.Fingerprint, serverID string) {
+func (e *Exchange) AnnounceSuspicion(fingerprint crashguard.Fingerprint, server crashguard.Server) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.suspicionSequence++
 	suspicion := &peerpb.Suspicion{
 		Fingerprint: uint64(fingerprint),
-		ServerId:    serverID,
+		ServerId:    server.ID,
+		Incarnation: server.Incarnation,
 		Origin:      e.config.Self.ID,
 		// The incarnation makes the sequence numbers of a restarted gateway differ from
 		// those before the restart.
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -132,7 +132,7 @@
 		a.server.Stats.End()
 	}
 	if guard != nil {
-		guard.Done(now, c.crashFingerprint, a.guardResult(), a.server.ID)
+		guard.Done(now, c.crashFingerprint, a.guardResult(), crashguard.Server{ID: a.server.ID, Incarnation: a.server.Incarnation})
 	}
 }
 
@@ -157,7 +157,7 @@
 func (c *call) releaseCrashGuard() {
 	guard := c.proxy.config.CrashGuard
 	if guard != nil {
-		guard.Done(c.proxy.config.Now(), c.crashFingerprint, crashguard.ResultOther, "")
+		guard.Done(c.proxy.config.Now(), c.crashFingerprint, crashguard.ResultOther, crashguard.Server{})
 	}
 }
 
--- a/pkg/proxy/choose_test.go
+++ b/pkg/proxy/choose_test.go
@@ -37,7 +37,7 @@
 	return s.guard.Admit(now, fingerprint)
 }
 
-func (s *slowDependencies) Done(now int64, fingerprint crashguard.Fingerprint, result crashguard.Result, server string) {
+func (s *slowDependencies) Done(now int64, fingerprint crashguard.Fingerprint, result crashguard.Result, server crashguard.Server) {
 	s.guard.Done(now, fingerprint, result, server)
 }
 
--- a/pkg/proxy/harness_test.go
+++ b/pkg/proxy/harness_test.go
@@ -248,7 +248,7 @@
 	return f.admission
 }
 
-func (f *fakeGuard) Done(_ int64, _ crashguard.Fingerprint, result crashguard.Result, _ string) {
+func (f *fakeGuard) Done(_ int64, _ crashguard.Fingerprint, result crashguard.Result, _ crashguard.Server) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.results = append(f.results, result)
