Bound the header of health check responses

Callers: reported by another operator: an instance sent bytes without end that were no answer, the process that had called it kept them and ran out of memory, and the requests of all its other clients ended with it. Here it comes about by health checks, not by calls. Cause: net/http reads up to 10 MB of the header of a response unless it is told less, and the transport of health checks told it nothing; one gateway checks many servers at once, 100 times a second each. Change: the header of a health check response has 8 KB at most.

--- a/pkg/edge/probes.go
+++ b/pkg/edge/probes.go
@@ -30,6 +30,9 @@
 	unresponsiveProbeInterval = 200 * time.Millisecond
 	// maxProbeBodyBytes bounds how much of the body of a probe response is read.
 	maxProbeBodyBytes = 4 << 10
+	// maxProbeHeaderBytes bounds the header of a probe response. Without it, net/http reads
+	// up to 10 MB for each probe in flight.
+	maxProbeHeaderBytes = 8 << 10
 )
 
 func newProbeTransport() *http.Transport {
@@ -41,6 +44,8 @@
 		IdleConnTimeout:     5 * time.Second,
 		ReadBufferSize:      2 << 10,
 		WriteBufferSize:     1 << 10,
+
+		MaxResponseHeaderBytes: maxProbeHeaderBytes,
 	}
 }
 
