--- a/pkg/edge/tableclient.go
+++ b/pkg/edge/tableclient.go
@@ -22,8 +22,13 @@
 	DisableCompression:  true,
 	MaxIdleConnsPerHost: 1,
 	IdleConnTimeout:     10 * time.Second,
+
+	MaxResponseHeaderBytes: maxPeerHeaderBytes,
 }}
 
+// maxPeerHeaderBytes bounds the header of a response of another gateway.
+const maxPeerHeaderBytes = 64 << 10
+
 // tableClient reads one table from other gateways. A read that is cut off is resumed by
 // the next one, also from another gateway. It is not safe for concurrent use.
 type tableClient struct {
