Bound the lines and the memory of messages that libraries log

Cause: net/http writes such bytes to the standard logger as part of the message. The limit on lines is kept for each message, so each line had a limit of its own, and the table of limits kept every message. Evidence: TestManyEndlessServers, bytes after a whole answer: 3,699 KB of log of one gateway in 4 s, where 20 lines a second of a message are promised. Change: what libraries write gets one message and a text of 256 bytes at most; 256 messages have a limit of their own, all further ones share one.

--- a/cmd/balsamhilld/platform.go
+++ b/cmd/balsamhilld/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	standardlog "log"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -43,9 +44,10 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
 	log := slog.New(boundedlog.New(writer, nil))
-	// net/http logs some errors to the standard logger, which slog.SetDefault
-	// redirects.
 	slog.SetDefault(log)
+	// net/http writes some errors, with bytes of the peer, to the standard logger.
+	standardlog.SetFlags(0)
+	standardlog.SetOutput(boundedlog.LibraryOutput(log))
 	err := platform.Run(ctx, platform.Options{Reload: reload, MetricsPort: c.metricsPort, Log: log})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "balsamhilld:", err)
--- a/pkg/boundedlog/boundedlog.go
+++ b/pkg/boundedlog/boundedlog.go
@@ -22,6 +22,11 @@
 	linesPerSecond = 20
 	// queueLines is the maximum number of lines that wait for the writer.
 	queueLines = 1024
+	// maxMessages is the number of messages with a limit of their own. Further messages share
+	// one limit.
+	maxMessages = 256
+	// maxLibraryTextBytes bounds the text of a line of LibraryOutput.
+	maxLibraryTextBytes = 256
 	// reportInterval is the minimum time between two reports of the number of lines
 	// that were left out.
 	reportInterval = time.Second
@@ -84,8 +89,8 @@
 	now    func() time.Time
 
 	mu sync.Mutex
-	// buckets holds a bucket for each message. Messages are constants of the program,
-	// so the number of buckets is bounded.
+	// buckets holds a bucket for each of up to maxMessages messages, and one for all
+	// further ones.
 	buckets         map[string]*bucket
 	reportedAt      time.Time
 	reportedDropped uint64
@@ -138,11 +143,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
-	b := l.buckets[message]
-	if b == nil {
-		b = &bucket{tokens: burstLines, refilledAt: now}
-		l.buckets[message] = b
-	}
+	b := l.bucketOf(message, now)
 	b.tokens = min(burstLines, b.tokens+linesPerSecond*now.Sub(b.refilledAt).Seconds())
 	b.refilledAt = now
 	allowed = b.tokens >= 1
@@ -158,6 +159,22 @@
 	return allowed, reports
 }
 
+// otherMessages is the key of the bucket of all messages beyond maxMessages.
+const otherMessages = "any other message"
+
+func (l *limiter) bucketOf(message string, now time.Time) *bucket {
+	b := l.buckets[message]
+	if b == nil && len(l.buckets) >= maxMessages {
+		message = otherMessages
+		b = l.buckets[message]
+	}
+	if b == nil {
+		b = &bucket{tokens: burstLines, refilledAt: now}
+		l.buckets[message] = b
+	}
+	return b
+}
+
 func (l *limiter) takeReports(now time.Time) []slog.Record {
 	var reports []slog.Record
 	report := func(kind string, count uint64) {
