Refuse calls that a stopping gateway might not finish

Callers: reported by another operator: in a planned stop requests that came late in the grace period were passed on and cut without an answer at its end, among them requests that may not be repeated. It happens here: of 44 bookings around a SIGTERM, whose bodies take 2 s, with 2.2 s of work, the 9 that began 1.5 s or more after it ran at a server and got no answer; reads and uploads as well. Cause: every request that began before the listener closed was passed on when its body was complete or a slot was free, whatever was left of the grace period. Change: from the signal on a call is sent to a server only if its deadline is before the end of the grace period less 0.4 s. Others are refused as not run when their header is read, or right before the first byte is written, which covers calls that wait for a body, a slot or a connection, retries and hedges.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -101,8 +101,10 @@
 	serversLoaded atomic.Bool
 	startup       startupGate
 	stopping      atomic.Bool
-	storeState    storeState
-	watchers      []*watcher
+	// endsAt is when the last calls must have ended, 0 before the shutdown.
+	endsAt     atomic.Int64
+	storeState storeState
+	watchers   []*watcher
 
 	peersMu sync.Mutex
 	peers   *gossip.Peers
@@ -201,6 +203,7 @@
 		ReplayBodyBytes:     replayBodyBytes,
 		ReplaceRejections:   true,
 		RetryBase:           e.retryBurstShare,
+		EndsAt:              e.endsAt.Load,
 		GatewayCount:        func() float64 { return float64(1 + e.livePeers.Load()) },
 		Observer:            observer{e},
 	})
--- a/pkg/edge/stop.go
+++ b/pkg/edge/stop.go
@@ -15,6 +15,9 @@
 	// exitReserve is the part of the grace period that is left for the exit of the
 	// process.
 	exitReserve = 300 * time.Millisecond
+	// answerReserve is the part of the grace period before that for sending the answers of
+	// calls that end at their deadlines.
+	answerReserve = 100 * time.Millisecond
 	// stallCheckInterval is long enough to read the requests that are waiting in sockets.
 	// maxStallChecks bounds the wait: in the worst case a CPU quota stalls the
 	// process for most of each 100 ms, so all checks together take at most a second.
@@ -38,14 +41,16 @@
 // shutDown fails readiness, closes the listener after listenerCloseDelay and waits for the
 // requests in flight. Connections of callers stay open until the listener closes, because
 // a caller may send a request at any time; each response asks its caller to close the
-// connection.
+// connection. Calls that might not end within the grace period are refused from the start.
 func (e *Edge) shutDown(ctx context.Context) error {
 	startedAt := time.Now()
+	exitAt := startedAt.Add(e.limits.Load().ShutdownGracePeriod - exitReserve)
+	e.endsAt.Store(e.now() + int64(time.Until(exitAt)-answerReserve))
 	e.stopping.Store(true)
 	e.log.Info("graceful shutdown started", "inFlight", e.proxy.InFlight())
 	time.Sleep(listenerCloseDelay)
 	waitWhileStalled(time.Now, time.Sleep)
-	ctx, cancel := context.WithDeadline(ctx, startedAt.Add(e.limits.Load().ShutdownGracePeriod-exitReserve))
+	ctx, cancel := context.WithDeadline(ctx, exitAt)
 	defer cancel()
 	err := e.traffic.Shutdown(ctx)
 	err = errors.Join(err, e.proxy.Wait(ctx))
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -63,8 +63,9 @@
 	// denied reports whether the attempt was forbidden: by the claim, by the crash
 	// guard, or because the transport was about to resend the request.
 	denied bool
-	// guardReason is why the crash guard denied the attempt, empty if it did not.
-	guardReason string
+	// denyReason is the detail of the refusal if the crash guard denied the attempt, or
+	// the gateway because it ends too soon, else empty.
+	denyReason string
 
 	dispatch     Dispatch
 	response     *http.Response
@@ -111,8 +112,8 @@
 	// The first attempt was admitted before its server was chosen; see
 	// acquireCrashGuard.
 	if guard != nil && a.number > 1 {
-		a.guardReason = c.admitByCrashGuard(c.crashFingerprint)
-		if a.guardReason != "" {
+		a.denyReason = c.admitByCrashGuard(c.crashFingerprint)
+		if a.denyReason != "" {
 			a.denied = true
 			a.result = retry.NeverWritten
 			a.cancel(errDenied)
@@ -245,8 +246,11 @@
 		a.deny()
 		return
 	}
-	if c.ticket != nil && !c.proxy.config.Claims.MayDispatch(*c.ticket) {
+	switch {
+	case c.ticket != nil && !c.proxy.config.Claims.MayDispatch(*c.ticket):
 		a.deny()
+	case c.outlivesGateway():
+		a.denyStopping()
 	}
 }
 
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -180,6 +180,10 @@
 		return
 	}
 	c.body.init(c)
+	if c.outlivesGateway() {
+		c.refuseStopping()
+		return
+	}
 	if !c.bufferBody() {
 		return
 	}
@@ -413,8 +417,8 @@
 	a.cancel(errCallEnded)
 	status, detail := http.StatusBadGateway, "the server did not answer"
 	switch {
-	case a.guardReason != "":
-		status, detail = http.StatusServiceUnavailable, a.guardReason
+	case a.denyReason != "":
+		status, detail = http.StatusServiceUnavailable, a.denyReason
 	case a.denied && !a.resent:
 		status, detail = http.StatusServiceUnavailable, "the claim of the idempotency key is too old"
 	case errors.Is(c.body.readError(), errBodyTooLarge):
--- a/pkg/proxy/metrics.go
+++ b/pkg/proxy/metrics.go
@@ -27,6 +27,7 @@
 	unframedResponse *metrics.Counter
 	serversFull      *metrics.Counter
 	serversAtLimit   *metrics.Counter
+	gatewayStopping  *metrics.Counter
 	guardBusy        *metrics.Counter
 	guardBlocked     *metrics.Counter
 	shed             map[admission.Decision]*metrics.Counter
@@ -67,6 +68,7 @@
 		unframedResponse: calls("unframed_answer"),
 		serversFull:      calls("servers_full"),
 		serversAtLimit:   calls("servers_at_limit"),
+		gatewayStopping:  calls("gateway_stopping"),
 		guardBusy:        calls("crash_guard_busy"),
 		guardBlocked:     calls("crash_guard_blocked"),
 		shed: map[admission.Decision]*metrics.Counter{
--- a/pkg/proxy/outcome.go
+++ b/pkg/proxy/outcome.go
@@ -82,7 +82,11 @@
 // accept the next call, so a short delay is enough. To find a server with headroom,
 // it clears the list of tried servers.
 func (c *call) retryAfter() time.Duration {
-	if c.atLimit {
+	switch {
+	case c.outlivesGateway():
+		// Other gateways serve.
+		return shortRetryAfter
+	case c.atLimit:
 		return c.limitRetryAfter()
 	}
 	if c.notRunCount == 0 {
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -48,6 +48,9 @@
 	GatewayCount func() float64
 	// Observer receives events about calls. It may be nil.
 	Observer Observer
+	// EndsAt returns the time on the clock of Now at which the gateway ends even if calls are
+	// in flight, 0 while no end is planned. It may be nil, for never.
+	EndsAt func() int64
 	// Snapshot returns the published snapshot, nil before the first one.
 	Snapshot func() *routing.Snapshot
 	// Transport sends requests to servers.
