Forget failed probes of a server that has started again

Callers: calls avoid a server that has started again under its ID after a single failed probe; it takes two failed ones for any other. Cause: the prober keeps its state by ID, so the failures of the run that crashed counted for the next one, as did a probe that was under way. Change: the failures end with the incarnation. Test failing before: TestRestartedServerStartsWithoutProbeFailures (3 failures in place of 0), 3 times of 3. Result: passes 3 times of 3.

--- a/pkg/edge/probes.go
+++ b/pkg/edge/probes.go
@@ -109,6 +109,9 @@
 	if state.path == "" {
 		delete(p.states, result.server.ID)
 	}
+	if state.server.Incarnation != result.server.Incarnation {
+		return
+	}
 	if result.ok {
 		state.failures = 0
 		result.server.Stats.SetUnresponsive(false)
@@ -181,6 +184,9 @@
 				state = &probeState{}
 				p.states[server.ID] = state
 			}
+			if state.server != nil && state.server.Incarnation != server.Incarnation {
+				state.failures = 0
+			}
 			state.server, state.path, state.service = server, rule.ProbePath, rule.Name
 		}
 	}
--- a/pkg/edge/probes_test.go
+++ b/pkg/edge/probes_test.go
@@ -85,3 +85,30 @@
 	assert.Equal(t, p.edge.refreshAssignment(p.edge.now()+int64(heartbeatInterval)), first)
 	assert.Assert(t, p.edge.refreshAssignment(p.edge.now()+int64(time.Minute)) != first, "the others are no longer alive")
 }
+
+// TestRestartedServerStartsWithoutProbeFailures guards against a server that started again under
+// its ID and is taken for unresponsive after one failed probe, because the failures of its
+// last run count.
+func TestRestartedServerStartsWithoutProbeFailures(t *testing.T) {
+	p := newSchedulerWithServer(t)
+	assignWithPeers(p)
+	for range unresponsiveThreshold {
+		p.tick(t.Context())
+		p.handleResult(<-p.results)
+		time.Sleep(prober.MaxReportAge)
+	}
+	p.tick(t.Context())
+	late := <-p.results
+	restarted := &routing.Server{
+		ID: "a", Service: "s", Address: "127.0.0.1:1", Region: "r", FailureDomain: "d", Incarnation: 1, Stats: &routing.Stats{},
+	}
+	p.edge.snapshot.Store(snapshotOf(restarted))
+	p.tick(t.Context())
+	p.handleResult(late)
+	assert.Equal(t, p.states["a"].failures, 0)
+	time.Sleep(prober.MaxReportAge)
+	p.tick(t.Context())
+	p.handleResult(<-p.results)
+	assert.Equal(t, p.states["a"].failures, 1)
+	assert.Assert(t, !restarted.Stats.Unresponsive())
+}
