Find the other gateways as soon as the store is back

Callers: gateways that started while neither a seed nor the store answered stay apart for seconds after the outage: each reads the store alone and knows neither the load that the others measured nor their share of the retry budget. Cause: the exchange of addresses keeps the delay of its last failed call, up to 16 s, although reads of tables have reached the store. Change: a read of a table that reaches the store again ends the delay.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -127,7 +127,9 @@
 	membersLoaded atomic.Bool
 	// membersLost receives a value when the store may have lost the table Members.
 	membersLost chan struct{}
-	directory   directory
+	// storeReached receives a value when a call has reached the store again.
+	storeReached chan struct{}
+	directory    directory
 
 	serverLimits *serverLimits
 
@@ -170,12 +172,13 @@
 			GatewayID: s.ID, Region: s.Region, FailureDomain: s.FailureDomain,
 			DomainLatency: domainRoundTripNanos, RegionLatency: regionRoundTripNanos,
 		}),
-		servers:     registry.New(s.Regions),
-		regionCount: countRegions(s.Regions),
-		events:      make(chan tableEvent, eventQueueSize),
-		membersLost: make(chan struct{}, 1),
-		startup:     newStartupGate(),
-		metrics:     metrics.NewSet(),
+		servers:      registry.New(s.Regions),
+		regionCount:  countRegions(s.Regions),
+		events:       make(chan tableEvent, eventQueueSize),
+		membersLost:  make(chan struct{}, 1),
+		storeReached: make(chan struct{}, 1),
+		startup:      newStartupGate(),
+		metrics:      metrics.NewSet(),
 		transport: proxy.NewSharedTransports(proxy.TransportLimits{
 			Connections: connectionsPerServer, Idle: idleTimeout, FreshIdle: nonRepeatableIdleTimeout,
 		}),
--- a/pkg/edge/join.go
+++ b/pkg/edge/join.go
@@ -236,7 +236,7 @@
 }
 
 // retryStoreCall repeats a call with exponential backoff until it succeeds or ctx is
-// done.
+// done. A read of a table that reaches the store again ends the delay.
 func (e *Edge) retryStoreCall(ctx context.Context, call func(context.Context) error) {
 	backoff := minJoinBackoff
 	for ctx.Err() == nil {
@@ -247,9 +247,11 @@
 		e.log.Warn("cannot exchange gateway addresses through the store; retrying", "error", err)
 		select {
 		case <-time.After(backoff + jitter(backoff)):
+			backoff = min(2*backoff, maxBackoff)
+		case <-e.storeReached:
+			backoff = minJoinBackoff
 		case <-ctx.Done():
 		}
-		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
--- a/pkg/edge/tableread.go
+++ b/pkg/edge/tableread.go
@@ -187,5 +187,9 @@
 func (e *Edge) storeSucceeded(now int64) {
 	if e.storeState.recordSuccess(now) {
 		e.log.Info("reached the store again")
+		select {
+		case e.storeReached <- struct{}{}:
+		default:
+		}
 	}
 }
