Keep requests from servers that leave or asked for a pause

Cause: neither header was read.

Change: platform/ decodes Server-Leaving and, in 503 responses, Retry-After into proxy.Withdrawal, for each response whatever its status or kind, before its body is read. The statistics of each incarnation point to its status. Choice, retries, hedges, waiting calls and the return after a first-byte timeout ask it, and an attempt asks again when it has its connection: one whose server has withdrawn since is not sent and goes to another server without counting as a retry. A misdirected response concerns the holder of the address, not the expected server. If all servers are withdrawn, a call is refused at once as not run, with the time until the first may be asked again; it waits if that is within a second and before its deadline. After a pause the gateway returns with one request in the first 50 ms, then twice as many in each step; the end is postponed at random by up to a tenth.

Tests that fail without the change: TestServerThatLeavesGetsNoFurtherRequest, TestCallThatChoseServerBeforeItWithdrewGoesElsewhere, TestPausedServerGetsNoRequestUntilThePauseEnds, TestCallIsRefusedAtOnceWhileAllServersPause and others in withdrawn_test.go; TestLeavingIncarnationGetsNoCalls in control. resend_test and the harness give their attempts a server with a status; their assertions are unchanged.

--- a/pkg/control/apply.go
+++ b/pkg/control/apply.go
@@ -5,6 +5,7 @@
 
 	"balsamhill/pkg/platform"
 	"balsamhill/pkg/routing"
+	"balsamhill/pkg/withdrawal"
 )
 
 // Apply applies one event to the tables. now is in nanoseconds on the gateway's
@@ -28,13 +29,14 @@
 
 // AddFixedServer adds a server that the settings define.
 func (s *State) AddFixedServer(service string, vm platform.VM) {
-	row := newServerRow(vm)
+	row := s.newServerRow(vm)
 	row.service = service
 	row.fixed = true
 	s.putServer(row)
 }
 
-func newServerRow(vm platform.VM) *serverRow {
+func (s *State) newServerRow(vm platform.VM) *serverRow {
+	said := s.withdrawals.Status(withdrawal.Server{ID: vm.ID, Incarnation: vm.Incarnation})
 	return &serverRow{
 		id:            vm.ID,
 		service:       vm.Service,
@@ -42,7 +44,8 @@
 		region:        vm.Region,
 		failureDomain: vm.FailureDomain,
 		incarnation:   vm.Incarnation,
-		stats:         &routing.Stats{},
+		stats:         &routing.Stats{Withdrawal: said},
+		pause:         said.Pause(),
 	}
 }
 
@@ -59,7 +62,7 @@
 		s.applyServer(now, vm, list.Exact)
 	}
 	if list.Exact {
-		s.removeUnlisted(listed)
+		s.removeUnlisted(now, listed)
 	}
 	for id, row := range s.servers {
 		if !listed[id] && !row.fixed && row.unlistedAt == 0 {
@@ -72,13 +75,13 @@
 }
 
 // removeUnlisted removes the servers that an exact list does not contain.
-func (s *State) removeUnlisted(listed map[string]bool) {
+func (s *State) removeUnlisted(now int64, listed map[string]bool) {
 	for _, row := range s.sortedServers() {
 		if listed[row.id] || row.fixed {
 			continue
 		}
 		s.reportChange(row, routingState{reason: "the platform's list no longer shows it"}, removedState)
-		s.removeServer(row)
+		s.removeServer(now, row)
 	}
 }
 
@@ -124,13 +127,16 @@
 
 // replaceServer replaces an old row, which may be nil, by a new one.
 func (s *State) replaceServer(now int64, old *serverRow, vm platform.VM) *serverRow {
-	row := newServerRow(vm)
+	row := s.newServerRow(vm)
 	if s.listSeen {
 		row.slowStartAt = now
 	}
 	if old != nil {
 		row.fixed = old.fixed
 		row.published = old.published
+		if old.incarnation != row.incarnation {
+			s.reportLeft(now, old)
+		}
 		if row.service == "" {
 			row.service = old.service
 		}
--- a/pkg/control/events.go
+++ b/pkg/control/events.go
@@ -6,6 +6,7 @@
 	"balsamhill/pkg/platform"
 	"balsamhill/pkg/preset"
 	"balsamhill/pkg/routing"
+	"balsamhill/pkg/withdrawal"
 )
 
 // Event is a message to the control loop. The types below are all events.
@@ -126,11 +127,36 @@
 	Reason   string
 }
 
+// ServerWithdrew reports that a server said that it wants no new requests, for the log.
+type ServerWithdrew struct {
+	ServerID    string
+	Service     string
+	Incarnation uint64
+	// Leaving says that the server leaves; else it asked for a pause.
+	Leaving bool
+	// Source is where this gateway learned it, and At when.
+	Source withdrawal.Source
+	At     int64
+	// Until is the end of the pause.
+	Until int64
+}
+
+// WithdrawalEnded reports the end of a withdrawal: the pause is over, or the server that left
+// is gone.
+type WithdrawalEnded struct {
+	ServerWithdrew
+	// EndedAt is the time of the end.
+	EndedAt int64
+}
+
 func (Publish) action()       {}
 func (PresetAdopted) action() {}
 func (AnnounceDrain) action() {}
 func (SendDrains) action()    {}
 func (ServerChanged) action() {}
 
+func (ServerWithdrew) action()  {}
+func (WithdrawalEnded) action() {}
+
 // TickInterval is the interval at which the owner of the State calls Tick.
 const TickInterval = 100 * time.Millisecond
--- a/pkg/control/publish.go
+++ b/pkg/control/publish.go
@@ -156,7 +156,7 @@
 func (s *State) evaluate(now int64, row *serverRow) routingState {
 	result := routingState{weight: row.weight(now)}
 	switch {
-	case row.drain.Listed():
+	case row.drain.Listed(), row.leaving:
 		result.availability = routing.Draining
 	case row.inMaintenance:
 		result.availability = routing.InMaintenance
@@ -176,6 +176,8 @@
 	switch {
 	case row.drain.Listed():
 		return "the platform's list shows it as leaving"
+	case row.leaving:
+		return "it said in a response that it is leaving"
 	case result.availability == routing.InMaintenance:
 		return "the preset in force lists it under maintenance"
 	case result.availability == routing.Draining:
--- a/pkg/control/state.go
+++ b/pkg/control/state.go
@@ -12,6 +12,7 @@
 	"balsamhill/pkg/health"
 	"balsamhill/pkg/preset"
 	"balsamhill/pkg/routing"
+	"balsamhill/pkg/withdrawal"
 )
 
 // Config is the static configuration of a State.
@@ -84,6 +85,12 @@
 	ejection      health.Ejection
 	shedding      health.Shedding
 	stats         *routing.Stats
+	// leaving is whether the server had said at the last tick that it leaves, and pause
+	// the last pause that was reported.
+	leaving bool
+	pause   withdrawal.Pause
+	// pauseEnded is whether the end of that pause was reported.
+	pauseEnded bool
 	// counts are those of the row's service.
 	counts *serviceCounts
 	// published is the routing state in the last snapshot.
@@ -101,7 +108,9 @@
 	// pendingNotices holds drain notices of incarnations that the list does not
 	// contain yet, by server ID.
 	pendingNotices map[string]pendingNotice
-	peers          peerTable
+	// withdrawals holds what the servers said of the work that they want.
+	withdrawals withdrawal.Book
+	peers       peerTable
 	// routes is built from the preset version in force if that contains routing
 	// rules.
 	routes *routing.RouteTable
@@ -157,7 +166,8 @@
 	s.dirty = true
 }
 
-func (s *State) removeServer(row *serverRow) {
+func (s *State) removeServer(now int64, row *serverRow) {
+	s.reportLeft(now, row)
 	delete(s.servers, row.id)
 	s.sorted = nil
 	s.dirty = true
--- a/pkg/control/subset.go
+++ b/pkg/control/subset.go
@@ -27,7 +27,7 @@
 	byService := make(map[string][]*serverRow)
 	for _, row := range s.sortedServers() {
 		row.outsideSubset = false
-		if !row.inMaintenance && !row.drain.Draining(now) {
+		if !row.inMaintenance && !row.draining(now) {
 			byService[row.service] = append(byService[row.service], row)
 		}
 	}
--- a/pkg/control/systems.go
+++ b/pkg/control/systems.go
@@ -11,6 +11,7 @@
 // result from this tick and from the events since the last one.
 func (s *State) Tick(now int64) []Action {
 	s.updateDrains(now)
+	s.updateWithdrawals(now)
 	s.updateUnlisted(now)
 	if s.dirty {
 		s.updateMaintenance()
@@ -46,14 +47,14 @@
 	}
 	live := make(map[string]bool)
 	for _, row := range s.sortedServers() {
-		if !unlisted(row) && !row.drain.Listed() {
+		if !unlisted(row) && !row.drain.Listed() && !row.leaving {
 			live[row.service] = true
 		}
 	}
 	for _, row := range s.sortedServers() {
 		if unlisted(row) && s.shouldRemove(now, row, live[row.service]) {
 			s.reportChange(row, routingState{reason: "the platform's list no longer shows it"}, removedState)
-			s.removeServer(row)
+			s.removeServer(now, row)
 		}
 	}
 }
@@ -98,7 +99,7 @@
 
 // isEligible reports whether the server can be used, ejection aside.
 func (r *serverRow) isEligible(now int64) bool {
-	return !r.inMaintenance && !r.outsideSubset && !r.drain.Draining(now)
+	return !r.inMaintenance && !r.outsideSubset && !r.draining(now)
 }
 
 // updateEjection updates the ejection state of all servers. At most half of
--- a/pkg/gateway/loops.go
+++ b/pkg/gateway/loops.go
@@ -83,6 +83,11 @@
 		case control.ServerChanged:
 			g.log.Info("server availability changed", "server", a.ServerID, "service", a.Service,
 				"from", a.From, "to", a.To, "reason", a.Reason)
+		case control.ServerWithdrew:
+			g.log.Info("server asked for a pause; it gets no requests", "server", a.ServerID, "service", a.Service,
+				"incarnation", a.Incarnation, "pause", time.Duration(a.Until-a.At).String())
+		case control.WithdrawalEnded:
+			g.log.Info("pause of the server is over", "server", a.ServerID, "service", a.Service, "incarnation", a.Incarnation)
 		}
 	}
 }
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -23,6 +23,7 @@
 	errDeadline  = errors.New("time for the attempt ended")
 	errIdle      = errors.New("body transfer idle for too long")
 	errDenied    = errors.New("attempt denied before it was sent")
+	errWithdrawn = errors.New("attempt denied because the server is leaving or asked for a pause")
 	errNotNeeded = errors.New("attempt no longer needed")
 	errCallEnded = errors.New("call ended")
 	// errUnusableResponse stands for ResponseMismatched and for ResponseUnconfirmed.
@@ -61,11 +62,14 @@
 	// attempt.
 	resent bool
 	// denied reports whether the attempt was forbidden: by the claim, by the crash
-	// guard, or because the transport was about to resend the request.
+	// guard, because the gateway ends too soon, because the server withdrew, or because
+	// the transport was about to resend the request.
 	denied bool
-	// denyReason is the detail of the refusal if the crash guard denied the attempt, or
-	// the gateway because it ends too soon, else empty.
+	// denyReason is the detail of the refusal in the second to the fourth case, else empty.
 	denyReason string
+	// withdrawn reports whether the attempt was denied because its server withdrew after it
+	// was chosen. Another server may be tried.
+	withdrawn bool
 
 	dispatch     Dispatch
 	response     *http.Response
@@ -123,6 +127,9 @@
 	a.server.Stats.Start()
 	a.roundTrip()
 	a.result = a.classify()
+	if a.withdrawn {
+		a.err = errWithdrawn
+	}
 	now := c.proxy.config.Now()
 	if a.response != nil {
 		a.recordResponse(now)
@@ -175,6 +182,7 @@
 		return
 	}
 	a.responseKind = c.proxy.config.Protocol.ClassifyResponse(a.response, a.dispatch)
+	a.recordWithdrawal()
 	switch a.responseKind {
 	case ResponseMismatched, ResponseUnconfirmed:
 		a.dropResponse(errUnusableResponse)
@@ -251,6 +259,8 @@
 		a.deny()
 	case c.outlivesGateway():
 		a.denyStopping()
+	case a.server.Stats.Withdrawal.Withdrawn(c.proxy.config.Now()):
+		a.denyWithdrawn()
 	}
 }
 
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -303,7 +303,7 @@
 // takeRetry reports whether the call may be sent to another server after the last
 // attempt, and takes a retry from the budget if so.
 func (c *call) takeRetry(last *attempt) bool {
-	if !c.mayAddAttempt() || last.denied || !retry.MayAddAttempts(c.incomingAttempt) {
+	if !c.mayAddAttempt() || last.denied && !last.withdrawn || !retry.MayAddAttempts(c.incomingAttempt) {
 		return false
 	}
 	if !c.resultAllowsRetry(last) || !c.body.replayable() {
@@ -313,7 +313,8 @@
 	if retry.Expired(now, c.deadline) || c.baseContext.Err() != nil {
 		return false
 	}
-	if !c.service.retryBudget.Take(now, c.limits.RetryPercent, c.proxy.retryBase()) {
+	// An attempt that was denied has not reached a server, so the next one is no retry.
+	if !last.withdrawn && !c.service.retryBudget.Take(now, c.limits.RetryPercent, c.proxy.retryBase()) {
 		c.service.Metrics.retriesDenied.Inc()
 		return false
 	}
--- a/pkg/proxy/choose.go
+++ b/pkg/proxy/choose.go
@@ -23,7 +23,7 @@
 func (c *call) chooseToSend() *routing.Server {
 	for {
 		server := c.choose()
-		if server == nil || server.Stats.Gate.Take(c.proxy.config.Now()) {
+		if server == nil || server.Stats.Take(c.proxy.config.Now()) {
 			return server
 		}
 	}
@@ -67,6 +67,12 @@
 		server := c.choose()
 		now := c.proxy.config.Now()
 		if server == nil {
+			if wait, ok := c.returnWait(now); ok {
+				if c.awaitServer(wait) {
+					continue
+				}
+				return nil
+			}
 			c.releaseCrashGuard()
 			c.refuseUnchosen()
 			return nil
@@ -77,15 +83,15 @@
 		}
 		switch {
 		case headroom == routing.HeadroomFree && c.takesSlot(server, waited):
-			if server.Stats.Gate.Take(now) {
+			if server.Stats.Take(now) {
 				return server
 			}
 		case now >= waitUntil && headroom == routing.HeadroomTight:
-			if server.Stats.Gate.Take(now) {
+			if server.Stats.Take(now) {
 				return server
 			}
 		case now >= waitUntil:
-			if server = c.chooseWithHeadroom(); server != nil && server.Stats.Gate.Take(now) {
+			if server = c.chooseWithHeadroom(); server != nil && server.Stats.Take(now) {
 				return server
 			}
 			c.releaseCrashGuard()
@@ -93,26 +99,38 @@
 			c.refuse(http.StatusServiceUnavailable, "all servers of "+c.serviceName+" are full")
 			return nil
 		}
-		c.tried = c.tried[:0]
-		c.service.waitingForHeadroom.Add(1)
-		connected := c.sleep(headroomPollInterval)
-		c.service.waitingForHeadroom.Add(-1)
-		if !connected {
-			c.releaseCrashGuard()
-			c.refuse(http.StatusServiceUnavailable, "the caller left")
+		if !c.awaitServer(headroomPollInterval) {
 			return nil
 		}
 	}
 }
 
+// awaitServer waits before the next choice. It refuses the call and returns false if the
+// caller left.
+func (c *call) awaitServer(wait time.Duration) bool {
+	c.tried = c.tried[:0]
+	c.service.waitingForHeadroom.Add(1)
+	connected := c.sleep(wait)
+	c.service.waitingForHeadroom.Add(-1)
+	if !connected {
+		c.releaseCrashGuard()
+		c.refuse(http.StatusServiceUnavailable, "the caller left")
+	}
+	return connected
+}
+
 // refuseUnchosen refuses a call for which no server could be chosen for its first
-// attempt. If there are servers, all of them are at the limits that they named.
+// attempt. If there are servers, all of them are withdrawn or at the limits that they
+// named.
 func (c *call) refuseUnchosen() {
-	if c.candidateCount() > 0 {
+	switch {
+	case c.candidateCount() == 0:
+		c.refuseWithoutServer()
+	case c.view.AllWithdrawn(c.proxy.config.Now()):
+		c.refuseWithdrawn()
+	default:
 		c.refuseAtLimit()
-		return
 	}
-	c.refuseWithoutServer()
 }
 
 // takesSlot decides at random whether the call takes one of the server's spare
--- a/pkg/proxy/harness_test.go
+++ b/pkg/proxy/harness_test.go
@@ -20,6 +20,7 @@
 	"balsamhill/pkg/proxy"
 	"balsamhill/pkg/routing"
 	"balsamhill/pkg/settings"
+	"balsamhill/pkg/withdrawal"
 )
 
 const serviceName = "desk"
@@ -32,6 +33,7 @@
 	proxy   *proxy.Proxy
 	servers []*routing.Server
 	gateway *httptest.Server
+	now     func() int64
 	// callers counts requests whose caller is still connected.
 	callers atomic.Int64
 }
@@ -52,7 +54,7 @@
 	for i, address := range addresses {
 		p.servers = append(p.servers, &routing.Server{
 			ID: string(rune('a' + i)), Service: serviceName, Address: address, Region: "khomas",
-			Weight: 1, Stats: &routing.Stats{},
+			Weight: 1, Stats: &routing.Stats{Withdrawal: &withdrawal.Status{}},
 		})
 	}
 	ordinary := preset.Default("ordinary", preset.KindOrdinary)
@@ -71,6 +73,10 @@
 			serviceName: routing.NewServiceView(serviceName, max(4, config.slots), "khomas", config.tuning, p.servers),
 		},
 	}
+	snapshot.ServersByID = make(map[string]*routing.Server)
+	for _, server := range p.servers {
+		snapshot.ServersByID[server.ID] = server
+	}
 	transports := proxy.NewTransports([]settings.Service{{Name: serviceName, MaxConnections: 800, HTTP2: config.http2}}, 1)
 	started := time.Now()
 	proxyConfig := proxy.Config{
@@ -87,6 +93,7 @@
 	if config.configure != nil {
 		config.configure(&proxyConfig)
 	}
+	p.now = proxyConfig.Now
 	p.proxy = proxy.New(proxyConfig)
 	p.gateway = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		p.callers.Add(1)
--- a/pkg/proxy/hedge.go
+++ b/pkg/proxy/hedge.go
@@ -260,7 +260,7 @@
 		c.proxy.config.Transport.CloseIdle(c.serviceName)
 	}
 	server := c.chooseToSend()
-	if server == nil && h.first.reused.Load() && h.first.server.Stats.Gate.Take(c.proxy.config.Now()) {
+	if server == nil && h.first.reused.Load() && h.first.server.Stats.Take(c.proxy.config.Now()) {
 		return h.first.server
 	}
 	return server
--- a/pkg/proxy/latency_target_test.go
+++ b/pkg/proxy/latency_target_test.go
@@ -15,6 +15,7 @@
 	"balsamhill/pkg/preset"
 	"balsamhill/pkg/proxy"
 	"balsamhill/pkg/routing"
+	"balsamhill/pkg/withdrawal"
 )
 
 // headerProtocol is a minimal protocol for tests.
@@ -32,6 +33,8 @@
 	switch {
 	case response.Header.Get("Id") != dispatch.RequestID:
 		return proxy.ResponseMismatched
+	case response.StatusCode == http.StatusMisdirectedRequest:
+		return proxy.ResponseWrongServer
 	case response.Header.Get("Not-Run") != "":
 		return proxy.ResponseNotRun
 	case response.StatusCode == http.StatusServiceUnavailable:
@@ -53,6 +56,14 @@
 	}
 	return proxy.ServerLimit{Kind: proxy.LimitNamed, Rate: rate}
 }
+func (headerProtocol) Withdrawal(response *http.Response) proxy.Withdrawal {
+	said := proxy.Withdrawal{ServerID: response.Header.Get("From"), Leaving: response.Header.Get("Leaving") == "1"}
+	if response.StatusCode == http.StatusServiceUnavailable {
+		pause, ok := withdrawal.ParseRetryAfter(response.Header)
+		said.Pause, said.Unreadable = pause, !ok
+	}
+	return said
+}
 func (headerProtocol) IsInternal(string) bool { return false }
 func (headerProtocol) Refuse(w http.ResponseWriter, refusal proxy.Refusal) {
 	w.Header().Set("Outcome", string(refusal.Outcome))
--- a/pkg/proxy/metrics.go
+++ b/pkg/proxy/metrics.go
@@ -27,6 +27,7 @@
 	unframedResponse *metrics.Counter
 	serversFull      *metrics.Counter
 	serversAtLimit   *metrics.Counter
+	serversWithdrawn *metrics.Counter
 	gatewayStopping  *metrics.Counter
 	guardBusy        *metrics.Counter
 	guardBlocked     *metrics.Counter
@@ -36,6 +37,10 @@
 	claims           map[claim.Kind]*metrics.Counter
 	lateResponses    *metrics.Counter
 	resendsRefused   *metrics.Counter
+	// attemptsWithdrawn counts attempts that were not sent because their server withdrew,
+	// and unreadableWithdrawals responses with an invalid header field about it.
+	attemptsWithdrawn     *metrics.Counter
+	unreadableWithdrawals *metrics.Counter
 }
 
 // serviceMetrics are the counters of one service.
@@ -68,6 +73,7 @@
 		unframedResponse: calls("unframed_answer"),
 		serversFull:      calls("servers_full"),
 		serversAtLimit:   calls("servers_at_limit"),
+		serversWithdrawn: calls("servers_withdrawn"),
 		gatewayStopping:  calls("gateway_stopping"),
 		guardBusy:        calls("crash_guard_busy"),
 		guardBlocked:     calls("crash_guard_blocked"),
@@ -84,6 +90,9 @@
 		claims:         map[claim.Kind]*metrics.Counter{},
 		lateResponses:  set.GetOrCreateCounter(`balsamhill_late_answers_total`),
 		resendsRefused: set.GetOrCreateCounter(`balsamhill_transport_resends_refused_total`),
+
+		attemptsWithdrawn:     set.GetOrCreateCounter(`balsamhill_attempts_withdrawn_total`),
+		unreadableWithdrawals: set.GetOrCreateCounter(`balsamhill_withdrawals_unreadable_total`),
 	}
 	for _, result := range retry.Results() {
 		m.failed[result] = calls("failed_" + result.String())
--- a/pkg/proxy/observer.go
+++ b/pkg/proxy/observer.go
@@ -139,6 +139,9 @@
 	// the recent load reports of the service's servers.
 	Candidates   int
 	MeanInFlight float64
+	// Leaving is the number of servers that leave according to their responses, and Paused
+	// that of those that want no request of this gateway for some time.
+	Leaving, Paused int
 }
 
 // callEvent returns the event of a call; a is nil without a response.
--- a/pkg/proxy/outcome.go
+++ b/pkg/proxy/outcome.go
@@ -82,10 +82,13 @@
 // accept the next call, so a short delay is enough. To find a server with headroom,
 // it clears the list of tried servers.
 func (c *call) retryAfter() time.Duration {
+	now := c.proxy.config.Now()
 	switch {
 	case c.outlivesGateway():
 		// Other gateways serve.
 		return shortRetryAfter
+	case c.view != nil && c.view.AllWithdrawn(now):
+		return c.withdrawalRetryAfter(now)
 	case c.atLimit:
 		return c.limitRetryAfter()
 	}
@@ -93,7 +96,7 @@
 		return defaultRetryAfter
 	}
 	c.tried = c.tried[:0]
-	if server, _ := c.untriedWithFreeHeadroom(c.proxy.config.Now()); server == nil {
+	if server, _ := c.untriedWithFreeHeadroom(now); server == nil {
 		return defaultRetryAfter
 	}
 	return shortRetryAfter
@@ -106,7 +109,7 @@
 // limitRetryAfter returns when this gateway may send the next request to a server that
 // named a limit.
 func (c *call) limitRetryAfter() time.Duration {
-	wait, ok := c.view.LimitWait(c.proxy.config.Now())
+	wait, ok := c.view.Wait(c.proxy.config.Now())
 	if !ok {
 		return maxLimitRetryAfter
 	}
@@ -124,12 +127,17 @@
 		return
 	}
 	usable, mean := c.candidateCount(), 0.0
+	leaving, paused := 0, 0
 	if c.view != nil {
-		mean = c.view.MeanInFlight(c.proxy.config.Now())
+		now := c.proxy.config.Now()
+		mean = c.view.MeanInFlight(now)
+		leaving, paused = c.view.Withdrawals(now)
 	}
 	observer.CallRefused(RefusalEvent{
 		Candidates:   usable,
 		MeanInFlight: mean,
+		Leaving:      leaving,
+		Paused:       paused,
 		RequestID:    c.requestID,
 		Route:        c.route.Name,
 		Service:      c.serviceName,
--- a/pkg/proxy/progress.go
+++ b/pkg/proxy/progress.go
@@ -85,7 +85,7 @@
 		c.service.Metrics.hedgesDenied.Inc()
 		return
 	}
-	if !server.Stats.Gate.Take(now) {
+	if !server.Stats.Take(now) {
 		return
 	}
 	c.tried = append(c.tried, server)
--- a/pkg/proxy/protocol.go
+++ b/pkg/proxy/protocol.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -9,6 +10,7 @@
 
 	"balsamhill/pkg/loadreport"
 	"balsamhill/pkg/retry"
+	"balsamhill/pkg/withdrawal"
 )
 
 // Protocol maps requests and responses to the headers that the callers, gateways and
@@ -32,6 +34,9 @@
 	// ServerLimit returns the requests per second that the server takes from all gateways
 	// together, according to the header of a response.
 	ServerLimit(header http.Header) ServerLimit
+	// Withdrawal returns what a response of any kind says of the work that its server
+	// wants.
+	Withdrawal(response *http.Response) Withdrawal
 	// IsInternal reports whether a response header is meant for gateways only.
 	IsInternal(name string) bool
 	// Refuse writes a refusal as the response.
@@ -45,6 +50,26 @@
 	Rate float64
 }
 
+// Withdrawal is what a response says of the work that its server wants.
+type Withdrawal struct {
+	// ServerID is the ID of the server that responded, empty if the response has none.
+	ServerID string
+	// Leaving says that the server leaves and wants no new requests.
+	Leaving bool
+	// Pause is how long the server wants no request of this gateway, 0 if it asks for none.
+	Pause time.Duration
+	// Unreadable says that a field of the header has no valid value and was ignored.
+	Unreadable bool
+}
+
+// Record records a withdrawal in the status of the server that responded.
+func (w Withdrawal) Record(now int64, status *withdrawal.Status) {
+	if w.Leaving {
+		status.RecordLeaving(now, withdrawal.SourceResponse)
+	}
+	status.RecordPause(now, w.Pause, rand.Float64())
+}
+
 // ServerLimitKind is the kind of a ServerLimit.
 type ServerLimitKind int
 
@@ -147,6 +172,16 @@
 	return ServerLimit{}
 }
 
+// Withdrawal implements Protocol. Servers of this protocol announce in another header that
+// they leave; see drainingHeader.
+func (defaultProtocol) Withdrawal(response *http.Response) Withdrawal {
+	if response.StatusCode != http.StatusServiceUnavailable {
+		return Withdrawal{}
+	}
+	pause, ok := withdrawal.ParseRetryAfter(response.Header)
+	return Withdrawal{Pause: pause, Unreadable: !ok}
+}
+
 func (defaultProtocol) IsInternal(name string) bool {
 	return name == loadreport.Header || name == requestIDHeader || strings.HasPrefix(name, internalPrefix)
 }
--- a/pkg/proxy/resend_test.go
+++ b/pkg/proxy/resend_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"balsamhill/pkg/retry"
+	"balsamhill/pkg/routing"
 )
 
 // TestSecondConnectionIsClosedAfterWrite checks the second line of defense against
@@ -30,8 +31,8 @@
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
-			p := New(Config{Metrics: NewMetrics(metrics.NewSet())})
-			a := &attempt{call: &call{proxy: p, safety: test.safety}}
+			p := New(Config{Metrics: NewMetrics(metrics.NewSet()), Now: func() int64 { return 1 }})
+			a := &attempt{call: &call{proxy: p, safety: test.safety}, server: &routing.Server{Stats: &routing.Stats{}}}
 			a.ctx, a.cancel = context.WithCancelCause(t.Context())
 			connect := func() *trackedConn {
 				gatewaySide, serverSide := net.Pipe()
--- a/pkg/routing/headroom.go
+++ b/pkg/routing/headroom.go
@@ -76,7 +76,7 @@
 	limit := similarCostRatio * expectedCost(chosen, pick, means)
 	spare := 0.0
 	for _, server := range v.All {
-		if !server.Stats.Gate.MaySend(pick.Now) || expectedCost(server, pick, means) > limit {
+		if !server.Stats.MaySend(pick.Now) || expectedCost(server, pick, means) > limit {
 			continue
 		}
 		free, _ := inFlightLimits(float64(slotsOf(server, v.Slots)), pick.SaturationFactor)
--- a/pkg/routing/leastexpectedlatency.go
+++ b/pkg/routing/leastexpectedlatency.go
@@ -33,7 +33,7 @@
 	unresponsiveFactor = 100
 )
 
-// Choose implements Policy. It returns nil if each candidate was tried, is at its limit or, with
+// Choose implements Policy. It returns nil if each candidate was tried, takes no request now or, with
 // pick.MaxLatency set, fails withinLimits.
 func (LeastExpectedLatency) Choose(candidates []*Server, pick Pick) *Server {
 	means := meansOf(candidates, pick.Now)
--- a/pkg/routing/pick_test.go
+++ b/pkg/routing/pick_test.go
@@ -9,12 +9,13 @@
 	"pgregory.net/rapid"
 
 	"balsamhill/pkg/preset"
+	"balsamhill/pkg/withdrawal"
 )
 
 func testServers(n int) []*Server {
 	servers := make([]*Server, n)
 	for i := range servers {
-		servers[i] = &Server{ID: fmt.Sprintf("s%d", i), Region: "r", Weight: 1, Stats: &Stats{}}
+		servers[i] = &Server{ID: fmt.Sprintf("s%d", i), Region: "r", Weight: 1, Stats: &Stats{Withdrawal: &withdrawal.Status{}}}
 		servers[i].Stats.Success(1, 5e6)
 	}
 	return servers
@@ -45,6 +46,25 @@
 	}
 }
 
+// BenchmarkPickByExpectedLatency measures a choice among all servers of a subset, which the
+// platform's gateways make for each request.
+func BenchmarkPickByExpectedLatency(b *testing.B) {
+	for _, n := range []int{3, 12, 64} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			servers := testServers(n)
+			for _, server := range servers {
+				server.Stats.ReportLoad(1e9, 2, 1000)
+			}
+			view := testView(preset.PolicyLeastExpectedLatency, servers)
+			random := rand.New(rand.NewPCG(1, 2))
+			b.ReportAllocs()
+			for b.Loop() {
+				view.Choose(Pick{Rand: random, Now: 1e9})
+			}
+		})
+	}
+}
+
 // TestShareOfCallsFollowsWeight guards against a server in slow start that receives
 // no calls, or its full share: while all servers are idle, its share is about its
 // weight.
--- a/pkg/routing/server.go
+++ b/pkg/routing/server.go
@@ -8,8 +8,10 @@
 import (
 	"math"
 	"sync/atomic"
+	"time"
 
 	"balsamhill/pkg/serverlimit"
+	"balsamhill/pkg/withdrawal"
 )
 
 // Availability says whether a server may receive new calls.
@@ -115,11 +117,33 @@
 	DrainNoticedAt atomic.Int64
 	// Gate bounds the requests of this gateway while the server names a limit.
 	Gate serverlimit.Gate
+	// Withdrawal is what the server said of the work that it wants. It is not replaced, and
+	// nil if nothing is kept of that.
+	Withdrawal *withdrawal.Status
 }
 
 // latencyWeight is the weight of one sample in the moving average of latencies.
 const latencyWeight = 0.1
 
+// MaySend reports whether the server takes a request of this gateway now: it is not
+// withdrawn, and the limit that it named permits the request.
+func (s *Stats) MaySend(now int64) bool {
+	return s.Withdrawal.MaySend(now) && s.Gate.MaySend(now)
+}
+
+// Take is MaySend, and counts the request if it may be sent.
+func (s *Stats) Take(now int64) bool {
+	return s.Withdrawal.Take(now) && s.Gate.Take(now)
+}
+
+// wait returns the shortest time until MaySend can be true, false if this gateway does not
+// know it.
+func (s *Stats) wait(now int64) (time.Duration, bool) {
+	paused, returns := s.Withdrawal.Wait(now)
+	limited, held := s.Gate.Wait(now)
+	return max(paused, limited), returns && held
+}
+
 // Start records that a request is sent.
 func (s *Stats) Start() {
 	s.inFlight.Add(1)
--- a/pkg/routing/snapshot.go
+++ b/pkg/routing/snapshot.go
@@ -76,18 +76,46 @@
 	Choose(candidates []*Server, pick Pick) *Server
 }
 
-// LimitWait returns the shortest time until this gateway may send a request to one of
-// the servers of the service, false if it holds no lease of any of them.
-func (v *ServiceView) LimitWait(now int64) (wait time.Duration, ok bool) {
+// Wait returns the shortest time until this gateway may send a request to one of the
+// servers of the service, false if it cannot be known: each one leaves, or has a limit of
+// which this gateway holds no lease.
+func (v *ServiceView) Wait(now int64) (wait time.Duration, ok bool) {
 	for _, server := range v.candidates() {
-		current, held := server.Stats.Gate.Wait(now)
-		if held && (!ok || current < wait) {
+		current, known := server.Stats.wait(now)
+		if known && (!ok || current < wait) {
 			wait, ok = current, true
 		}
 	}
 	return wait, ok
 }
 
+// Withdrawals counts the servers of the service that leave according to their responses, and
+// those that want no request of this gateway for some time.
+func (v *ServiceView) Withdrawals(now int64) (leaving, paused int) {
+	for _, server := range v.Servers {
+		status := server.Stats.Withdrawal
+		_, _, leaves := status.Leaving()
+		switch {
+		case leaves:
+			leaving++
+		case !status.MaySend(now):
+			paused++
+		}
+	}
+	return leaving, paused
+}
+
+// AllWithdrawn reports whether there are servers and each of them is withdrawn.
+func (v *ServiceView) AllWithdrawn(now int64) bool {
+	candidates := v.candidates()
+	for _, server := range candidates {
+		if server.Stats.Withdrawal.MaySend(now) {
+			return false
+		}
+	}
+	return len(candidates) > 0
+}
+
 // candidates returns the available servers, those of last resort if there are none.
 func (v *ServiceView) candidates() []*Server {
 	if len(v.All) == 0 {
@@ -158,10 +186,10 @@
 	return nil
 }
 
-// excludes reports whether a server must not be chosen: it was tried, or it named a
-// limit and this gateway may not send it a request now.
+// excludes reports whether a server must not be chosen: it was tried, or takes no request
+// of this gateway now.
 func (p *Pick) excludes(server *Server) bool {
-	return contains(p.Tried, server) || !server.Stats.Gate.MaySend(p.Now)
+	return contains(p.Tried, server) || !server.Stats.MaySend(p.Now)
 }
 
 func contains(servers []*Server, wanted *Server) bool {
