Tell the other gateways that a server leaves

What callers saw: each gateway had to ask a leaving server once itself, and one that started later did so again.

Change: gateways put the servers that said so, with their incarnations, into the messages that they send anyway, and repeat them every second while the servers are listed. Those learned from a peer are passed on by relays only, to the other groups and to their own. A probe whose response says that its server withdraws records it, before the body is read; a withdrawn server is not probed. The control loop logs the begin and the end of each withdrawal and counts them.

--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -196,6 +196,10 @@
 		case control.ServerChanged:
 			e.log.Info("server availability changed", "server", a.ServerID, "service", a.Service,
 				"from", a.From, "to", a.To, "reason", a.Reason)
+		case control.ServerWithdrew:
+			e.recordWithdrawal(a)
+		case control.WithdrawalEnded:
+			e.recordWithdrawalEnd(a)
 		case control.AnnounceDrain, control.SendDrains:
 			// Peers need no notification of drains, because all gateways follow the same
 			// table of servers.
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -64,10 +64,14 @@
 type indexedSnapshot struct {
 	snapshot *routing.Snapshot
 	byKey    map[uint32]*routing.Server
+	// leaving holds the servers that leave according to their responses.
+	leaving []*routing.Server
 }
 
 func newIndexedSnapshot(snapshot *routing.Snapshot) *indexedSnapshot {
-	indexed := &indexedSnapshot{snapshot: snapshot, byKey: make(map[uint32]*routing.Server, len(snapshot.ServersByID))}
+	indexed := &indexedSnapshot{
+		snapshot: snapshot, byKey: make(map[uint32]*routing.Server, len(snapshot.ServersByID)), leaving: leavingServers(snapshot),
+	}
 	for id, server := range snapshot.ServersByID {
 		indexed.byKey[gossip.ServerKey(id)] = server
 	}
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -29,24 +29,29 @@
 	probes          *metrics.Counter
 	probeErrors     *metrics.Counter
 	joins           *metrics.Counter
+	// unreadableProbeWithdrawals counts probe responses with an invalid header field about
+	// the work that the server wants.
+	unreadableProbeWithdrawals *metrics.Counter
 	// configDelay is the time from the announcement of a configuration to its adoption.
 	configDelay *metrics.Histogram
 }
 
 func newCounters(set *metrics.Set) *counters {
 	return &counters{
-		set:             set,
-		adoptions:       set.NewCounter("balsamhill_config_adoptions_total"),
-		invalidConfigs:  set.NewCounter("balsamhill_config_unreadable_total"),
-		invalidEntries:  set.NewCounter("balsamhill_server_entries_unreadable_total"),
-		invalidMessages: set.NewCounter("balsamhill_gossip_unreadable_total"),
-		sendErrors:      set.NewCounter("balsamhill_gossip_send_errors_total"),
-		messagesSent:    set.NewCounter("balsamhill_gossip_messages_sent_total"),
-		messageBytes:    set.NewCounter("balsamhill_gossip_sent_bytes_total"),
-		probes:          set.NewCounter("balsamhill_probes_total"),
-		probeErrors:     set.NewCounter("balsamhill_probe_errors_total"),
-		joins:           set.NewCounter("balsamhill_gateways_joined_total"),
-		configDelay:     set.NewHistogram("balsamhill_config_delay_seconds"),
+		set:                        set,
+		adoptions:                  set.NewCounter("balsamhill_config_adoptions_total"),
+		invalidConfigs:             set.NewCounter("balsamhill_config_unreadable_total"),
+		invalidEntries:             set.NewCounter("balsamhill_server_entries_unreadable_total"),
+		invalidMessages:            set.NewCounter("balsamhill_gossip_unreadable_total"),
+		sendErrors:                 set.NewCounter("balsamhill_gossip_send_errors_total"),
+		messagesSent:               set.NewCounter("balsamhill_gossip_messages_sent_total"),
+		messageBytes:               set.NewCounter("balsamhill_gossip_sent_bytes_total"),
+		probes:                     set.NewCounter("balsamhill_probes_total"),
+		probeErrors:                set.NewCounter("balsamhill_probe_errors_total"),
+		joins:                      set.NewCounter("balsamhill_gateways_joined_total"),
+		unreadableProbeWithdrawals: set.GetOrCreateCounter(`balsamhill_withdrawals_unreadable_total`),
+
+		configDelay: set.NewHistogram("balsamhill_config_delay_seconds"),
 	}
 }
 
@@ -68,6 +73,11 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf(`balsamhill_store_calls_total{table=%q,result=%q}`, table, resultLabel(err))).Inc()
 }
 
+// recordWithdrawal counts a withdrawal by its kind and by where this gateway learned it.
+func (c *counters) recordWithdrawal(kind, source string) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`balsamhill_server_withdrawals_total{kind=%q,source=%q}`, kind, source)).Inc()
+}
+
 func (c *counters) recordPeerRead(err error) {
 	c.set.GetOrCreateCounter(fmt.Sprintf(`balsamhill_gateway_reads_total{result=%q}`, resultLabel(err))).Inc()
 }
--- a/pkg/edge/observer.go
+++ b/pkg/edge/observer.go
@@ -27,7 +27,7 @@
 	o.edge.log.Info("call refused", "request", event.RequestID, "route", event.Route, "service", event.Service,
 		"status", event.Status, "outcome", string(event.Outcome), "detail", event.Detail,
 		"attempts", event.Attempts, "took", event.Took.String(), "revision", event.Revision,
-		"usable", event.Candidates, "meanInFlight", event.MeanInFlight)
+		"usable", event.Candidates, "meanInFlight", event.MeanInFlight, "leaving", event.Leaving, "paused", event.Paused)
 }
 
 // ordinaryResponsesPerLogLine is the number of ordinary responses for each one that is
--- a/pkg/edge/probes.go
+++ b/pkg/edge/probes.go
@@ -193,8 +193,12 @@
 	maps.DeleteFunc(p.states, func(_ string, state *probeState) bool { return state.path == "" && !state.running })
 }
 
-// due reports whether the server has to be probed.
+// due reports whether the server has to be probed. A withdrawn server wants no probes either;
+// one that is under way when the server withdraws ends within probeTimeout.
 func (s *probeState) due(now int64, interval time.Duration) bool {
+	if s.server.Stats.Withdrawal.Withdrawn(now) {
+		return false
+	}
 	if now-s.startedAt < int64(limitedProbeInterval(&s.server.Stats.Gate)) {
 		return false
 	}
@@ -232,6 +236,7 @@
 		return false
 	}
 	defer response.Body.Close()
+	e.recordProbeWithdrawal(server, response)
 	_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeBodyBytes))
 	if err != nil {
 		return false
--- a/pkg/edge/receiver.go
+++ b/pkg/edge/receiver.go
@@ -95,6 +95,7 @@
 			e.guard.AddPeerSuspicion(now, crashguard.Fingerprint(suspicion.Fingerprint), lost, "peer")
 		}
 	}
+	e.applyLeaving(now, indexed, message.Leaving)
 	assignment := e.assignment.Load()
 	for _, report := range message.Reports {
 		server, ok := indexed.byKey[report.Server]
--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -27,6 +27,7 @@
 	sent        map[string]sentReport
 	tableStates []feed.TableState
 	limits      relayedLimits
+	leaving     leavingNotices
 }
 
 // due reports whether the next message is due and records its targets. A message is due
@@ -44,6 +45,7 @@
 		l.targets = targets
 		clear(l.sent)
 		l.limits = relayedLimits{}
+		l.leaving = leavingNotices{}
 	}
 	return true
 }
@@ -101,6 +103,7 @@
 	message := e.newMessage(now, interval)
 	message.Sender = &e.self
 	message.TableStates = tableStates
+	message.Leaving, _ = link.leaving.due(now, indexed, true)
 	s.send(targets, message, reports)
 	s.sendNotices(now, targets, interval, e.serverLimits.statementsFor(now, &link.limits))
 }
--- a/pkg/edge/sender.go
+++ b/pkg/edge/sender.go
@@ -66,8 +66,10 @@
 	// regions.
 	relayCheckedAt             int64
 	otherDomains, otherRegions relayLink
-	buffer                     []byte
-	random                     *rand.Rand
+	// leaving says which servers the group was told to leave.
+	leaving leavingNotices
+	buffer  []byte
+	random  *rand.Rand
 }
 
 // gatewaysPerMessage is how many other gateways a message with the description of its
@@ -91,13 +93,15 @@
 	}
 	tableStates, changed := s.currentTableStates(now)
 	suspicions := e.guard.Outgoing()
+	leaving, _ := s.leaving.due(now, e.indexed.Load(), e.isRelay.Load())
 	announce := e.announcePending.Swap(false)
-	if len(reports) == 0 && len(suspicions) == 0 && !changed && !announce && now-s.sentAt < int64(heartbeatInterval) {
+	if len(reports) == 0 && len(suspicions) == 0 && len(leaving) == 0 && !changed && !announce && now-s.sentAt < int64(heartbeatInterval) {
 		return sendIntervalOf(assignment)
 	}
 	s.sentAt = now
 	message := e.newMessage(now, heartbeatInterval)
 	message.Suspicions = ownSuspicions(suspicions)
+	message.Leaving = leaving
 	if changed || announce || now-s.tableStatesSentAt >= int64(heartbeatInterval) {
 		s.tableStatesSentAt = now
 		message.TableStates = tableStates
@@ -127,7 +131,8 @@
 	e := s.edge
 	e.announcePending.Store(false)
 	suspicions := e.guard.Outgoing()
-	broadcast := len(suspicions) > 0 || now-s.broadcastAt >= int64(passiveBroadcastInterval)
+	leaving, newlyLeaving := s.leaving.due(now, e.indexed.Load(), e.isRelay.Load())
+	broadcast := len(suspicions) > 0 || newlyLeaving || now-s.broadcastAt >= int64(passiveBroadcastInterval)
 	if !broadcast && now-s.sentAt < int64(passiveHeartbeatInterval) {
 		return
 	}
@@ -143,6 +148,7 @@
 	e.peersMu.Unlock()
 	message := e.newMessage(now, interval)
 	message.Suspicions = ownSuspicions(suspicions)
+	message.Leaving = leaving
 	message.TableStates = e.tableStates(now)
 	s.describeGateways(now, message)
 	s.send(targets, message, nil)
@@ -188,7 +194,7 @@
 		s.buffer = message.Marshal(s.buffer[:0])
 		e.sendTo(targets, s.buffer)
 		message.TableStates, message.Sender, message.KnownGateways, message.Suspicions = nil, nil, nil, nil
-		message.Demands = nil
+		message.Leaving, message.Demands = nil, nil
 	}
 }
 
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -52,6 +52,11 @@
 			Incarnation: rapid.Uint64().Draw(t, "incarnation"),
 		})
 	}
+	for range rapid.IntRange(0, 2).Draw(t, "leaving") {
+		m.Leaving = append(m.Leaving, LeavingServer{
+			Server: rapid.Uint32().Draw(t, "server"), Incarnation: rapid.Uint64().Draw(t, "incarnation"),
+		})
+	}
 	m.KeepsLimits = rapid.Bool().Draw(t, "keeps limits")
 	for range rapid.IntRange(0, 2).Draw(t, "limits") {
 		m.Limits = append(m.Limits, drawLimit(t))
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -59,6 +59,15 @@
 	// Demands are the rates of the sender's calls by service. They are left out for
 	// services whose servers name no limit.
 	Demands []Demand
+	// Leaving holds the servers that said in their responses that they leave.
+	Leaving []LeavingServer
+}
+
+// LeavingServer is one incarnation of a server that leaves.
+type LeavingServer struct {
+	// Server is the ServerKey.
+	Server      uint32
+	Incarnation uint64
 }
 
 // Demand is the rate of a gateway's calls to a service.
@@ -138,6 +147,7 @@
 	fieldSentAtMicros
 	fieldLimit
 	fieldDemand
+	fieldLeaving
 )
 
 const (
@@ -172,6 +182,11 @@
 	reportFieldUnresponsive
 )
 
+const (
+	leavingFieldServer protowire.Number = iota + 1
+	leavingFieldIncarnation
+)
+
 const (
 	suspicionFieldFingerprint protowire.Number = iota + 1
 	suspicionFieldServer
@@ -219,9 +234,17 @@
 	for _, demand := range m.Demands {
 		buffer = appendEmbedded(buffer, fieldDemand, demand.marshal())
 	}
+	for _, leaving := range m.Leaving {
+		buffer = appendEmbedded(buffer, fieldLeaving, leaving.marshal())
+	}
 	return buffer
 }
 
+func (l LeavingServer) marshal() []byte {
+	encoded := appendFixed32(nil, leavingFieldServer, l.Server)
+	return appendVarint(encoded, leavingFieldIncarnation, l.Incarnation)
+}
+
 func (s *Suspicion) marshal() []byte {
 	var encoded []byte
 	encoded = appendFixed64(encoded, suspicionFieldFingerprint, s.Fingerprint)
--- a/pkg/gossip/unmarshal.go
+++ b/pkg/gossip/unmarshal.go
@@ -70,6 +70,10 @@
 		demand, err := unmarshalDemand(content)
 		m.Demands = append(m.Demands, demand)
 		return err
+	case fieldLeaving:
+		leaving, err := unmarshalLeaving(content)
+		m.Leaving = append(m.Leaving, leaving)
+		return err
 	}
 	return nil
 }
@@ -165,6 +169,20 @@
 	return suspicion, err
 }
 
+func unmarshalLeaving(data []byte) (LeavingServer, error) {
+	var leaving LeavingServer
+	err := protofield.ForEach(data, func(field protowire.Number, value uint64, _ []byte) error {
+		switch field {
+		case leavingFieldServer:
+			leaving.Server = uint32(value)
+		case leavingFieldIncarnation:
+			leaving.Incarnation = value
+		}
+		return nil
+	})
+	return leaving, err
+}
+
 // maxReportValue bounds the numbers of a report, and maxAge and maxInterval the
 // durations, so that absurd values in a datagram cannot distort load estimates.
 const (
