Name withdrawn servers in explain, and let the stand-in ask for pauses

explain names how many servers said that they leave or asked for a pause when a call was refused, and that an attempt was denied for this reason. The stand-in server asks for a pause with the requests that it sheds (-retry-after), and the servers of the demo do.

--- a/cmd/standin/server.go
+++ b/cmd/standin/server.go
@@ -26,6 +26,7 @@
 	probeTime     time.Duration
 	coldStart     time.Duration
 	queueLimit    int64
+	retryAfter    time.Duration
 	drainNotice   time.Duration
 }
 
@@ -71,6 +72,7 @@
 	f.DurationVar(&c.probeTime, "probe-time", 0, "time that a load probe occupies a slot")
 	f.DurationVar(&c.coldStart, "cold-start", 0, "time after the start in which requests take 10 times as long")
 	f.Int64Var(&c.queueLimit, "queue-limit", 0, "requests that may wait for a slot; more are shed with 503; 0 means no limit")
+	f.DurationVar(&c.retryAfter, "retry-after", 0, "pause for which a request that is shed asks the gateway; 0 means none")
 	f.DurationVar(&c.drainNotice, "drain-notice", defaultDrainNotice, "time to go on serving after SIGTERM")
 }
 
@@ -98,6 +100,7 @@
 		ProbeTime:   c.probeTime,
 		ColdStart:   c.coldStart,
 		QueueLimit:  c.queueLimit,
+		RetryAfter:  c.retryAfter,
 		Crash:       func() { os.Exit(crashExitCode) },
 	}
 	if c.platformURL == "" {
--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -140,6 +140,13 @@
 	return nil
 }
 
+const (
+	// demoQueueLimit is how many requests wait at a server of the demo, and demoRetryAfter
+	// the pause for which it asks when it sheds further ones.
+	demoQueueLimit = 64
+	demoRetryAfter = 250 * time.Millisecond
+)
+
 func startServer(ctx context.Context, client *httpplatform.Client, service settings.Service, vm platform.VM) error {
 	address, err := serveOnFreePort(serverstandin.New(serverstandin.Config{
 		ID:          vm.ID,
@@ -147,6 +154,8 @@
 		Region:      vm.Region,
 		Slots:       service.Slots,
 		ServiceTime: 5 * time.Millisecond,
+		QueueLimit:  demoQueueLimit,
+		RetryAfter:  demoRetryAfter,
 		Runs:        client,
 	}))
 	if err != nil {
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -114,6 +114,17 @@
 	return eris.Wrap(err, "write")
 }
 
+// withdrawals describes the servers that wanted no requests when a call was refused, empty if
+// there were none.
+func (e Event) withdrawals() string {
+	leaving, _ := e.Fields["leaving"].(float64)
+	paused, _ := e.Fields["paused"].(float64)
+	if leaving == 0 && paused == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", %v said that they leave, %v asked for a pause", leaving, paused)
+}
+
 // describe returns an event as a sentence.
 func (e Event) describe() string {
 	field := func(name string) any {
@@ -129,8 +140,8 @@
 			field("error"), field("inFlight"), field("pace"), field("reportAge"), field("revision"))
 	case "call refused":
 		return fmt.Sprintf("answered %v in place of a server of %v after %v and %v attempts, outcome %v: %v; %v servers "+
-			"usable; configuration %v", field("status"), field("service"), field("took"), field("attempts"), field("outcome"), field("detail"),
-			field("usable"), field("revision"))
+			"usable%s; configuration %v", field("status"), field("service"), field("took"), field("attempts"), field("outcome"), field("detail"),
+			field("usable"), e.withdrawals(), field("revision"))
 	case "call answered":
 		return fmt.Sprintf("answer %v of server %v of %v passed on after %v and %v attempts (target %v, late: %v)",
 			field("status"), field("server"), field("service"), field("took"), field("attempts"), field("target"), field("late"))
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -53,6 +53,24 @@
 	}
 }
 
+// TestDescribeWithdrawnServers guards against a refusal, or an attempt at another server, whose
+// cause is not named: the servers leave or asked for a pause.
+func TestDescribeWithdrawnServers(t *testing.T) {
+	lines := `{"time":"2026-01-01T00:00:01Z","msg":"attempt failed","request":"r1","server":"i-1","end":"never written","attempt":1,` +
+		`"error":"attempt denied because the server is leaving or asked for a pause"}
+{"time":"2026-01-01T00:00:02Z","msg":"call refused","request":"r1","detail":"each server of s is leaving or asked for a pause","usable":3,"leaving":2,"paused":1}`
+	timeline := Timeline{Request: "r1"}
+	assert.NilError(t, timeline.Read("a.log", strings.NewReader(lines)))
+	var text strings.Builder
+	assert.NilError(t, timeline.Write(&text))
+	for _, want := range []string{
+		"(attempt denied because the server is leaving or asked for a pause)",
+		"each server of s is leaving or asked for a pause; 3 servers usable, 2 said that they leave, 1 asked for a pause;",
+	} {
+		assert.Assert(t, strings.Contains(text.String(), want), text.String())
+	}
+}
+
 // FuzzLine guards against a line that makes the tool panic or fail.
 func FuzzLine(f *testing.F) {
 	for line := range strings.Lines(exampleLog) {
--- a/pkg/serverstandin/server.go
+++ b/pkg/serverstandin/server.go
@@ -60,6 +60,8 @@
 	// QueueLimit is the maximum number of requests that wait for a slot; further
 	// requests are shed with 503. 0 means no limit.
 	QueueLimit int64
+	// RetryAfter is the pause for which a request that is shed asks the gateway, 0 for none.
+	RetryAfter time.Duration
 	// Crash, if set, is called for a request with CrashHeader before its connection
 	// is closed. The stand-in program exits in it.
 	Crash func()
@@ -116,6 +118,9 @@
 	}
 	defer cancel()
 	if !s.acquire(ctx, r) {
+		if s.config.RetryAfter > 0 {
+			w.Header().Set("Retry-After", strconv.FormatFloat(s.config.RetryAfter.Seconds(), 'f', -1, 64))
+		}
 		s.writeNotRun(w, http.StatusServiceUnavailable, "no slot in time")
 		return
 	}
--- a/pkg/serverstandin/server_test.go
+++ b/pkg/serverstandin/server_test.go
@@ -170,3 +170,20 @@
 	assert.NilError(t, <-first)
 	assert.DeepEqual(t, runs.runs, map[string]int64{"first": 1})
 }
+
+// TestShedRequestAsksForPause guards against a server that sheds requests without the
+// configured Retry-After, or that asks for a pause while it serves.
+func TestShedRequestAsksForPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{Slots: 1, ServiceTime: time.Second, QueueLimit: 1, RetryAfter: 250 * time.Millisecond})
+		for range 2 {
+			go call(t.Context(), s, nil)
+			synctest.Wait()
+		}
+		shed := call(t.Context(), s, nil)
+		assert.Equal(t, shed.Code, http.StatusServiceUnavailable)
+		assert.Equal(t, shed.Header().Get("Retry-After"), "0.25")
+		time.Sleep(time.Minute)
+		assert.Equal(t, call(t.Context(), s, nil).Header().Get("Retry-After"), "")
+	})
+}
