Keep what a server says before its new entry is read

Cause: its responses were recorded for the process before it, because the entry in force was that one's. The new entry came with a status of its own.

Change: as a new process is listed, the old status passes on what responses said since the new one started (field born, on the gateway's clock), and what they say from then on to requests that are in flight. What peers told of the old process stays with it. A response from before the start stays too: a new process begins with nothing.

A passive gateway of a large region recorded notices of leaving servers as told that it had not sent, or had sent to the probers only; it takes them with its broadcasts only.

Tests that failed before: TestWithdrawalsBeforeEntryOfNewProcessAreKept (both rules), TestNewProcessHasWhatItSaidBeforeItsEntry, TestResponseOfNewProcessBeforeItsEntry. TestPassiveGatewayTellsAllThatServerLeaves is new.

--- a/pkg/control/apply.go
+++ b/pkg/control/apply.go
@@ -53,6 +53,7 @@
 // not removed here, because such a list may be empty temporarily; see
 // updateUnlisted.
 func (s *State) applyServerList(now int64, list ServerListRead) {
+	s.unixAtZero = list.UnixAtZero
 	listed := make(map[string]bool, len(list.VMs))
 	for _, vm := range list.VMs {
 		if vm.Role != platform.RoleServer {
@@ -136,6 +137,7 @@
 		row.published = old.published
 		if old.incarnation != row.incarnation {
 			s.reportLeft(now, old)
+			s.linkWithdrawals(old, row)
 		}
 		if row.service == "" {
 			row.service = old.service
--- a/pkg/control/events.go
+++ b/pkg/control/events.go
@@ -21,6 +21,9 @@
 	// Exact says that the list does not lag: a server that is missing from it is
 	// removed at once.
 	Exact bool
+	// UnixAtZero is the Unix time in nanoseconds at time 0 of this gateway's clock, if the
+	// incarnations of the servers are their starts in Unix milliseconds; 0 if they are not.
+	UnixAtZero int64
 }
 
 // PresetOffered carries a preset version that was read from the store or received
--- a/pkg/control/state.go
+++ b/pkg/control/state.go
@@ -105,6 +105,8 @@
 	servers  map[string]*serverRow
 	sorted   []*serverRow
 	listSeen bool
+	// unixAtZero is that of the last list; see ServerListRead.
+	unixAtZero int64
 	// pendingNotices holds drain notices of incarnations that the list does not
 	// contain yet, by server ID.
 	pendingNotices map[string]pendingNotice
--- a/pkg/control/withdrawal.go
+++ b/pkg/control/withdrawal.go
@@ -1,6 +1,9 @@
 package control
 
 import (
+	"math"
+	"time"
+
 	"balsamhill/pkg/withdrawal"
 )
 
@@ -70,3 +73,13 @@
 	withdrew.Leaving, withdrew.Source, withdrew.At = true, source, at
 	s.actions = append(s.actions, WithdrawalEnded{ServerWithdrew: withdrew, EndedAt: now})
 }
+
+// linkWithdrawals lets a new process of a server have what it said in responses that were taken
+// for those of the old one, because its entry had not been read yet.
+func (s *State) linkWithdrawals(old, row *serverRow) {
+	if s.unixAtZero == 0 {
+		return
+	}
+	started := int64(min(row.incarnation, math.MaxInt64/uint64(time.Millisecond))) * int64(time.Millisecond)
+	old.stats.Withdrawal.SucceededBy(row.stats.Withdrawal, started-s.unixAtZero)
+}
--- a/pkg/control/withdrawal_test.go
+++ b/pkg/control/withdrawal_test.go
@@ -83,6 +83,39 @@
 	}
 }
 
+// TestResponseOfNewProcessBeforeItsEntry guards against calls to a process that said that it
+// leaves before its entry was read, and against a process without calls whose predecessor under
+// its ID left.
+func TestResponseOfNewProcessBeforeItsEntry(t *testing.T) {
+	const unixAtZero = 1_700_000_000_000 * int64(time.Millisecond)
+	incarnation := func(startedAt int64) uint64 { return uint64((unixAtZero + startedAt) / int64(time.Millisecond)) }
+	for _, test := range []struct {
+		desc     string
+		saidAt   int64
+		incoming routing.Availability
+	}{
+		{"said by the new process", 11 * second, routing.Draining},
+		{"said by the old process", 9 * second, routing.Available},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			h := newHarness("g")
+			h.state.Apply(second, PresetOffered{Version: version(1)})
+			list := func(startedAt int64) ServerListRead {
+				entry := vm("s0", incarnation(startedAt), platform.VMLive)
+				return ServerListRead{VMs: []platform.VM{entry}, Exact: true, UnixAtZero: unixAtZero}
+			}
+			h.state.Apply(second, list(second))
+			h.tick(second)
+			h.server("s0").Stats.Withdrawal.RecordLeaving(test.saidAt, withdrawal.SourceResponse)
+			h.tick(12 * second)
+			assert.Equal(t, h.server("s0").Availability, routing.Draining)
+			h.state.Apply(13*second, list(10*second))
+			h.tick(13 * second)
+			assert.Equal(t, h.server("s0").Availability, test.incoming)
+		})
+	}
+}
+
 // TestWithdrawalsAreReportedOnce guards against a withdrawal without a line in the log at its
 // begin or its end, and against repeated lines.
 func TestWithdrawalsAreReportedOnce(t *testing.T) {
--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -162,7 +162,10 @@
 }
 
 func (e *Edge) applyServers() {
-	e.state.Apply(e.now(), control.ServerListRead{VMs: e.servers.Servers(), Exact: true})
+	now := e.now()
+	e.state.Apply(now, control.ServerListRead{
+		VMs: e.servers.Servers(), Exact: true, UnixAtZero: time.Now().UnixNano() - now,
+	})
 	e.serversLoaded.Store(true)
 }
 
--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -103,7 +103,7 @@
 	message := e.newMessage(now, interval)
 	message.Sender = &e.self
 	message.TableStates = tableStates
-	message.Leaving, _ = link.leaving.due(now, indexed, true)
+	message.Leaving = link.leaving.take(now, indexed, true)
 	s.send(targets, message, reports)
 	s.sendNotices(now, targets, interval, e.serverLimits.statementsFor(now, &link.limits))
 }
--- a/pkg/edge/sender.go
+++ b/pkg/edge/sender.go
@@ -93,7 +93,7 @@
 	}
 	tableStates, changed := s.currentTableStates(now)
 	suspicions := e.guard.Outgoing()
-	leaving, _ := s.leaving.due(now, e.indexed.Load(), e.isRelay.Load())
+	leaving := s.leaving.take(now, e.indexed.Load(), e.isRelay.Load())
 	announce := e.announcePending.Swap(false)
 	if len(reports) == 0 && len(suspicions) == 0 && len(leaving) == 0 && !changed && !announce && now-s.sentAt < int64(heartbeatInterval) {
 		return sendIntervalOf(assignment)
@@ -131,8 +131,8 @@
 	e := s.edge
 	e.announcePending.Store(false)
 	suspicions := e.guard.Outgoing()
-	leaving, newlyLeaving := s.leaving.due(now, e.indexed.Load(), e.isRelay.Load())
-	broadcast := len(suspicions) > 0 || newlyLeaving || now-s.broadcastAt >= int64(passiveBroadcastInterval)
+	indexed, isRelay := e.indexed.Load(), e.isRelay.Load()
+	broadcast := len(suspicions) > 0 || s.leaving.untold(indexed, isRelay) || now-s.broadcastAt >= int64(passiveBroadcastInterval)
 	if !broadcast && now-s.sentAt < int64(passiveHeartbeatInterval) {
 		return
 	}
@@ -148,7 +148,9 @@
 	e.peersMu.Unlock()
 	message := e.newMessage(now, interval)
 	message.Suspicions = ownSuspicions(suspicions)
-	message.Leaving = leaving
+	if broadcast {
+		message.Leaving = s.leaving.take(now, indexed, isRelay)
+	}
 	message.TableStates = e.tableStates(now)
 	s.describeGateways(now, message)
 	s.send(targets, message, nil)
--- a/pkg/edge/withdrawals.go
+++ b/pkg/edge/withdrawals.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"balsamhill/pkg/control"
@@ -50,22 +51,21 @@
 	toldAt map[withdrawal.Server]int64
 }
 
-// due returns the servers of which the peers have to be told, and whether they have not been
-// told of one of them yet. Unless all is set, it leaves out those that this gateway knows
-// from a peer.
-func (n *leavingNotices) due(now int64, indexed *indexedSnapshot, all bool) (notices []gossip.LeavingServer, first bool) {
+// take returns the servers of which the peers have to be told with the next message, and
+// records that they are. Unless all is set, it leaves out those that this gateway knows from a
+// peer.
+func (n *leavingNotices) take(now int64, indexed *indexedSnapshot, all bool) []gossip.LeavingServer {
 	if indexed == nil || len(indexed.leaving) == 0 {
 		n.toldAt = nil
-		return nil, false
+		return nil
 	}
+	var notices []gossip.LeavingServer
 	toldAt := make(map[withdrawal.Server]int64, len(indexed.leaving))
 	for _, server := range indexed.leaving {
 		key := withdrawal.Server{ID: server.ID, Incarnation: server.Incarnation}
 		at, told := n.toldAt[key]
-		_, source, _ := server.Stats.Withdrawal.Leaving()
-		wanted := all || source == withdrawal.SourceResponse
-		if wanted && len(notices) < leavingPerMessage && (!told || now-at >= int64(leavingRepeatInterval)) {
-			first = first || !told
+		due := !told || now-at >= int64(leavingRepeatInterval)
+		if due && len(notices) < leavingPerMessage && mayTell(server, all) {
 			notices = append(notices, gossip.LeavingServer{Server: gossip.ServerKey(server.ID), Incarnation: server.Incarnation})
 			at, told = now, true
 		}
@@ -74,7 +74,21 @@
 		}
 	}
 	n.toldAt = toldAt
-	return notices, first
+	return notices
+}
+
+// untold reports whether the peers have not been told of a server yet.
+func (n *leavingNotices) untold(indexed *indexedSnapshot, all bool) bool {
+	return indexed != nil && slices.ContainsFunc(indexed.leaving, func(server *routing.Server) bool {
+		_, told := n.toldAt[withdrawal.Server{ID: server.ID, Incarnation: server.Incarnation}]
+		return !told && mayTell(server, all)
+	})
+}
+
+// mayTell reports whether this gateway tells its peers that a server leaves.
+func mayTell(server *routing.Server, all bool) bool {
+	_, source, _ := server.Stats.Withdrawal.Leaving()
+	return all || source == withdrawal.SourceResponse
 }
 
 // applyLeaving applies the notices of another gateway that servers leave. A notice of another
--- a/pkg/edge/withdrawals_test.go
+++ b/pkg/edge/withdrawals_test.go
@@ -1,8 +1,11 @@
 package edge
 
 import (
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -44,9 +47,10 @@
 	for _, e := range gateways {
 		assert.Assert(t, !e.leaves("b"))
 	}
-	store.write(feed.Servers, "a", entry("a", 2), false)
+	restarted := uint64(time.Now().UnixMilli())
+	store.write(feed.Servers, "a", entry("a", restarted), false)
 	eventuallyAll(t, "the new process is used", 2*time.Second, gateways, func(e *Edge) bool {
-		return e.server("a").Incarnation == 2 && e.server("a").Availability == routing.Available
+		return e.server("a").Incarnation == restarted && e.server("a").Availability == routing.Available
 	})
 	time.Sleep(2 * leavingRepeatInterval)
 	for _, e := range gateways {
@@ -80,7 +84,7 @@
 	sent := map[gossip.LeavingServer]int{}
 	const interval = 20 * time.Millisecond
 	for now := int64(1e9); now < int64(1e9+4*leavingRepeatInterval); now += int64(interval) {
-		due, _ := notices.due(now, indexed, false)
+		due := notices.take(now, indexed, false)
 		assert.Assert(t, len(due) <= leavingPerMessage)
 		for _, notice := range due {
 			sent[notice]++
@@ -97,10 +101,62 @@
 func TestNoticesOfPeersAreForwardedByRelaysOnly(t *testing.T) {
 	indexed := leavingSnapshot(1, withdrawal.SourcePeer)
 	var notices leavingNotices
-	due, first := notices.due(1e9, indexed, false)
-	assert.Assert(t, len(due) == 0 && !first)
-	due, first = notices.due(1e9, indexed, true)
-	assert.Assert(t, len(due) == 1 && first)
+	assert.Assert(t, !notices.untold(indexed, false))
+	assert.Equal(t, len(notices.take(1e9, indexed, false)), 0)
+	assert.Assert(t, notices.untold(indexed, true))
+	assert.Equal(t, len(notices.take(1e9, indexed, true)), 1)
+	assert.Assert(t, !notices.untold(indexed, true))
+}
+
+// TestPassiveGatewayTellsAllThatServerLeaves guards against a gateway of a large region that
+// tells the probers only, that tells again with each heartbeat, or whose lost notice is never
+// sent again.
+func TestPassiveGatewayTellsAllThatServerLeaves(t *testing.T) {
+	e := idleEdge(t, "passive")
+	e.self.HighCapacity = false
+	e.peers = gossip.NewPeers(e.self)
+	const others = 35
+	for i := range others {
+		peer := gossip.Gateway{
+			ID: fmt.Sprint("g", i), Region: "r", FailureDomain: "d", HighCapacity: i < 2, Incarnation: 1,
+			Address: e.datagrams.LocalAddr().String(),
+		}
+		e.receive(&gossip.Message{
+			Key: gossip.KeyOf(peer.ID), Incarnation: 1, Sequence: 1, Sender: &peer,
+			Interval: passiveBroadcastInterval, StoreReachable: true,
+		})
+	}
+	e.snapshot.Store(&routing.Snapshot{})
+	e.serversLoaded.Store(true)
+	s := newSenderOf(e)
+	s.tick()
+	e.indexed.Store(leavingSnapshot(1, withdrawal.SourceResponse))
+	const broadcasts = 2
+	for start := time.Now(); time.Since(start) < passiveBroadcastInterval+300*time.Millisecond; {
+		time.Sleep(s.tick())
+	}
+	assert.Equal(t, countLeavingNotices(t, e), broadcasts*others)
+}
+
+// countLeavingNotices reads the datagrams that a gateway has received, and counts those with a
+// leaving server.
+func countLeavingNotices(t *testing.T, e *Edge) int {
+	t.Helper()
+	count := 0
+	assert.NilError(t, e.datagrams.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+	buffer := make([]byte, 64<<10)
+	for {
+		n, err := e.datagrams.Read(buffer)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return count
+		}
+		assert.NilError(t, err)
+		message, err := gossip.Unmarshal(buffer[:n])
+		assert.NilError(t, err)
+		if len(message.Leaving) > 0 {
+			count++
+		}
+	}
 }
 
 // probeCodec is fakeCodec with a protocol that reads withdrawals.
--- a/pkg/withdrawal/withdrawal.go
+++ b/pkg/withdrawal/withdrawal.go
@@ -46,6 +46,12 @@
 	mu       sync.Mutex
 	pausedAt int64
 	pauses   uint64
+	// saidAt is when the last response asked for a pause.
+	saidAt int64
+	// next is the status of the process that started after this one under the same ID, at
+	// nextStartedAt; nil if none is known.
+	next          *Status
+	nextStartedAt int64
 	// step is the step after the end of the last pause that sent counts requests of.
 	step, sent int64
 }
@@ -57,6 +63,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if source == SourceResponse && s.saidByNext(now) {
+		s.next.RecordLeaving(now, source)
+	}
 	if s.leavingAt.Load() != 0 {
 		return false
 	}
@@ -84,6 +93,10 @@
 	end := now + int64(pause) + int64(spread*min(spreadShare*float64(pause), maxSpread))
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.saidByNext(now) {
+		s.next.RecordPause(now, pause, spread)
+	}
+	s.saidAt = now
 	current := s.pausedUntil.Load()
 	if now >= current {
 		s.pausedAt = now
@@ -94,6 +107,31 @@
 	s.noted.Store(true)
 }
 
+// saidByNext reports whether a response that arrived now came from the process that started
+// after this one. The caller holds mu.
+func (s *Status) saidByNext(now int64) bool {
+	return s.next != nil && now >= s.nextStartedAt
+}
+
+// SucceededBy records that another process started under the same ID at startedAt. Until its
+// entry is read, its responses look like those of this process: what arrived since it started,
+// and what arrives from now on to requests that are in flight, is recorded in its status too.
+func (s *Status) SucceededBy(next *Status, startedAt int64) {
+	if s == nil || next == nil || s == next {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next, s.nextStartedAt = next, startedAt
+	at := s.leavingAt.Load()
+	if at >= startedAt && at != 0 && Source(s.leavingSource.Load()) == SourceResponse {
+		next.RecordLeaving(at, SourceResponse)
+	}
+	if s.saidAt >= startedAt && s.saidAt != 0 {
+		next.RecordPause(s.saidAt, time.Duration(s.pausedUntil.Load()-s.saidAt), 0)
+	}
+}
+
 // Leaving returns when this gateway learned that the server leaves and from whom, false if
 // it did not.
 func (s *Status) Leaving() (at int64, source Source, leaving bool) {
--- a/pkg/withdrawal/withdrawal_test.go
+++ b/pkg/withdrawal/withdrawal_test.go
@@ -197,6 +197,48 @@
 	assert.Equal(t, status.Pause(), Pause{Number: 1, From: second, To: 11 * second})
 }
 
+// TestNewProcessHasWhatItSaidBeforeItsEntry guards against a new process that gets requests
+// although it said that it leaves, or asked for a pause, while its responses were taken for
+// those of the process before it; and against one that has what that process said.
+func TestNewProcessHasWhatItSaidBeforeItsEntry(t *testing.T) {
+	const startedAt = 10 * second
+	tests := []struct {
+		desc        string
+		said        func(old *Status, at int64)
+		at          int64
+		wantLeaving bool
+		wantPaused  bool
+	}{
+		{"leaving of the old process", sayLeaving, startedAt - 1, false, false},
+		{"leaving", sayLeaving, startedAt, true, true},
+		{"leaving of a peer", func(old *Status, at int64) { old.RecordLeaving(at, SourcePeer) }, startedAt + 1, false, false},
+		{"pause of the old process", askForPause, startedAt - 1, false, false},
+		{"pause", askForPause, startedAt, false, true},
+	}
+	for _, test := range tests {
+		for _, afterEntry := range []bool{false, true} {
+			t.Run(fmt.Sprint(test.desc, " after the entry ", afterEntry), func(t *testing.T) {
+				var old, next Status
+				if afterEntry {
+					old.SucceededBy(&next, startedAt)
+				}
+				test.said(&old, test.at)
+				if !afterEntry {
+					old.SucceededBy(&next, startedAt)
+				}
+				_, _, leaving := next.Leaving()
+				assert.Equal(t, leaving, test.wantLeaving)
+				assert.Equal(t, next.Withdrawn(startedAt+second), test.wantPaused)
+				assert.Assert(t, old.Withdrawn(startedAt+second))
+			})
+		}
+	}
+}
+
+func sayLeaving(status *Status, at int64) { status.RecordLeaving(at, SourceResponse) }
+
+func askForPause(status *Status, at int64) { status.RecordPause(at, 5*time.Second, 0) }
+
 // TestBookForgetsServersThatAreGone guards against a book that grows with each server that
 // was ever listed, and against a server that is forgotten while it is listed.
 func TestBookForgetsServersThatAreGone(t *testing.T) {
