Read the tables from peers in an outage of the store

Cause: a gateway read from a peer only if the store had confirmed the peer's copy within 1.9 s, else the store itself. In an outage no copy is confirmed. The same kept a gateway with an older copy from a newer one of a peer.

Evidence: with the store lost for longer than that limit, a gateway without a copy is not ready after 5 s (TestStartLongAfterStoreLost, failed before); TestStartWithoutStore, which starts within the limit, passed.

Change: a gateway whose last call of the store failed reads a newer copy of a peer whatever its age.

--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -323,6 +323,21 @@
 	assert.Assert(t, second.hasServer("a"))
 }
 
+// TestStartLongAfterStoreLost guards against a gateway that never becomes ready because the
+// store was lost long before its start: the copies of its peers, which all serve with them, are
+// older than the limit up to which a gateway reads from a peer in place of the store.
+func TestStartLongAfterStoreLost(t *testing.T) {
+	store := storeWith("a")
+	first := startEdge(t, "first", store)
+	eventually(t, "first is ready", 5*time.Second, first.ready)
+	store.setDown(true)
+	time.Sleep(first.maxTableAge + 500*time.Millisecond)
+	second := startEdge(t, "second", store, first.settings.BootstrapAddress)
+	eventually(t, "second is ready", 5*time.Second, second.ready)
+	assert.Equal(t, second.revision(), uint64(1))
+	assert.Assert(t, second.hasServer("a"))
+}
+
 // TestChangesTakeEffectWithinBound guards against a gateway that misses a changed
 // configuration or a removed server, also while it receives no messages from the gateway
 // that reads the store.
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -146,7 +146,7 @@
 	state, known := w.state(now)
 	source, ok := w.newestSource(now)
 	behind := ok && (!known || source.State.Newer(state))
-	if behind && source.State.Age < int64(w.edge.maxTableAge) {
+	if behind && w.mayReadPeer(source.State) {
 		if w.readPeer(ctx, source.Address, known) {
 			return 0
 		}
@@ -178,6 +178,13 @@
 	return 0
 }
 
+// mayReadPeer reports whether the newer copy of a peer is read in place of the store: it was
+// confirmed recently, or the store does not respond. In an outage all copies grow old, and the
+// gateways serve with them.
+func (w *watcher) mayReadPeer(state feed.TableState) bool {
+	return state.Age < int64(w.edge.maxTableAge) || w.edge.storeState.unreachable()
+}
+
 // fallbackDelay returns how much longer than maxTableAge this gateway waits for a peer that
 // has the table. The gateways of a group read the store themselves one after the other, each
 // after the time that the reads of those before it take, if one change moves a large
--- a/pkg/edge/withdrawals.go
+++ b/pkg/edge/withdrawals.go
@@ -46,7 +46,7 @@
 	return servers
 }
 
-// leavingNotices says when a gateway told each of its peers that servers leave.
+// leavingNotices says when a gateway told some of its peers that servers leave.
 type leavingNotices struct {
 	toldAt map[withdrawal.Server]int64
 }
