Bound the wait for the end of pauses by the arrival of the call

A call could wait for one pause after the other without limit if it has no deadline: each wait was bounded, their sum was not. An attempt that was denied on a second connection, after bytes had been written on the first, was not charged to the retry budget; only attempts of which nothing was written are free.

--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -313,8 +313,7 @@
 	if retry.Expired(now, c.deadline) || c.baseContext.Err() != nil {
 		return false
 	}
-	// An attempt that was denied has not reached a server, so the next one is no retry.
-	if !last.withdrawn && !c.service.retryBudget.Take(now, c.limits.RetryPercent, c.proxy.retryBase()) {
+	if !last.neverSent() && !c.service.retryBudget.Take(now, c.limits.RetryPercent, c.proxy.retryBase()) {
 		c.service.Metrics.retriesDenied.Inc()
 		return false
 	}
--- a/pkg/proxy/choose.go
+++ b/pkg/proxy/choose.go
@@ -67,15 +67,10 @@
 		server := c.choose()
 		now := c.proxy.config.Now()
 		if server == nil {
-			if wait, ok := c.returnWait(now); ok {
-				if c.awaitServer(wait) {
-					continue
-				}
+			if !c.awaitReturn(now) {
 				return nil
 			}
-			c.releaseCrashGuard()
-			c.refuseUnchosen()
-			return nil
+			continue
 		}
 		headroom := routing.HeadroomFree
 		if c.route.LatencyTarget > 0 {
--- a/pkg/proxy/withdrawn.go
+++ b/pkg/proxy/withdrawn.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"balsamhill/pkg/retry"
 	"balsamhill/pkg/routing"
 )
 
@@ -58,16 +59,34 @@
 	a.deny()
 }
 
+// neverSent reports whether the attempt was denied because its server withdrew, before any of
+// its bytes were written. The next attempt of the call is not a retry then.
+func (a *attempt) neverSent() bool {
+	return a.withdrawn && a.result == retry.NeverWritten
+}
+
 // refuseWithdrawn refuses a call because all servers are withdrawn.
 func (c *call) refuseWithdrawn() {
 	c.proxy.config.Metrics.serversWithdrawn.Inc()
 	c.refuse(http.StatusServiceUnavailable, "each server of "+c.serviceName+" "+withdrawnDetail)
 }
 
-// maxReturnWait bounds how long a call waits for the end of a pause. After a longer one the
-// caller returns itself, and may choose another gateway.
+// maxReturnWait bounds how long after its arrival a call waits for the end of a pause. After a
+// longer one the caller returns itself, and may choose another gateway.
 const maxReturnWait = time.Second
 
+// awaitReturn waits until one of the withdrawn servers may be asked again. If there is none, or
+// the call cannot wait for it, awaitReturn refuses the call and returns false.
+func (c *call) awaitReturn(now int64) bool {
+	wait, ok := c.returnWait(now)
+	if !ok {
+		c.releaseCrashGuard()
+		c.refuseUnchosen()
+		return false
+	}
+	return c.awaitServer(wait)
+}
+
 // returnWait returns how long the call waits until one of the servers, all of which are
 // withdrawn, may be asked again. ok is false if there is another server, or if the call
 // could not be served then before its deadline.
@@ -76,7 +95,7 @@
 		return 0, false
 	}
 	wait, ok = c.view.Wait(now)
-	if !ok || wait > maxReturnWait {
+	if !ok || now+int64(wait)-c.arrived > int64(maxReturnWait) {
 		return 0, false
 	}
 	end := now + int64(wait) + c.service.serviceTime.EstimateNanos()
