Keep what a server says after a notice of a peer, too

Cause: a notice of a peer had come first, while a request of this gateway was in flight. The status keeps the first source, so the response of the server itself left no trace, and what only a peer said is not passed on to a new process.

Change: the status keeps when the last response said so, apart from the first source.

Test that failed before: TestNewProcessHasWhatItSaidBeforeItsEntry, leaving after a notice of a peer.

--- a/pkg/withdrawal/withdrawal.go
+++ b/pkg/withdrawal/withdrawal.go
@@ -46,8 +46,9 @@
 	mu       sync.Mutex
 	pausedAt int64
 	pauses   uint64
-	// saidAt is when the last response asked for a pause.
-	saidAt int64
+	// saidLeavingAt is when the last response said that the server leaves, and saidPauseAt when
+	// the last one asked for a pause.
+	saidLeavingAt, saidPauseAt int64
 	// next is the status of the process that started after this one under the same ID, at
 	// nextStartedAt; nil if none is known.
 	next          *Status
@@ -63,8 +64,11 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if source == SourceResponse && s.saidByNext(now) {
-		s.next.RecordLeaving(now, source)
+	if source == SourceResponse {
+		s.saidLeavingAt = now
+		if s.saidByNext(now) {
+			s.next.RecordLeaving(now, source)
+		}
 	}
 	if s.leavingAt.Load() != 0 {
 		return false
@@ -96,7 +100,7 @@
 	if s.saidByNext(now) {
 		s.next.RecordPause(now, pause, spread)
 	}
-	s.saidAt = now
+	s.saidPauseAt = now
 	current := s.pausedUntil.Load()
 	if now >= current {
 		s.pausedAt = now
@@ -123,12 +127,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.next, s.nextStartedAt = next, startedAt
-	at := s.leavingAt.Load()
-	if at >= startedAt && at != 0 && Source(s.leavingSource.Load()) == SourceResponse {
-		next.RecordLeaving(at, SourceResponse)
+	if s.saidLeavingAt != 0 && s.saidLeavingAt >= startedAt {
+		next.RecordLeaving(s.saidLeavingAt, SourceResponse)
 	}
-	if s.saidAt >= startedAt && s.saidAt != 0 {
-		next.RecordPause(s.saidAt, time.Duration(s.pausedUntil.Load()-s.saidAt), 0)
+	if s.saidPauseAt != 0 && s.saidPauseAt >= startedAt {
+		next.RecordPause(s.saidPauseAt, time.Duration(s.pausedUntil.Load()-s.saidPauseAt), 0)
 	}
 }
 
--- a/pkg/withdrawal/withdrawal_test.go
+++ b/pkg/withdrawal/withdrawal_test.go
@@ -212,6 +212,10 @@
 		{"leaving of the old process", sayLeaving, startedAt - 1, false, false},
 		{"leaving", sayLeaving, startedAt, true, true},
 		{"leaving of a peer", func(old *Status, at int64) { old.RecordLeaving(at, SourcePeer) }, startedAt + 1, false, false},
+		{"leaving after a notice of a peer", func(old *Status, at int64) {
+			old.RecordLeaving(at, SourcePeer)
+			old.RecordLeaving(at+1, SourceResponse)
+		}, startedAt + 1, true, true},
 		{"pause of the old process", askForPause, startedAt - 1, false, false},
 		{"pause", askForPause, startedAt, false, true},
 	}
