--- a/pkg/withdrawal/withdrawal.go
+++ b/pkg/withdrawal/withdrawal.go
@@ -53,7 +53,7 @@
 	// nextStartedAt; nil if none is known.
 	next          *Status
 	nextStartedAt int64
-	// step is the step after the end of the last pause that sent counts requests of.
+	// sent counts the requests of one step after the end of the last pause; see returnStep.
 	step, sent int64
 }
 
