Report the end of a pause once, and tidy what the last reading found

What operators saw: the entry of a server disappears and returns long after a pause of the server, and the log says again that the pause is over.

Cause: the new row knew the last pause but not that its end had been reported.

Change: a row starts with the end of a pause that is over as reported. In the same reading, without a change of behaviour: RecordLeaving returns nothing, since nobody used the result; the times of responses are named for what they are; the comments of denyReason, the parser and the gateway's log lines say what a reader would ask.

Test that failed before: TestReturningEntryDoesNotRepeatEndOfPause. Result: it passes, with the tests of withdrawal, control, proxy, gateway and platform, once with the race detector.

--- a/pkg/control/apply.go
+++ b/pkg/control/apply.go
@@ -36,7 +36,7 @@
 }
 
 func (s *State) newServerRow(vm platform.VM) *serverRow {
-	said := s.withdrawals.Status(withdrawal.Server{ID: vm.ID, Incarnation: vm.Incarnation})
+	status := s.withdrawals.Status(withdrawal.Server{ID: vm.ID, Incarnation: vm.Incarnation})
 	return &serverRow{
 		id:            vm.ID,
 		service:       vm.Service,
@@ -44,8 +44,8 @@
 		region:        vm.Region,
 		failureDomain: vm.FailureDomain,
 		incarnation:   vm.Incarnation,
-		stats:         &routing.Stats{Withdrawal: said},
-		pause:         said.Pause(),
+		stats:         &routing.Stats{Withdrawal: status},
+		pause:         status.Pause(),
 	}
 }
 
@@ -129,6 +129,7 @@
 // replaceServer replaces an old row, which may be nil, by a new one.
 func (s *State) replaceServer(now int64, old *serverRow, vm platform.VM) *serverRow {
 	row := s.newServerRow(vm)
+	row.pauseEnded = now >= row.pause.To
 	if s.listSeen {
 		row.slowStartAt = now
 	}
--- a/pkg/control/withdrawal_test.go
+++ b/pkg/control/withdrawal_test.go
@@ -145,6 +145,24 @@
 	})
 }
 
+// TestReturningEntryDoesNotRepeatEndOfPause guards against a line in the log that says that a
+// pause has ended long after it did, because the entry of the server disappeared and returned.
+func TestReturningEntryDoesNotRepeatEndOfPause(t *testing.T) {
+	h := newHarness("g")
+	h.state.Apply(second, PresetOffered{Version: version(1)})
+	h.state.Apply(second, ServerListRead{VMs: liveVMs(2), Exact: true})
+	h.tick(second)
+	h.server("s0").Stats.Withdrawal.RecordPause(second, time.Second, 0)
+	h.tick(3 * second)
+	h.state.Apply(4*second, ServerListRead{VMs: liveVMs(2)[1:], Exact: true})
+	h.tick(4 * second)
+	h.state.Apply(5*second, ServerListRead{VMs: liveVMs(2), Exact: true})
+	for _, action := range h.state.Tick(5 * second) {
+		_, ended := action.(WithdrawalEnded)
+		assert.Assert(t, !ended, "%+v", action)
+	}
+}
+
 // TestPanicThresholdAndFailuresIgnoreWithdrawals guards against a withdrawn server that is
 // used because most servers are ejected, or that is ejected because it withdrew.
 func TestPanicThresholdAndFailuresIgnoreWithdrawals(t *testing.T) {
--- a/pkg/gateway/loops.go
+++ b/pkg/gateway/loops.go
@@ -84,6 +84,7 @@
 			g.log.Info("server availability changed", "server", a.ServerID, "service", a.Service,
 				"from", a.From, "to", a.To, "reason", a.Reason)
 		case control.ServerWithdrew:
+			// It is a pause: servers of this protocol send drain notices when they leave.
 			g.log.Info("server asked for a pause; it gets no requests", "server", a.ServerID, "service", a.Service,
 				"incarnation", a.Incarnation, "pause", time.Duration(a.Until-a.At).String())
 		case control.WithdrawalEnded:
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -65,7 +65,8 @@
 	// guard, because the gateway ends too soon, because the server withdrew, or because
 	// the transport was about to resend the request.
 	denied bool
-	// denyReason is the detail of the refusal in the second to the fourth case, else empty.
+	// denyReason is the detail of the refusal if the crash guard, the end of the gateway or
+	// the server's withdrawal denied the attempt, else empty.
 	denyReason string
 	// withdrawn reports whether the attempt was denied because its server withdrew after it
 	// was chosen. Another server may be tried.
--- a/pkg/withdrawal/retryafter.go
+++ b/pkg/withdrawal/retryafter.go
@@ -25,6 +25,7 @@
 		return 0, true
 	}
 	text := strings.TrimSpace(values[0])
+	// ParseFloat also reads hexadecimal numbers.
 	if len(values) > 1 || len(text) > maxRetryAfterBytes || strings.ContainsAny(text, "xXpP_") {
 		return 0, false
 	}
--- a/pkg/withdrawal/withdrawal.go
+++ b/pkg/withdrawal/withdrawal.go
@@ -46,9 +46,9 @@
 	mu       sync.Mutex
 	pausedAt int64
 	pauses   uint64
-	// saidLeavingAt is when the last response said that the server leaves, and saidPauseAt when
-	// the last one asked for a pause.
-	saidLeavingAt, saidPauseAt int64
+	// leavingResponseAt is when the last response said that the server leaves, and
+	// pauseResponseAt when the last one asked for a pause.
+	leavingResponseAt, pauseResponseAt int64
 	// next is the status of the process that started after this one under the same ID, at
 	// nextStartedAt; nil if none is known.
 	next          *Status
@@ -57,26 +57,25 @@
 	step, sent int64
 }
 
-// RecordLeaving records that the server leaves. It reports whether this is new.
-func (s *Status) RecordLeaving(now int64, source Source) (isNew bool) {
+// RecordLeaving records that the server leaves. The first source stays.
+func (s *Status) RecordLeaving(now int64, source Source) {
 	if s == nil {
-		return false
+		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if source == SourceResponse {
-		s.saidLeavingAt = now
-		if s.saidByNext(now) {
+		s.leavingResponseAt = now
+		if s.isFromNext(now) {
 			s.next.RecordLeaving(now, source)
 		}
 	}
 	if s.leavingAt.Load() != 0 {
-		return false
+		return
 	}
 	s.leavingSource.Store(int32(source))
 	s.leavingAt.Store(now)
 	s.noted.Store(true)
-	return true
 }
 
 const (
@@ -97,10 +96,10 @@
 	end := now + int64(pause) + int64(spread*min(spreadShare*float64(pause), maxSpread))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.saidByNext(now) {
+	if s.isFromNext(now) {
 		s.next.RecordPause(now, pause, spread)
 	}
-	s.saidPauseAt = now
+	s.pauseResponseAt = now
 	current := s.pausedUntil.Load()
 	if now >= current {
 		s.pausedAt = now
@@ -111,9 +110,9 @@
 	s.noted.Store(true)
 }
 
-// saidByNext reports whether a response that arrived now came from the process that started
+// isFromNext reports whether a response that arrived now came from the process that started
 // after this one. The caller holds mu.
-func (s *Status) saidByNext(now int64) bool {
+func (s *Status) isFromNext(now int64) bool {
 	return s.next != nil && now >= s.nextStartedAt
 }
 
@@ -127,11 +126,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.next, s.nextStartedAt = next, startedAt
-	if s.saidLeavingAt != 0 && s.saidLeavingAt >= startedAt {
-		next.RecordLeaving(s.saidLeavingAt, SourceResponse)
+	if s.leavingResponseAt != 0 && s.leavingResponseAt >= startedAt {
+		next.RecordLeaving(s.leavingResponseAt, SourceResponse)
 	}
-	if s.saidPauseAt != 0 && s.saidPauseAt >= startedAt {
-		next.RecordPause(s.saidPauseAt, time.Duration(s.pausedUntil.Load()-s.saidPauseAt), 0)
+	if s.pauseResponseAt != 0 && s.pauseResponseAt >= startedAt {
+		next.RecordPause(s.pauseResponseAt, time.Duration(s.pausedUntil.Load()-s.pauseResponseAt), 0)
 	}
 }
 
