Let a table read as of version 0 be read from a peer

What callers saw: a gateway that starts while the store is down never becomes ready, although another gateway is, if that one read the table of servers before the first write to the store and the store was lost before the next response.

Cause: in the messages between gateways a table "as of version 0" means a table that was not read. The peer held an empty copy at version 0, so the starting gateway saw no source for it.

Change: the state of a table says that it was read empty; builds without the new field are understood as before, and ignore it. The state of a gateway that has not read the table no longer confirms a copy at version 0. The same rule holds where a state is compared with the one that was sent last, in the messages to the group and to other groups.

--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -435,6 +435,31 @@
 	eventually(t, "second is ready", 5*time.Second, second.ready)
 }
 
+// readOnlyStore is a store that refuses the rows of the gateways, so that its version stays 0
+// until the test writes.
+type readOnlyStore struct{ *fakeStore }
+
+func (readOnlyStore) Put(context.Context, feed.Table, string, []byte) error { return errDown }
+
+// TestPeerReadOfTableAtVersionZero guards against a gateway that never becomes ready because
+// the store was lost before it wrote its first entry: a peer that has read the empty table
+// describes it like one that has not read it.
+func TestPeerReadOfTableAtVersionZero(t *testing.T) {
+	store := readOnlyStore{newFakeStore()}
+	first := startEdge(t, "first", store)
+	eventually(t, "first has read the empty tables", 5*time.Second, func() bool {
+		_, configRead := first.watchers[0].state(first.now())
+		_, serversRead := first.watchers[1].state(first.now())
+		return configRead && serversRead
+	})
+	store.write(feed.Config, "config", []byte("1"), false)
+	eventually(t, "first is ready", 5*time.Second, first.ready)
+	store.setDown(true)
+	store.write(feed.Servers, "a", entry("a", 1), false)
+	second := startEdge(t, "second", store, first.settings.BootstrapAddress)
+	eventually(t, "second is ready", 5*time.Second, second.ready)
+}
+
 // TestLoadReportsReachOtherRegions guards against gateways without the load of servers in
 // other regions, which neither use the free slots of these servers nor avoid the loaded
 // ones.
--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -35,7 +35,7 @@
 // sent again.
 func (l *relayLink) due(now int64, interval time.Duration, targets []string, tableStates []feed.TableState) bool {
 	confirmed := !slices.EqualFunc(l.tableStates, tableStates, func(a, b feed.TableState) bool {
-		return a.Era == b.Era && a.AsOf == b.AsOf && a.Rank == b.Rank
+		return a.Loaded() == b.Loaded() && a.Era == b.Era && a.AsOf == b.AsOf && a.Rank == b.Rank
 	})
 	if now-l.sentAt < int64(interval) && !confirmed {
 		return false
--- a/pkg/edge/sender.go
+++ b/pkg/edge/sender.go
@@ -270,7 +270,7 @@
 func (s *sender) currentTableStates(now int64) (states []feed.TableState, changed bool) {
 	states = s.edge.tableStates(now)
 	changed = !slices.EqualFunc(s.tableStates, states, func(a, b feed.TableState) bool {
-		return a.Era == b.Era && a.LastChange == b.LastChange && a.Rank == b.Rank
+		return a.Loaded() == b.Loaded() && a.Era == b.Era && a.LastChange == b.LastChange && a.Rank == b.Rank
 	})
 	s.tableStates = states
 	return states, changed
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -277,7 +277,7 @@
 // the peer holds changes that this gateway lacks. It ends a slow read of the store in
 // favor of the peer.
 func (w *watcher) confirm(now int64, state feed.TableState, peer string) {
-	if state.AsOf > 0 && w.edge.storeState.recordPeerResponse(now-state.Age) {
+	if state.Loaded() && w.edge.storeState.recordPeerResponse(now-state.Age) {
 		w.edge.log.Info("store responds to another gateway again", "gateway", peer, "responseAge", time.Duration(state.Age).String())
 	}
 	w.mu.Lock()
--- a/pkg/feed/mirror.go
+++ b/pkg/feed/mirror.go
@@ -71,10 +71,18 @@
 	LastChange uint64
 	// AsOf is the version of the store up to which the copy holds all changes.
 	AsOf uint64
+	// ReadEmpty says that the copy was read as of version 0, before the first write to the
+	// store. Without it, an AsOf of 0 means that the table was not read.
+	ReadEmpty bool
 	// Age is the time since the store confirmed AsOf, in nanoseconds.
 	Age int64
 }
 
+// Loaded reports whether the gateway has read the table.
+func (s TableState) Loaded() bool {
+	return s.AsOf > 0 || s.ReadEmpty
+}
+
 // Newer reports whether the copy holds changes that another copy lacks.
 func (s TableState) Newer(than TableState) bool {
 	if s.Era != than.Era {
@@ -314,10 +322,9 @@
 // earlier era, or of a peer that does not know the era, confirms nothing.
 func (m *Mirror) Confirm(now int64, state TableState) (behind bool) {
 	switch {
-	case !m.Loaded():
-		return state.AsOf > 0
-	case state.Newer(m.State(now)):
-		return state.AsOf > 0
+	case !state.Loaded():
+	case !m.Loaded(), state.Newer(m.State(now)):
+		return true
 	case state.Era == m.era && state.AsOf >= m.asOf:
 		m.asOf = state.AsOf
 		m.confirmedAt = max(m.confirmedAt, now-state.Age)
@@ -327,7 +334,10 @@
 
 // State describes the copy.
 func (m *Mirror) State(now int64) TableState {
-	return TableState{Era: m.era, Rank: m.rank(), LastChange: m.lastChange, AsOf: m.asOf, Age: now - m.confirmedAt}
+	return TableState{
+		Era: m.era, Rank: m.rank(), LastChange: m.lastChange, AsOf: m.asOf, ReadEmpty: m.Loaded() && m.asOf == 0,
+		Age: now - m.confirmedAt,
+	}
 }
 
 // FullBatch returns the whole table, for a gateway that holds none of it. A batch
--- a/pkg/feed/mirror_test.go
+++ b/pkg/feed/mirror_test.go
@@ -127,3 +127,18 @@
 	assert.Equal(t, m.Confirm(12e9, TableState{LastChange: 7, AsOf: 8}), true)
 	assert.Equal(t, m.AsOf(), uint64(6))
 }
+
+// TestTableAtVersionZeroIsKnown guards against an empty table, read before the first write to
+// the store, that is taken for one that was not read: its reader would be no source for others,
+// and the state of a gateway that has not read it would confirm the copy.
+func TestTableAtVersionZeroIsKnown(t *testing.T) {
+	var reader, other Mirror
+	assert.Assert(t, !other.Confirm(10e9, reader.State(10e9)), "neither has read the table")
+	reader.Apply(10e9, Batch{Full: true})
+	assert.Assert(t, other.Confirm(10e9, reader.State(10e9)), "the reader has the table")
+	assert.Assert(t, !reader.Confirm(12e9, other.State(1e9)))
+	assert.Equal(t, reader.ConfirmedAt(), int64(10e9))
+	other.Apply(13e9, reader.FullBatch(13e9))
+	assert.Assert(t, !other.Confirm(14e9, TableState{ReadEmpty: true, Age: 1e9}))
+	assert.Equal(t, other.ConfirmedAt(), int64(13e9))
+}
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -36,7 +36,7 @@
 		m.TableStates = append(m.TableStates, feed.TableState{
 			Era: rapid.Uint64().Draw(t, "era"), Rank: rapid.Uint64().Draw(t, "rank"),
 			LastChange: rapid.Uint64().Draw(t, "last change"), AsOf: rapid.Uint64().Draw(t, "as of"),
-			Age: rapid.Int64Range(0, 3600e6).Draw(t, "age") * 1000,
+			Age: rapid.Int64Range(0, 3600e6).Draw(t, "age") * 1000, ReadEmpty: rapid.Bool().Draw(t, "read empty"),
 		})
 	}
 	for range rapid.IntRange(0, 5).Draw(t, "reports") {
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -172,6 +172,7 @@
 	tableFieldAgeMicros
 	tableFieldEra
 	tableFieldRank
+	tableFieldReadEmpty
 )
 
 const (
@@ -259,6 +260,9 @@
 	encoded = appendVarint(encoded, tableFieldAgeMicros, microseconds(time.Duration(s.Age)))
 	encoded = appendVarint(encoded, tableFieldEra, s.Era)
 	encoded = appendVarint(encoded, tableFieldRank, s.Rank)
+	if s.ReadEmpty {
+		encoded = appendVarint(encoded, tableFieldReadEmpty, 1)
+	}
 	return encoded
 }
 
--- a/pkg/gossip/peers.go
+++ b/pkg/gossip/peers.go
@@ -371,7 +371,7 @@
 
 // tableState returns the gateway's state of a table, with the current age.
 func (c *contact) tableState(now int64, table int) (feed.TableState, bool) {
-	if table >= len(c.tableStates) || c.tableStates[table].AsOf == 0 {
+	if table >= len(c.tableStates) || !c.tableStates[table].Loaded() {
 		return feed.TableState{}, false
 	}
 	tableState := c.tableStates[table]
--- a/pkg/gossip/unmarshal.go
+++ b/pkg/gossip/unmarshal.go
@@ -127,6 +127,8 @@
 			tableState.Era = value
 		case tableFieldRank:
 			tableState.Rank = value
+		case tableFieldReadEmpty:
+			tableState.ReadEmpty = value != 0
 		}
 		return nil
 	})
