Tell the gateways of all regions which requests crash servers

What callers saw: a request that crashes servers is held back in one region, and crashes three more servers by way of each other region.

Cause: suspicions went to the own group only. Besides, they were sent once, so that a lost message was never made good, and all beyond 20 at a time were dropped.

Change: the relays of the groups pass suspicions on, to the other groups and to their own. Each suspicion is sent again after a second, for 2.5 s at most, and those that a message has no room for are in the next one.

Related paths: the other notices of servers (leaving, limits) are passed on and repeated already. The peers of pkg/gateway forward suspicions themselves.

Failed before: TestRequestThatCrashesServersIsHeldBackInOtherRegion.

--- a/pkg/edge/receiver.go
+++ b/pkg/edge/receiver.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"balsamhill/pkg/crashguard"
 	"balsamhill/pkg/gossip"
 	"balsamhill/pkg/routing"
 )
@@ -89,12 +88,7 @@
 	if indexed == nil {
 		return
 	}
-	for _, suspicion := range message.Suspicions {
-		if server, ok := indexed.byKey[suspicion.Server]; ok {
-			lost := crashguard.Server{ID: server.ID, Incarnation: suspicion.Incarnation}
-			e.guard.AddPeerSuspicion(now, crashguard.Fingerprint(suspicion.Fingerprint), lost, "peer")
-		}
-	}
+	e.applySuspicions(now, indexed, message.Suspicions)
 	e.applyLeaving(now, indexed, message.Leaving)
 	assignment := e.assignment.Load()
 	for _, report := range message.Reports {
--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -28,6 +28,7 @@
 	tableStates []feed.TableState
 	limits      relayedLimits
 	leaving     leavingNotices
+	suspicions  toldSuspicions
 }
 
 // due reports whether the next message is due and records its targets. A message is due
@@ -46,6 +47,7 @@
 		clear(l.sent)
 		l.limits = relayedLimits{}
 		l.leaving = leavingNotices{}
+		l.suspicions = toldSuspicions{}
 	}
 	return true
 }
@@ -104,6 +106,7 @@
 	message.Sender = &e.self
 	message.TableStates = tableStates
 	message.Leaving = link.leaving.take(now, indexed, true)
+	message.Suspicions = link.suspicions.take(now, &s.suspicions, true)
 	s.send(targets, message, reports)
 	s.sendNotices(now, targets, interval, e.serverLimits.statementsFor(now, &link.limits))
 }
--- a/pkg/edge/sender.go
+++ b/pkg/edge/sender.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"balsamhill/pkg/crashguard"
 	"balsamhill/pkg/feed"
 	"balsamhill/pkg/gossip"
 	"balsamhill/pkg/serverlimit"
@@ -68,8 +67,12 @@
 	otherDomains, otherRegions relayLink
 	// leaving says which servers the group was told to leave.
 	leaving leavingNotices
-	buffer  []byte
-	random  *rand.Rand
+	// suspicions holds the suspicions to be sent, toldSuspicions says which ones the group
+	// was told.
+	suspicions     suspicionNotices
+	toldSuspicions toldSuspicions
+	buffer         []byte
+	random         *rand.Rand
 }
 
 // gatewaysPerMessage is how many other gateways a message with the description of its
@@ -81,6 +84,7 @@
 	e := s.edge
 	now := e.now()
 	assignment := e.refreshAssignment(now)
+	s.suspicions.record(now, e.guard.Outgoing())
 	s.relayReports(now)
 	s.sendLimits(now, assignment)
 	if e.ready() && !assignment.SendsReports() && !e.isGroupReader(now) {
@@ -92,7 +96,7 @@
 		reports = s.newReports(now, assignment)
 	}
 	tableStates, changed := s.currentTableStates(now)
-	suspicions := e.guard.Outgoing()
+	suspicions := s.toldSuspicions.take(now, &s.suspicions, e.isRelay.Load())
 	leaving := s.leaving.take(now, e.indexed.Load(), e.isRelay.Load())
 	announce := e.announcePending.Swap(false)
 	if len(reports) == 0 && len(suspicions) == 0 && len(leaving) == 0 && !changed && !announce && now-s.sentAt < int64(heartbeatInterval) {
@@ -100,7 +104,7 @@
 	}
 	s.sentAt = now
 	message := e.newMessage(now, heartbeatInterval)
-	message.Suspicions = ownSuspicions(suspicions)
+	message.Suspicions = suspicions
 	message.Leaving = leaving
 	if changed || announce || now-s.tableStatesSentAt >= int64(heartbeatInterval) {
 		s.tableStatesSentAt = now
@@ -130,8 +134,8 @@
 func (s *sender) sendPassive(now int64, assignment *gossip.Assignment) {
 	e := s.edge
 	e.announcePending.Store(false)
-	suspicions := e.guard.Outgoing()
 	indexed, isRelay := e.indexed.Load(), e.isRelay.Load()
+	suspicions := s.toldSuspicions.take(now, &s.suspicions, isRelay)
 	broadcast := len(suspicions) > 0 || s.leaving.untold(indexed, isRelay) || now-s.broadcastAt >= int64(passiveBroadcastInterval)
 	if !broadcast && now-s.sentAt < int64(passiveHeartbeatInterval) {
 		return
@@ -147,7 +151,7 @@
 	}
 	e.peersMu.Unlock()
 	message := e.newMessage(now, interval)
-	message.Suspicions = ownSuspicions(suspicions)
+	message.Suspicions = suspicions
 	if broadcast {
 		message.Leaving = s.leaving.take(now, indexed, isRelay)
 	}
@@ -238,24 +242,6 @@
 	return count
 }
 
-// suspicionsPerMessage keeps messages below the usual maximum size of a packet.
-const suspicionsPerMessage = 20
-
-// ownSuspicions returns the suspicions that this gateway raised itself. Those of peers are
-// not forwarded, because their senders reach the same gateways.
-func ownSuspicions(suspicions []crashguard.Suspicion) []gossip.Suspicion {
-	var own []gossip.Suspicion
-	for _, suspicion := range suspicions {
-		if suspicion.From == "" && len(own) < suspicionsPerMessage {
-			own = append(own, gossip.Suspicion{
-				Fingerprint: uint64(suspicion.Fingerprint), Server: gossip.ServerKey(suspicion.Server.ID),
-				Incarnation: suspicion.Server.Incarnation,
-			})
-		}
-	}
-	return own
-}
-
 // tableStates returns the states of this gateway's copies of the tables.
 func (e *Edge) tableStates(now int64) []feed.TableState {
 	states := make([]feed.TableState, len(e.watchers))
