Do not take a rejection for a response of the server to a request

What callers saw: nothing yet, found while reading. A request that crashes servers is held back later, or not at all, if busy servers reject it in between.

Cause: the crash guard took each response for a sign that a server had run the request, also 503 and 421 with the promise that it did not run.

Change: such a response neither raises nor clears a suspicion.

Failed before: TestRejectionDoesNotClearSuspicion (the row with 503). Result: it passes with the tests of the packages.

--- a/pkg/crashguard/types.go
+++ b/pkg/crashguard/types.go
@@ -40,10 +40,11 @@
 type Result int
 
 const (
-	// ResultOther covers timeouts, cancellations and failures before the request
-	// was sent. It neither raises nor clears a suspicion.
+	// ResultOther covers timeouts, cancellations, rejections of a request that did not
+	// run, and failures before the request was sent. It neither raises nor clears a
+	// suspicion.
 	ResultOther Result = iota
-	// ResultResponded means that the server sent a response.
+	// ResultResponded means that the server sent a response other than a rejection.
 	ResultResponded
 	// ResultConnectionLost means that the connection was lost while the request was
 	// in flight, or that its response was incomplete or belonged to another request.
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -348,6 +348,8 @@
 
 func (a *attempt) guardResult() crashguard.Result {
 	switch {
+	case a.response != nil && (a.responseKind == ResponseNotRun || a.responseKind == ResponseWrongServer):
+		return crashguard.ResultOther
 	case a.response != nil:
 		return crashguard.ResultResponded
 	case a.result == retry.ConnectionLost && !a.call.body.readFailed():
--- a/pkg/proxy/once_test.go
+++ b/pkg/proxy/once_test.go
@@ -233,6 +233,31 @@
 	}
 }
 
+// TestRejectionDoesNotClearSuspicion guards against a request that crashes servers and is not
+// held back, because a busy server rejects it now and then without running it.
+func TestRejectionDoesNotClearSuspicion(t *testing.T) {
+	for _, test := range []struct {
+		status  int
+		outcome string
+		want    crashguard.Result
+	}{
+		{503, "not-run", crashguard.ResultOther},
+		{500, "", crashguard.ResultResponded},
+		{200, "", crashguard.ResultResponded},
+	} {
+		server := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+			if test.outcome != "" {
+				w.Header().Set("Balsamhill-Outcome", test.outcome)
+			}
+			w.WriteHeader(test.status)
+		})
+		guard := &fakeGuard{}
+		p := newTestProxy(t, testConfig{configure: func(config *proxy.Config) { config.CrashGuard = guard }}, server)
+		do(t, newClient(t, false), newRequest(t, "POST", p.url+"/x", strings.NewReader("b")))
+		assert.Equal(t, guard.results[0], test.want, "status %d", test.status)
+	}
+}
+
 // TestClaimedCallContinuesAfterCallerDisconnects guards against losing the response of
 // a run: a caller that disconnects and resends must get it, so a claimed call continues
 // without its caller.
