Hold a request that still crashes servers back for longer

What callers saw: a request that crashes servers is held back for a minute, then crashes three more servers, and so on.

Cause: a block ended without a trace, so that the count began at zero.

Change: a request is remembered for an hour after its block. Meanwhile one attempt at a time is sent; if it crashes a server too, the request is held back at once and for four times as long, and the other gateways hear of it. A response ends all that. The first block takes 30 to 60 s, different at each gateway, so that one of them tries the request first.

Related path: pkg/gateway (balsamhilld serve) forgot its blocks too; it now remembers them for two hours.

--- a/pkg/crashguard/guard.go
+++ b/pkg/crashguard/guard.go
@@ -1,13 +1,14 @@
 package crashguard
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
 const (
-	// DefaultBlockDuration is the default of Limits.BlockDuration.
+	// DefaultBlockDuration is the default of Limits.BlockDuration and SuspicionDuration.
 	DefaultBlockDuration = 10 * time.Minute
 	// DefaultBlockThreshold is the default of Limits.Servers.
 	DefaultBlockThreshold = 2
@@ -17,6 +18,11 @@
 	MaxSuspectedFingerprints = 1 << 14
 	// MaxQueuedSuspicions limits the queue of suspicions that Outgoing returns.
 	MaxQueuedSuspicions = 1 << 14
+	// maxServers limits the servers that are kept for a fingerprint, to recognize a crash
+	// that is reported twice.
+	maxServers = 32
+	// blockGrowth is the factor by which each further block is longer.
+	blockGrowth = 4
 )
 
 // Suspicion records that the connection to a server was lost while a request with
@@ -33,9 +39,15 @@
 
 // suspectedRequest is the state of one suspected fingerprint.
 type suspectedRequest struct {
-	// servers lists the servers that were lost, at most Limits.Servers.
+	// servers lists the servers that were lost, at most maxServers.
 	servers []Server
-	// expiresAt is when the suspicion or the block expires.
+	// crashes counts the crashes that count for a block.
+	crashes int
+	// blockedAt and blockedUntil are the times of the last block, and blockDuration is its
+	// length, 0 before the first one.
+	blockedAt, blockedUntil int64
+	blockDuration           time.Duration
+	// expiresAt is when the suspicion is forgotten.
 	expiresAt int64
 	// attemptInFlight is set while an attempt that was admitted after the suspicion
 	// is in flight; other attempts are Busy meanwhile. An attempt from before the
@@ -43,8 +55,32 @@
 	attemptInFlight bool
 }
 
-func (g *Guard) blocked(s *suspectedRequest) bool {
-	return len(s.servers) >= g.limits.Servers
+func (s *suspectedRequest) blocked(now int64) bool {
+	return now < s.blockedUntil
+}
+
+// block begins the first block, or a longer one after a further crash.
+func (s *suspectedRequest) block(now int64, limits Limits) {
+	if s.blockDuration == 0 {
+		s.blockDuration = limits.BlockDuration
+	} else {
+		s.blockDuration = min(blockGrowth*s.blockDuration, max(limits.Memory, limits.BlockDuration))
+	}
+	s.blockedAt, s.blockedUntil = now, now+int64(s.blockDuration)
+	s.expiresAt = s.blockedUntil + int64(limits.Memory)
+}
+
+// beganBeforeBlock reports whether a crash that is recorded now belongs to an attempt from
+// before the block. A later one belongs to an attempt of a gateway whose block ended earlier.
+func (s *suspectedRequest) beganBeforeBlock(now int64) bool {
+	return s.blocked(now) && now-s.blockedAt < int64(s.blockDuration/4)
+}
+
+// add adds a server that was lost.
+func (s *suspectedRequest) add(server Server) {
+	s.servers = append(s.servers, server)
+	s.servers = slices.Delete(s.servers, 0, max(0, len(s.servers)-maxServers))
+	s.crashes++
 }
 
 // Limits configure when and for how long a fingerprint is blocked.
@@ -52,9 +88,15 @@
 	// Servers is the number of crashes, of different servers or of one that started
 	// again, after which a fingerprint is blocked.
 	Servers int
-	// BlockDuration is how long a fingerprint stays blocked, and how long a suspicion
-	// below the threshold is kept.
+	// SuspicionDuration is how long a suspicion below the threshold is kept.
+	SuspicionDuration time.Duration
+	// BlockDuration is how long a fingerprint stays blocked for the first time. Gateways with
+	// different values try the request again one after the other.
 	BlockDuration time.Duration
+	// Memory is how long a fingerprint is remembered after its block. Meanwhile, one attempt
+	// at a time is admitted; one that crashes a server too blocks the fingerprint at once, for
+	// blockGrowth times as long as before, at most for Memory.
+	Memory time.Duration
 }
 
 // Guard holds the suspicions of one gateway. It is safe for concurrent use. While
@@ -66,8 +108,8 @@
 //
 //	min(n*G, n + floor(d/s))
 //
-// servers: every send that starts more than d after the n-th crash finds the
-// fingerprint blocked, and a gateway that received no suspicion from its peers
+// servers until the block ends: every send that starts more than d after the n-th
+// crash finds the fingerprint blocked, and a gateway that received no suspicion from its peers
 // blocks it after n crashes of its own. With d = 0 the bound is n.
 //
 // Concurrent sends add one server for each send that is in flight when the n-th
@@ -89,7 +131,9 @@
 
 // New returns a guard with the default limits and no suspicions.
 func New() *Guard {
-	return NewWithLimits(Limits{Servers: DefaultBlockThreshold, BlockDuration: DefaultBlockDuration})
+	return NewWithLimits(Limits{
+		Servers: DefaultBlockThreshold, SuspicionDuration: DefaultBlockDuration, BlockDuration: DefaultBlockDuration,
+	})
 }
 
 // NewWithLimits returns a guard with the given limits and no suspicions.
@@ -110,7 +154,7 @@
 	switch {
 	case s == nil:
 		return Allowed
-	case g.blocked(s):
+	case s.blocked(now):
 		return Blocked
 	case s.attemptInFlight:
 		return Busy
@@ -136,7 +180,7 @@
 		// A response that arrives while the fingerprint is blocked belongs to an
 		// attempt admitted before the block. The block stays, because it rests on the
 		// crashes of several servers.
-		if s != nil && !g.blocked(s) {
+		if s != nil && !s.blocked(now) {
 			g.remove(fingerprint)
 		}
 	case ResultConnectionLost:
@@ -189,7 +233,7 @@
 			continue
 		}
 		status.Suspected++
-		if g.blocked(s) {
+		if s.blocked(now) {
 			status.Blocked++
 		}
 	}
@@ -220,18 +264,20 @@
 		g.suspects[fingerprint] = s
 		g.suspected.Add(1)
 	}
-	if g.blocked(s) {
+	if s.beganBeforeBlock(now) {
 		return false
 	}
+	s.expiresAt = max(s.expiresAt, now+int64(g.limits.SuspicionDuration))
 	for i, known := range s.servers {
 		if known.sameRun(server) {
 			s.servers[i].Incarnation = max(known.Incarnation, server.Incarnation)
-			s.expiresAt = now + int64(g.limits.BlockDuration)
 			return false
 		}
 	}
-	s.servers = append(s.servers, server)
-	s.expiresAt = now + int64(g.limits.BlockDuration)
+	s.add(server)
+	if s.crashes >= g.limits.Servers {
+		s.block(now, g.limits)
+	}
 	return true
 }
 
@@ -251,8 +297,8 @@
 			g.remove(fingerprint)
 			return
 		}
-		if !found || (!victimUnblocked && !g.blocked(s)) {
-			victim, found, victimUnblocked = fingerprint, true, !g.blocked(s)
+		if !found || (!victimUnblocked && !s.blocked(now)) {
+			victim, found, victimUnblocked = fingerprint, true, !s.blocked(now)
 		}
 		scanned++
 		if scanned >= maxScanned {
--- a/pkg/crashguard/guard_test.go
+++ b/pkg/crashguard/guard_test.go
@@ -188,7 +188,7 @@
 // TestCrashesOfRestartedServerCount guards against a request that crashes the same few servers
 // again and again, because a server that has started again under its ID counts as the same one.
 func TestCrashesOfRestartedServerCount(t *testing.T) {
-	g := NewWithLimits(Limits{Servers: 3, BlockDuration: time.Minute})
+	g := NewWithLimits(Limits{Servers: 3, SuspicionDuration: time.Minute, BlockDuration: time.Minute})
 	now := int64(time.Second)
 	g.Done(now, 1, ResultConnectionLost, Server{ID: "a", Incarnation: 1})
 	g.Done(now, 1, ResultConnectionLost, Server{ID: "b", Incarnation: 1})
@@ -210,3 +210,48 @@
 	g.Done(now, 1, ResultConnectionLost, Server{ID: "a", Incarnation: 5})
 	assert.Equal(t, g.Admit(now, 1), Blocked)
 }
+
+// TestRequestThatStillCrashesIsHeldBackLonger guards against a request that crashes as many
+// servers as before each time that its block ends.
+func TestRequestThatStillCrashesIsHeldBackLonger(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{now: 1, crashed: make(map[string]bool)}
+		f.delay = rapid.IntRange(0, int(500*time.Millisecond)).Draw(t, "delay")
+		for range rapid.IntRange(1, 6).Draw(t, "gateways") {
+			duration := time.Duration(rapid.IntRange(30, 60).Draw(t, "seconds")) * time.Second
+			f.guards = append(f.guards, NewWithLimits(Limits{Servers: 3, SuspicionDuration: time.Minute, BlockDuration: duration, Memory: time.Hour}))
+		}
+		send := func(until, interval time.Duration) (crashes int) {
+			before := len(f.crashed)
+			for f.now < int(until) {
+				f.deliver()
+				gateway := rapid.IntRange(0, len(f.guards)-1).Draw(t, "gateway")
+				if f.guards[gateway].Admit(int64(f.now), 1) == Allowed {
+					f.crash(t, gateway)
+				}
+				f.now += int(interval)
+			}
+			return len(f.crashed) - before
+		}
+		assert.Equal(t, send(20*time.Second, time.Second), 3)
+		late := send(10*time.Minute, 5*time.Second)
+		assert.Assert(t, late >= 1 && late <= 3, "%d servers crashed later", late)
+	})
+}
+
+// TestResponseAfterBlockEndsSuspicion guards against a request that is held back again for a
+// single crash, although a server has responded to it since its block ended.
+func TestResponseAfterBlockEndsSuspicion(t *testing.T) {
+	g := NewWithLimits(Limits{Servers: 2, SuspicionDuration: time.Minute, BlockDuration: time.Minute, Memory: time.Hour})
+	now := int64(time.Second)
+	g.Done(now, 1, ResultConnectionLost, Server{ID: "a"})
+	g.Done(now, 1, ResultConnectionLost, Server{ID: "b"})
+	assert.Equal(t, g.Admit(now+int64(time.Minute)-1, 1), Blocked)
+	now += int64(time.Minute)
+	assert.Equal(t, g.Admit(now, 1), Allowed)
+	assert.Equal(t, g.Admit(now, 1), Busy)
+	g.Done(now, 1, ResultResponded, Server{ID: "c"})
+	assert.Equal(t, g.Expire(now).Suspected, 0)
+	g.Done(now, 1, ResultConnectionLost, Server{ID: "c"})
+	assert.Equal(t, g.Admit(now, 1), Allowed)
+}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -50,8 +50,14 @@
 	// connections must break while they run a request before that request is refused.
 	// Connections also break for other reasons, but rarely three times for the same request.
 	crashedServersToBlock = 3
-	// crashBlockDuration is how long a request that crashes servers is refused.
-	crashBlockDuration = time.Minute
+	// crashSuspicion is how long a crash of a server counts against a request.
+	crashSuspicion = time.Minute
+	// minCrashBlock and maxCrashBlock bound how long a request that crashes servers is
+	// refused before it is tried again; see crashLimits. crashMemory is how long it is
+	// remembered after that.
+	minCrashBlock = 30 * time.Second
+	maxCrashBlock = time.Minute
+	crashMemory   = time.Hour
 	// maxHeaderBytes exceeds the limit of any configuration.
 	maxHeaderBytes = 64 << 10
 )
@@ -196,7 +202,7 @@
 	for index, table := range feed.Tables() {
 		e.watchers = append(e.watchers, newWatcher(e, table, index))
 	}
-	e.guard = crashguard.NewWithLimits(crashguard.Limits{Servers: crashedServersToBlock, BlockDuration: crashBlockDuration})
+	e.guard = crashguard.NewWithLimits(crashLimits(s.ID))
 	e.proxy = proxy.New(proxy.Config{
 		CrashGuard:          e.guard,
 		Protocol:            codec.Protocol(),
@@ -252,6 +258,15 @@
 	return eris.Wrap(err, "open gossip socket")
 }
 
+// crashLimits returns the limits of the crash guard. The blocks of the gateways have different
+// lengths, so that they do not all try a request again at the same moment.
+func crashLimits(gatewayID string) crashguard.Limits {
+	spread := time.Duration(gossip.KeyOf(gatewayID) % uint64(maxCrashBlock-minCrashBlock))
+	return crashguard.Limits{
+		Servers: crashedServersToBlock, SuspicionDuration: crashSuspicion, BlockDuration: minCrashBlock + spread, Memory: crashMemory,
+	}
+}
+
 // now returns nanoseconds since the start on the monotonic clock. It starts at 1 s
 // because a time of 0 means "never" in the packages that this one calls.
 func (e *Edge) now() int64 {
--- a/pkg/gateway/crashguard.go
+++ b/pkg/gateway/crashguard.go
@@ -33,6 +33,14 @@
 	return true
 }
 
+// crashMemory is how long a request that crashes servers is remembered after it was held back.
+const crashMemory = 2 * time.Hour
+
+var crashLimits = crashguard.Limits{
+	Servers: crashguard.DefaultBlockThreshold, SuspicionDuration: crashguard.DefaultBlockDuration,
+	BlockDuration: crashguard.DefaultBlockDuration, Memory: crashMemory,
+}
+
 // crashGuard sends new suspicions to the peers as soon as an attempt has ended.
 type crashGuard struct {
 	*crashguard.Guard
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -110,7 +110,7 @@
 		return nil, err
 	}
 	g.claims = g.newClaims()
-	g.guard = crashGuard{Guard: crashguard.New(), peers: g.peers}
+	g.guard = crashGuard{Guard: crashguard.NewWithLimits(crashLimits), peers: g.peers}
 	g.setPeerHooks()
 	g.proxy = proxy.New(proxy.Config{
 		Routes:         routeTable(s),
