Do not hold back a popular request when several servers fail together

What callers saw: all servers of a failure domain crash at once; a request that many callers send is refused for a minute by all gateways of the region, although the servers of the other domains work.

Cause: the crash guard counted each server that was lost while the request was in flight. Several attempts that are in flight at the same moment are lost for one reason, which need not be the request. Besides, a response of a server to such an attempt did not end the block, and the other gateways did not hear of it.

Change: what counts is the largest number of losses of which each was sent after the one before was lost, whatever the order in which gateways hear of them. The notices carry the times; those of older builds count one each. A response ends a suspicion and a block, at all gateways: a request that crashes each server that runs it gets none. Suspicions that are new to a gateway are logged.

Tests that changed: calls have the new arguments; TestBlockExpires expects the times of the suspicion.

--- a/pkg/crashguard/guard.go
+++ b/pkg/crashguard/guard.go
@@ -1,6 +1,7 @@
 package crashguard
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -18,18 +19,23 @@
 	MaxSuspectedFingerprints = 1 << 14
 	// MaxQueuedSuspicions limits the queue of suspicions that Outgoing returns.
 	MaxQueuedSuspicions = 1 << 14
-	// maxServers limits the servers that are kept for a fingerprint, to recognize a crash
-	// that is reported twice.
-	maxServers = 32
+	// maxLosses limits the losses that are kept for a fingerprint.
+	maxLosses = 32
 	// blockGrowth is the factor by which each further block is longer.
 	blockGrowth = 4
 )
 
 // Suspicion records that the connection to a server was lost while a request with
-// the fingerprint was in flight.
+// the fingerprint was in flight, or, if Cleared is set, that a server has responded to
+// such a request.
 type Suspicion struct {
 	Fingerprint Fingerprint
-	Server      Server
+	// Server is not set if Cleared is.
+	Server  Server
+	Cleared bool
+	// SentAt and LostAt are the times at which the attempt was sent and lost, 0 if they are
+	// unknown.
+	SentAt, LostAt int64
 	// From is the peer that reported the suspicion, empty if this gateway lost the
 	// connection itself. A gateway sends its own suspicions to all peers. Those of
 	// peers need relaying only if some gateways have no session with each other, and
@@ -39,10 +45,8 @@
 
 // suspectedRequest is the state of one suspected fingerprint.
 type suspectedRequest struct {
-	// servers lists the servers that were lost, at most maxServers.
-	servers []Server
-	// crashes counts the crashes that count for a block.
-	crashes int
+	// losses lists the servers that were lost, at most maxLosses, by the time of the loss.
+	losses []loss
 	// blockedAt and blockedUntil are the times of the last block, and blockDuration is its
 	// length, 0 before the first one.
 	blockedAt, blockedUntil int64
@@ -76,11 +80,35 @@
 	return s.blocked(now) && now-s.blockedAt < int64(s.blockDuration/4)
 }
 
-// add adds a server that was lost.
-func (s *suspectedRequest) add(server Server) {
-	s.servers = append(s.servers, server)
-	s.servers = slices.Delete(s.servers, 0, max(0, len(s.servers)-maxServers))
-	s.crashes++
+// loss is a server that was lost while an attempt was in flight there.
+type loss struct {
+	server         Server
+	sentAt, lostAt int64
+}
+
+// add adds the loss of a server. Suspicions arrive in any order.
+func (s *suspectedRequest) add(suspicion Suspicion) {
+	added := loss{server: suspicion.Server, sentAt: suspicion.SentAt, lostAt: suspicion.LostAt}
+	if added.sentAt == 0 {
+		added.sentAt = added.lostAt
+	}
+	i, _ := slices.BinarySearchFunc(s.losses, added, func(a, b loss) int { return cmp.Compare(a.lostAt, b.lostAt) })
+	s.losses = slices.Insert(s.losses, i, added)
+	s.losses = slices.Delete(s.losses, 0, max(0, len(s.losses)-maxLosses))
+}
+
+// crashes returns the number of losses that count for a block: the largest number of them of
+// which each was sent after the one before was lost. If several attempts are in flight when
+// several servers fail together, all are lost for one reason that need not be the request.
+func (s *suspectedRequest) crashes() int {
+	count, lastLostAt := 0, int64(0)
+	for _, l := range s.losses {
+		if count == 0 || l.sentAt >= lastLostAt {
+			count++
+			lastLostAt = l.lostAt
+		}
+	}
+	return count
 }
 
 // Limits configure when and for how long a fingerprint is blocked.
@@ -113,11 +141,11 @@
 // blocks it after n crashes of its own. With d = 0 the bound is n.
 //
 // Concurrent sends add one server for each send that is in flight when the n-th
-// suspicion arrives at its gateway. Between the first and the n-th suspicion a
-// gateway admits one send at a time, with one exception: Done does not identify the
-// attempt that it ends. When an attempt that was admitted before the first suspicion
-// ends, the guard admits another send although one is in flight, so that each such
-// attempt can add one send.
+// suspicion arrives at its gateway, or at one of the crashes before. Between the first
+// and the n-th suspicion a gateway admits one send at a time, with one exception: Done
+// does not identify the attempt that it ends. When an attempt that was admitted before
+// the first suspicion ends, the guard admits another send although one is in flight, so
+// that each such attempt can add one send.
 type Guard struct {
 	limits Limits
 	// suspected is len(suspects), readable without the lock.
@@ -164,41 +192,48 @@
 	}
 }
 
-// Done records the result of an admitted attempt.
-func (g *Guard) Done(now int64, fingerprint Fingerprint, result Result, server Server) {
+// Done records the result of an admitted attempt. A response ends the suspicion, and a
+// block too: an attempt from before the block shows that the request does not crash each
+// server that runs it.
+func (g *Guard) Done(now int64, attempt Attempt, result Result) {
 	if result != ResultConnectionLost && g.suspected.Load() == 0 {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s := g.unexpired(now, fingerprint)
+	s := g.unexpired(now, attempt.Fingerprint)
 	if s != nil {
 		s.attemptInFlight = false
 	}
 	switch result {
 	case ResultResponded:
-		// A response that arrives while the fingerprint is blocked belongs to an
-		// attempt admitted before the block. The block stays, because it rests on the
-		// crashes of several servers.
-		if s != nil && !s.blocked(now) {
-			g.remove(fingerprint)
-		}
+		g.apply(now, Suspicion{Fingerprint: attempt.Fingerprint, Cleared: true})
 	case ResultConnectionLost:
-		if g.addSuspicion(now, fingerprint, server) {
-			g.enqueue(Suspicion{Fingerprint: fingerprint, Server: server})
-		}
+		g.apply(now, Suspicion{Fingerprint: attempt.Fingerprint, Server: attempt.Server, SentAt: attempt.SentAt, LostAt: now})
 	case ResultOther:
 	}
 }
 
-// AddPeerSuspicion adds a suspicion that a peer reported. A new suspicion is queued
-// once with From set, so that the caller of Outgoing may relay it; a known one is not,
-// so that suspicions do not circulate.
-func (g *Guard) AddPeerSuspicion(now int64, fingerprint Fingerprint, server Server, fromPeer string) {
+// AddPeerSuspicion applies a suspicion that a peer, named by From, reported. If it is new,
+// it is queued once, so that the caller of Outgoing may relay it; a known one is not, so
+// that suspicions do not circulate.
+func (g *Guard) AddPeerSuspicion(now int64, suspicion Suspicion) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.addSuspicion(now, fingerprint, server) {
-		g.enqueue(Suspicion{Fingerprint: fingerprint, Server: server, From: fromPeer})
+	g.apply(now, suspicion)
+}
+
+// apply applies a suspicion and queues it if it is new.
+func (g *Guard) apply(now int64, suspicion Suspicion) {
+	var changed bool
+	if suspicion.Cleared {
+		changed = g.unexpired(now, suspicion.Fingerprint) != nil
+		g.remove(suspicion.Fingerprint)
+	} else {
+		changed = g.addSuspicion(now, suspicion)
+	}
+	if changed {
+		g.enqueue(suspicion)
 	}
 }
 
@@ -256,26 +291,27 @@
 
 // addSuspicion adds a suspicion and reports whether it is new. A repeated one only
 // extends the time that it is kept.
-func (g *Guard) addSuspicion(now int64, fingerprint Fingerprint, server Server) bool {
-	s := g.unexpired(now, fingerprint)
+func (g *Guard) addSuspicion(now int64, lost Suspicion) bool {
+	s := g.unexpired(now, lost.Fingerprint)
 	if s == nil {
 		g.evictIfFull(now)
 		s = &suspectedRequest{}
-		g.suspects[fingerprint] = s
+		g.suspects[lost.Fingerprint] = s
 		g.suspected.Add(1)
 	}
 	if s.beganBeforeBlock(now) {
 		return false
 	}
 	s.expiresAt = max(s.expiresAt, now+int64(g.limits.SuspicionDuration))
-	for i, known := range s.servers {
-		if known.sameRun(server) {
-			s.servers[i].Incarnation = max(known.Incarnation, server.Incarnation)
+	for i, known := range s.losses {
+		if known.server.sameRun(lost.Server) {
+			s.losses[i].server.Incarnation = max(known.server.Incarnation, lost.Server.Incarnation)
 			return false
 		}
 	}
-	s.add(server)
-	if s.crashes >= g.limits.Servers {
+	before := s.crashes()
+	s.add(lost)
+	if crashes := s.crashes(); crashes > before && crashes >= g.limits.Servers {
 		s.block(now, g.limits)
 	}
 	return true
--- a/pkg/crashguard/guard_test.go
+++ b/pkg/crashguard/guard_test.go
@@ -16,14 +16,14 @@
 	g := New()
 	now := int64(time.Second)
 	assert.Equal(t, g.Admit(now, 1), Allowed)
-	g.Done(now, 1, ResultConnectionLost, Server{ID: "a"})
-	g.AddPeerSuspicion(now, 1, Server{ID: "a"}, "peer")
+	g.Done(now, Attempt{Fingerprint: 1, SentAt: now, Server: Server{ID: "a"}}, ResultConnectionLost)
+	g.AddPeerSuspicion(now, Suspicion{Fingerprint: 1, Server: Server{ID: "a"}, From: "peer"})
 	assert.Equal(t, g.Admit(now, 1), Allowed)
 	assert.Equal(t, g.Admit(now, 1), Busy)
 	assert.Equal(t, g.Admit(now, 2), Allowed)
-	g.Done(now, 1, ResultOther, Server{ID: "b"})
+	g.Done(now, Attempt{Fingerprint: 1, SentAt: now, Server: Server{ID: "b"}}, ResultOther)
 	assert.Equal(t, g.Admit(now, 1), Allowed)
-	g.Done(now, 1, ResultResponded, Server{ID: "b"})
+	g.Done(now, Attempt{Fingerprint: 1, SentAt: now, Server: Server{ID: "b"}}, ResultResponded)
 	assert.Equal(t, g.Admit(now, 1), Allowed)
 	assert.Equal(t, g.Admit(now, 1), Allowed)
 	assert.Equal(t, g.suspected.Load(), int64(0))
@@ -33,14 +33,14 @@
 func TestBlockExpires(t *testing.T) {
 	g := New()
 	now := int64(time.Second)
-	g.Done(now, 1, ResultConnectionLost, Server{ID: "a"})
-	g.AddPeerSuspicion(now, 1, Server{ID: "b"}, "peer")
+	g.Done(now, Attempt{Fingerprint: 1, SentAt: now, Server: Server{ID: "a"}}, ResultConnectionLost)
+	g.AddPeerSuspicion(now, Suspicion{Fingerprint: 1, Server: Server{ID: "b"}, From: "peer"})
 	assert.Equal(t, g.Admit(now, 1), Blocked)
 	assert.Equal(t, g.Admit(now+int64(DefaultBlockDuration)-1, 1), Blocked)
 	assert.Equal(t, g.Admit(now+int64(DefaultBlockDuration), 1), Allowed)
 	assert.Equal(t, g.Expire(now+int64(DefaultBlockDuration)).Suspected, 0)
 	assert.DeepEqual(t, g.Outgoing(), []Suspicion{
-		{Fingerprint: 1, Server: Server{ID: "a"}}, {Fingerprint: 1, Server: Server{ID: "b"}, From: "peer"},
+		{Fingerprint: 1, Server: Server{ID: "a"}, SentAt: now, LostAt: now}, {Fingerprint: 1, Server: Server{ID: "b"}, From: "peer"},
 	})
 }
 
@@ -50,10 +50,10 @@
 func TestMemoryIsBounded(t *testing.T) {
 	g := New()
 	now := int64(time.Second)
-	g.Done(now, 0, ResultConnectionLost, Server{ID: "a"})
-	g.Done(now, 0, ResultConnectionLost, Server{ID: "b"})
+	g.Done(now, Attempt{Fingerprint: 0, SentAt: now, Server: Server{ID: "a"}}, ResultConnectionLost)
+	g.Done(now, Attempt{Fingerprint: 0, SentAt: now, Server: Server{ID: "b"}}, ResultConnectionLost)
 	for i := range 2 * MaxSuspectedFingerprints {
-		g.Done(now, Fingerprint(i+1), ResultConnectionLost, Server{ID: "a"})
+		g.Done(now, Attempt{Fingerprint: Fingerprint(i + 1), SentAt: now, Server: Server{ID: "a"}}, ResultConnectionLost)
 	}
 	assert.Equal(t, len(g.suspects), MaxSuspectedFingerprints)
 	assert.Equal(t, g.suspected.Load(), int64(MaxSuspectedFingerprints))
@@ -92,7 +92,8 @@
 			rest = append(rest, m)
 			continue
 		}
-		f.guards[m.recipient].AddPeerSuspicion(int64(f.now), m.Fingerprint, m.Server, "peer")
+		m.From = "peer"
+		f.guards[m.recipient].AddPeerSuspicion(int64(f.now), m.Suspicion)
 	}
 	f.pending = rest
 }
@@ -100,7 +101,7 @@
 func (f *fleet) crash(t *rapid.T, gateway int) {
 	server := fmt.Sprint("server-", len(f.crashed))
 	f.crashed[server] = true
-	f.guards[gateway].Done(int64(f.now), 1, ResultConnectionLost, Server{ID: server})
+	f.guards[gateway].Done(int64(f.now), Attempt{Fingerprint: 1, SentAt: int64(f.now), Server: Server{ID: server}}, ResultConnectionLost)
 	for _, s := range f.guards[gateway].Outgoing() {
 		if s.From != "" {
 			continue
@@ -180,7 +181,7 @@
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
 			g.Admit(1, 1)
-			g.Done(1, 1, ResultResponded, Server{ID: "a"})
+			g.Done(1, Attempt{Fingerprint: 1, SentAt: 1, Server: Server{ID: "a"}}, ResultResponded)
 		}
 	})
 }
@@ -190,11 +191,11 @@
 func TestCrashesOfRestartedServerCount(t *testing.T) {
 	g := NewWithLimits(Limits{Servers: 3, SuspicionDuration: time.Minute, BlockDuration: time.Minute})
 	now := int64(time.Second)
-	g.Done(now, 1, ResultConnectionLost, Server{ID: "a", Incarnation: 1})
-	g.Done(now, 1, ResultConnectionLost, Server{ID: "b", Incarnation: 1})
-	g.Done(now, 1, ResultConnectionLost, Server{ID: "a", Incarnation: 1})
+	g.Done(now, Attempt{Fingerprint: 1, SentAt: now, Server: Server{ID: "a", Incarnation: 1}}, ResultConnectionLost)
+	g.Done(now, Attempt{Fingerprint: 1, SentAt: now, Server: Server{ID: "b", Incarnation: 1}}, ResultConnectionLost)
+	g.Done(now, Attempt{Fingerprint: 1, SentAt: now, Server: Server{ID: "a", Incarnation: 1}}, ResultConnectionLost)
 	assert.Equal(t, g.Admit(now, 1), Allowed)
-	g.AddPeerSuspicion(now, 1, Server{ID: "a", Incarnation: 2}, "peer")
+	g.AddPeerSuspicion(now, Suspicion{Fingerprint: 1, Server: Server{ID: "a", Incarnation: 2}, From: "peer"})
 	assert.Equal(t, g.Admit(now, 1), Blocked)
 }
 
@@ -203,11 +204,11 @@
 func TestUnknownIncarnationCountsOnce(t *testing.T) {
 	g := New()
 	now := int64(time.Second)
-	g.AddPeerSuspicion(now, 1, Server{ID: "a"}, "peer")
-	g.Done(now, 1, ResultConnectionLost, Server{ID: "a", Incarnation: 4})
-	g.AddPeerSuspicion(now, 1, Server{ID: "a"}, "peer")
+	g.AddPeerSuspicion(now, Suspicion{Fingerprint: 1, Server: Server{ID: "a"}, From: "peer"})
+	g.Done(now, Attempt{Fingerprint: 1, SentAt: now, Server: Server{ID: "a", Incarnation: 4}}, ResultConnectionLost)
+	g.AddPeerSuspicion(now, Suspicion{Fingerprint: 1, Server: Server{ID: "a"}, From: "peer"})
 	assert.Equal(t, g.Admit(now, 1), Allowed)
-	g.Done(now, 1, ResultConnectionLost, Server{ID: "a", Incarnation: 5})
+	g.Done(now, Attempt{Fingerprint: 1, SentAt: now, Server: Server{ID: "a", Incarnation: 5}}, ResultConnectionLost)
 	assert.Equal(t, g.Admit(now, 1), Blocked)
 }
 
@@ -244,14 +245,84 @@
 func TestResponseAfterBlockEndsSuspicion(t *testing.T) {
 	g := NewWithLimits(Limits{Servers: 2, SuspicionDuration: time.Minute, BlockDuration: time.Minute, Memory: time.Hour})
 	now := int64(time.Second)
-	g.Done(now, 1, ResultConnectionLost, Server{ID: "a"})
-	g.Done(now, 1, ResultConnectionLost, Server{ID: "b"})
+	g.Done(now, Attempt{Fingerprint: 1, SentAt: now, Server: Server{ID: "a"}}, ResultConnectionLost)
+	g.Done(now, Attempt{Fingerprint: 1, SentAt: now, Server: Server{ID: "b"}}, ResultConnectionLost)
 	assert.Equal(t, g.Admit(now+int64(time.Minute)-1, 1), Blocked)
 	now += int64(time.Minute)
 	assert.Equal(t, g.Admit(now, 1), Allowed)
 	assert.Equal(t, g.Admit(now, 1), Busy)
-	g.Done(now, 1, ResultResponded, Server{ID: "c"})
+	g.Done(now, Attempt{Fingerprint: 1, SentAt: now, Server: Server{ID: "c"}}, ResultResponded)
 	assert.Equal(t, g.Expire(now).Suspected, 0)
-	g.Done(now, 1, ResultConnectionLost, Server{ID: "c"})
+	g.Done(now, Attempt{Fingerprint: 1, SentAt: now, Server: Server{ID: "c"}}, ResultConnectionLost)
 	assert.Equal(t, g.Admit(now, 1), Allowed)
 }
+
+// TestSimultaneousLossesCountAsOneCrash guards against a request that is blocked because
+// several attempts of it were in flight when several servers failed together.
+func TestSimultaneousLossesCountAsOneCrash(t *testing.T) {
+	limits := Limits{Servers: 3, SuspicionDuration: time.Minute, BlockDuration: time.Minute}
+	g := NewWithLimits(limits)
+	sent, now := int64(time.Second), int64(1200*time.Millisecond)
+	for _, id := range []string{"a", "b", "c"} {
+		now += int64(10 * time.Millisecond)
+		g.Done(now, Attempt{Fingerprint: 1, SentAt: sent, Server: Server{ID: id}}, ResultConnectionLost)
+	}
+	peers := NewWithLimits(limits)
+	for _, suspicion := range g.Outgoing() {
+		peers.AddPeerSuspicion(now, suspicion)
+	}
+	for _, guard := range []*Guard{g, peers} {
+		assert.Equal(t, guard.Admit(now, 1), Allowed)
+		assert.Equal(t, guard.Admit(now, 1), Busy)
+		guard.Done(now, Attempt{Fingerprint: 1, SentAt: now, Server: Server{ID: "d"}}, ResultConnectionLost)
+		assert.Equal(t, guard.Admit(now, 1), Allowed)
+		guard.Done(now, Attempt{Fingerprint: 1, SentAt: now, Server: Server{ID: "e"}}, ResultConnectionLost)
+		assert.Equal(t, guard.Admit(now, 1), Blocked)
+	}
+}
+
+// TestLossesInTurnCount guards against a request that crashes one server after the other by
+// way of gateways that have not heard of the earlier crashes, or hear of them in another order.
+func TestLossesInTurnCount(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithLimits(Limits{Servers: 3, SuspicionDuration: time.Minute, BlockDuration: time.Minute})
+		now := int64(time.Second)
+		var suspicions []Suspicion
+		for _, id := range []string{"a", "b", "c"} {
+			sent := now
+			now += rapid.Int64Range(1, int64(time.Second)).Draw(t, "took")
+			suspicions = append(suspicions, Suspicion{Fingerprint: 1, Server: Server{ID: id}, SentAt: sent, LostAt: now, From: "peer"})
+		}
+		for _, suspicion := range rapid.Permutation(suspicions).Draw(t, "order") {
+			g.AddPeerSuspicion(now, suspicion)
+		}
+		assert.Equal(t, g.Admit(now, 1), Blocked)
+	})
+}
+
+// TestResponseEndsBlockEverywhere guards against a request that stays blocked, at the gateway
+// that has seen a server respond to it or at its peers.
+func TestResponseEndsBlockEverywhere(t *testing.T) {
+	g, peer := New(), New()
+	sent, now := int64(time.Second), int64(2*time.Second)
+	for _, id := range []string{"a", "b"} {
+		g.Done(now, Attempt{Fingerprint: 1, SentAt: now, Server: Server{ID: id}}, ResultConnectionLost)
+	}
+	for _, suspicion := range g.Outgoing() {
+		peer.AddPeerSuspicion(now, suspicion)
+	}
+	assert.Equal(t, g.Admit(now, 1), Blocked)
+	assert.Equal(t, peer.Admit(now, 1), Blocked)
+	g.Done(now, Attempt{Fingerprint: 1, SentAt: sent, Server: Server{ID: "c"}}, ResultResponded)
+	outgoing := g.Outgoing()
+	assert.DeepEqual(t, outgoing, []Suspicion{{Fingerprint: 1, Cleared: true}})
+	_ = peer.Outgoing()
+	for range 2 {
+		peer.AddPeerSuspicion(now, outgoing[0])
+	}
+	assert.Equal(t, len(peer.Outgoing()), 1)
+	for _, guard := range []*Guard{g, peer} {
+		assert.Equal(t, guard.Admit(now, 1), Allowed)
+		assert.Equal(t, guard.Expire(now).Suspected, 0)
+	}
+}
--- a/pkg/crashguard/types.go
+++ b/pkg/crashguard/types.go
@@ -22,6 +22,15 @@
 	return s.ID == other.ID && (s.Incarnation == other.Incarnation || s.Incarnation == 0 || other.Incarnation == 0)
 }
 
+// Attempt is an attempt that has ended.
+type Attempt struct {
+	Fingerprint Fingerprint
+	// SentAt is the time at which it was sent, and Server the server to which; neither is set
+	// if it was not sent.
+	SentAt int64
+	Server Server
+}
+
 // Admission is the decision whether a request may be sent.
 type Admission int
 
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -263,7 +263,8 @@
 func crashLimits(gatewayID string) crashguard.Limits {
 	spread := time.Duration(gossip.KeyOf(gatewayID) % uint64(maxCrashBlock-minCrashBlock))
 	return crashguard.Limits{
-		Servers: crashedServersToBlock, SuspicionDuration: crashSuspicion, BlockDuration: minCrashBlock + spread, Memory: crashMemory,
+		Servers: crashedServersToBlock, SuspicionDuration: crashSuspicion,
+		BlockDuration: minCrashBlock + spread, Memory: crashMemory,
 	}
 }
 
--- a/pkg/edge/sender.go
+++ b/pkg/edge/sender.go
@@ -84,7 +84,7 @@
 	e := s.edge
 	now := e.now()
 	assignment := e.refreshAssignment(now)
-	s.suspicions.record(now, e.guard.Outgoing())
+	s.recordSuspicions(now)
 	s.relayReports(now)
 	s.sendLimits(now, assignment)
 	if e.ready() && !assignment.SendsReports() && !e.isGroupReader(now) {
--- a/pkg/edge/suspicions.go
+++ b/pkg/edge/suspicions.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -30,12 +31,18 @@
 	last   uint64
 }
 
-// record adds suspicions and removes those that are no longer sent.
+// record adds suspicions and removes those that are no longer sent, or whose request a server
+// has responded to.
 func (n *suspicionNotices) record(now int64, suspicions []crashguard.Suspicion) {
 	n.recent = slices.DeleteFunc(n.recent, func(notice suspicionNotice) bool {
 		return now-notice.recordedAt >= int64(suspicionNoticePeriod)
 	})
 	for _, suspicion := range suspicions {
+		if suspicion.Cleared {
+			n.recent = slices.DeleteFunc(n.recent, func(notice suspicionNotice) bool {
+				return notice.suspicion.Fingerprint == suspicion.Fingerprint
+			})
+		}
 		n.last++
 		n.recent = append(n.recent, suspicionNotice{number: n.last, suspicion: suspicion, recordedAt: now})
 	}
@@ -60,7 +67,7 @@
 		at, told := t.toldAt[notice.number]
 		due := !told || now-at >= int64(suspicionRepeatInterval)
 		if due && len(suspicions) < suspicionsPerMessage && (all || notice.suspicion.From == "") {
-			suspicions = append(suspicions, gossipSuspicion(notice.suspicion))
+			suspicions = append(suspicions, gossipSuspicion(now, notice.suspicion))
 			at, told = now, true
 		}
 		if told {
@@ -71,21 +78,60 @@
 	return suspicions
 }
 
-func gossipSuspicion(suspicion crashguard.Suspicion) gossip.Suspicion {
-	return gossip.Suspicion{
-		Fingerprint: uint64(suspicion.Fingerprint), Server: gossip.ServerKey(suspicion.Server.ID),
-		Incarnation: suspicion.Server.Incarnation,
+func gossipSuspicion(now int64, suspicion crashguard.Suspicion) gossip.Suspicion {
+	encoded := gossip.Suspicion{Fingerprint: uint64(suspicion.Fingerprint), Cleared: suspicion.Cleared}
+	if suspicion.Cleared {
+		return encoded
+	}
+	encoded.Server, encoded.Incarnation = gossip.ServerKey(suspicion.Server.ID), suspicion.Server.Incarnation
+	if suspicion.SentAt != 0 {
+		encoded.SentAge, encoded.LostAge = time.Duration(now-suspicion.SentAt), time.Duration(now-suspicion.LostAt)
 	}
+	return encoded
 }
 
 // applySuspicions applies the suspicions of another gateway.
 func (e *Edge) applySuspicions(now int64, indexed *indexedSnapshot, suspicions []gossip.Suspicion) {
 	for _, suspicion := range suspicions {
-		server, ok := indexed.byKey[suspicion.Server]
-		if !ok {
+		applied := crashguard.Suspicion{
+			Fingerprint: crashguard.Fingerprint(suspicion.Fingerprint), Cleared: suspicion.Cleared,
+			LostAt: now - int64(suspicion.LostAge), From: "peer",
+		}
+		if suspicion.SentAge != 0 {
+			applied.SentAt = now - int64(suspicion.SentAge)
+		}
+		if !suspicion.Cleared {
+			server, ok := indexed.byKey[suspicion.Server]
+			if !ok {
+				continue
+			}
+			applied.Server = crashguard.Server{ID: server.ID, Incarnation: suspicion.Incarnation}
+		}
+		e.guard.AddPeerSuspicion(now, applied)
+	}
+}
+
+// recordSuspicions records the suspicions that are new to this gateway.
+func (s *sender) recordSuspicions(now int64) {
+	suspicions := s.edge.guard.Outgoing()
+	s.edge.logSuspicions(suspicions)
+	s.suspicions.record(now, suspicions)
+}
+
+// logSuspicions logs suspicions that are new to this gateway.
+func (e *Edge) logSuspicions(suspicions []crashguard.Suspicion) {
+	for _, suspicion := range suspicions {
+		request := fmt.Sprintf("%016x", uint64(suspicion.Fingerprint))
+		source := "own"
+		if suspicion.From != "" {
+			source = suspicion.From
+		}
+		if suspicion.Cleared {
+			e.log.Info("server has responded to a request that was suspected of crashing servers", "fingerprint", request, "source", source)
 			continue
 		}
-		lost := crashguard.Server{ID: server.ID, Incarnation: suspicion.Incarnation}
-		e.guard.AddPeerSuspicion(now, crashguard.Fingerprint(suspicion.Fingerprint), lost, "peer")
+		e.log.Info("request was in flight when the connection to a server was lost", "fingerprint", request,
+			"server", suspicion.Server.ID, "incarnation", suspicion.Server.Incarnation, "source", source,
+			"took", time.Duration(suspicion.LostAt-suspicion.SentAt).String())
 	}
 }
--- a/pkg/gateway/crashguard.go
+++ b/pkg/gateway/crashguard.go
@@ -48,8 +48,8 @@
 }
 
 // Done implements proxy.CrashGuard.
-func (c crashGuard) Done(now int64, fingerprint crashguard.Fingerprint, result crashguard.Result, server crashguard.Server) {
-	c.Guard.Done(now, fingerprint, result, server)
+func (c crashGuard) Done(now int64, attempt crashguard.Attempt, result crashguard.Result) {
+	c.Guard.Done(now, attempt, result)
 	if result == crashguard.ResultConnectionLost {
 		c.notifyPeers()
 	}
@@ -59,7 +59,7 @@
 // gateways itself.
 func (c crashGuard) notifyPeers() {
 	for _, suspicion := range c.Outgoing() {
-		if suspicion.From == "" && c.peers != nil {
+		if suspicion.From == "" && !suspicion.Cleared && c.peers != nil {
 			c.peers.exchange.AnnounceSuspicion(suspicion.Fingerprint, suspicion.Server)
 		}
 	}
@@ -74,7 +74,8 @@
 	g.peers.hooks = peerHooks{
 		hasAttempt: g.claims.store.HasAttempt,
 		suspicion: func(fingerprint crashguard.Fingerprint, server crashguard.Server, from string) {
-			g.guard.AddPeerSuspicion(g.now(), fingerprint, server, from)
+			now := g.now()
+			g.guard.AddPeerSuspicion(now, crashguard.Suspicion{Fingerprint: fingerprint, Server: server, LostAt: now, From: from})
 		},
 	}
 }
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -47,10 +47,15 @@
 		})
 	}
 	for range rapid.IntRange(0, 2).Draw(t, "suspicions") {
-		m.Suspicions = append(m.Suspicions, Suspicion{
+		suspicion := Suspicion{
 			Fingerprint: rapid.Uint64().Draw(t, "fingerprint"), Server: rapid.Uint32().Draw(t, "server"),
-			Incarnation: rapid.Uint64().Draw(t, "incarnation"),
-		})
+			Incarnation: rapid.Uint64().Draw(t, "incarnation"), Cleared: rapid.Bool().Draw(t, "cleared"),
+		}
+		if !suspicion.Cleared {
+			suspicion.SentAge = time.Duration(rapid.IntRange(0, 1e6).Draw(t, "sent age")) * time.Microsecond
+			suspicion.LostAge = time.Duration(rapid.IntRange(0, 1e6).Draw(t, "lost age")) * time.Microsecond
+		}
+		m.Suspicions = append(m.Suspicions, suspicion)
 	}
 	for range rapid.IntRange(0, 2).Draw(t, "leaving") {
 		m.Leaving = append(m.Leaving, LeavingServer{
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -122,7 +122,7 @@
 }
 
 // Suspicion says that the connection to a server was lost while a request was in
-// flight there.
+// flight there, or, if Cleared is set, that a server has responded to the request.
 type Suspicion struct {
 	// Fingerprint is that of the request; see package crashguard.
 	Fingerprint uint64
@@ -130,6 +130,11 @@
 	Server uint32
 	// Incarnation is that of the server, 0 in messages of older builds.
 	Incarnation uint64
+	// Cleared is that of crashguard.Suspicion.
+	Cleared bool
+	// SentAge and LostAge are the times since the request was sent and the connection was
+	// lost, 0 in messages of older builds.
+	SentAge, LostAge time.Duration
 }
 
 // Field numbers of a message.
@@ -192,6 +197,9 @@
 	suspicionFieldFingerprint protowire.Number = iota + 1
 	suspicionFieldServer
 	suspicionFieldIncarnation
+	suspicionFieldCleared
+	suspicionFieldSentAgeMicros
+	suspicionFieldLostAgeMicros
 )
 
 // Marshal appends the encoded message to buffer.
@@ -250,7 +258,12 @@
 	var encoded []byte
 	encoded = appendFixed64(encoded, suspicionFieldFingerprint, s.Fingerprint)
 	encoded = appendFixed32(encoded, suspicionFieldServer, s.Server)
-	return appendVarint(encoded, suspicionFieldIncarnation, s.Incarnation)
+	encoded = appendVarint(encoded, suspicionFieldIncarnation, s.Incarnation)
+	if s.Cleared {
+		return appendVarint(encoded, suspicionFieldCleared, 1)
+	}
+	encoded = appendVarint(encoded, suspicionFieldSentAgeMicros, microseconds(s.SentAge))
+	return appendVarint(encoded, suspicionFieldLostAgeMicros, microseconds(s.LostAge))
 }
 
 func marshalTableState(s feed.TableState) []byte {
--- a/pkg/gossip/unmarshal.go
+++ b/pkg/gossip/unmarshal.go
@@ -86,6 +86,12 @@
 	for i := range m.Reports {
 		m.Reports[i].Age += d
 	}
+	for i := range m.Suspicions {
+		if suspicion := &m.Suspicions[i]; suspicion.SentAge != 0 {
+			suspicion.SentAge += d
+			suspicion.LostAge += d
+		}
+	}
 	for i := range m.Limits {
 		addLimitAge(&m.Limits[i], d)
 	}
@@ -165,6 +171,12 @@
 			suspicion.Server = uint32(value)
 		case suspicionFieldIncarnation:
 			suspicion.Incarnation = value
+		case suspicionFieldCleared:
+			suspicion.Cleared = value != 0
+		case suspicionFieldSentAgeMicros:
+			suspicion.SentAge = clampAge(value)
+		case suspicionFieldLostAgeMicros:
+			suspicion.LostAge = clampAge(value)
 		}
 		return nil
 	})
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -141,7 +141,10 @@
 		a.server.Stats.End()
 	}
 	if guard != nil {
-		guard.Done(now, c.crashFingerprint, a.guardResult(), crashguard.Server{ID: a.server.ID, Incarnation: a.server.Incarnation})
+		guard.Done(now, crashguard.Attempt{
+			Fingerprint: c.crashFingerprint, SentAt: a.startedAt,
+			Server: crashguard.Server{ID: a.server.ID, Incarnation: a.server.Incarnation},
+		}, a.guardResult())
 	}
 }
 
@@ -166,7 +169,7 @@
 func (c *call) releaseCrashGuard() {
 	guard := c.proxy.config.CrashGuard
 	if guard != nil {
-		guard.Done(c.proxy.config.Now(), c.crashFingerprint, crashguard.ResultOther, crashguard.Server{})
+		guard.Done(c.proxy.config.Now(), crashguard.Attempt{Fingerprint: c.crashFingerprint}, crashguard.ResultOther)
 	}
 }
 
--- a/pkg/proxy/choose_test.go
+++ b/pkg/proxy/choose_test.go
@@ -37,8 +37,8 @@
 	return s.guard.Admit(now, fingerprint)
 }
 
-func (s *slowDependencies) Done(now int64, fingerprint crashguard.Fingerprint, result crashguard.Result, server crashguard.Server) {
-	s.guard.Done(now, fingerprint, result, server)
+func (s *slowDependencies) Done(now int64, attempt crashguard.Attempt, result crashguard.Result) {
+	s.guard.Done(now, attempt, result)
 }
 
 // TestWaitBeforeAttemptIsNotCountedAsUnresponsive guards against a server that is
--- a/pkg/proxy/claims.go
+++ b/pkg/proxy/claims.go
@@ -35,5 +35,5 @@
 	// attempt that was Allowed must be followed by Done.
 	Admit(now int64, fingerprint crashguard.Fingerprint) crashguard.Admission
 	// Done records the result of an admitted attempt.
-	Done(now int64, fingerprint crashguard.Fingerprint, result crashguard.Result, server crashguard.Server)
+	Done(now int64, attempt crashguard.Attempt, result crashguard.Result)
 }
--- a/pkg/proxy/harness_test.go
+++ b/pkg/proxy/harness_test.go
@@ -255,7 +255,7 @@
 	return f.admission
 }
 
-func (f *fakeGuard) Done(_ int64, _ crashguard.Fingerprint, result crashguard.Result, _ crashguard.Server) {
+func (f *fakeGuard) Done(_ int64, _ crashguard.Attempt, result crashguard.Result) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.results = append(f.results, result)
