Take the newest configuration from a copy as of an earlier version

What callers saw: a gateway that starts after the store has returned without the newest configuration keeps the older one for up to two seconds or more, although it hears the others.

Cause: it reads the store as of a later version than its peers have read, and so refuses their answers, which hold the configuration that they have kept. It then avoids these peers for a while and waits for the store.

Change: rows of higher rank are taken from a copy of the same era as of an earlier version, too. The version of the copy stays, and other rows are left out.

--- a/pkg/feed/era_test.go
+++ b/pkg/feed/era_test.go
@@ -192,6 +192,27 @@
 	assert.Equal(t, string(m.rows["config"].Value), "11")
 }
 
+// TestNewestValueOfCopyAsOfEarlierVersionIsTaken guards against a gateway that starts after the
+// return, reads the older configuration from the store as of a later version than its peers
+// hold, and refuses the newest one that they have kept.
+func TestNewestValueOfCopyAsOfEarlierVersionIsTaken(t *testing.T) {
+	peer, starting := rankedMirror(), rankedMirror()
+	peer.Apply(1, configBatch(1, 20, 9))
+	peer.Apply(2, configBatch(2, 12, 5))
+	starting.Apply(3, Batch{Full: true, Era: 2, AsOf: 14, Rows: []Row{{Key: "config", Value: []byte("6"), Version: 13}}})
+	assert.Assert(t, starting.Confirm(4, peer.State(4)))
+	applied := starting.Apply(4, peer.ChangesSince(4, starting.Position()))
+	assert.Assert(t, !applied.Refused && len(applied.Changes) == 1)
+	assert.Equal(t, string(starting.rows["config"].Value), "9")
+	assert.Equal(t, starting.Position(), Position{Era: 2, Version: 14, Rank: 9})
+	assert.Assert(t, starting.Apply(5, peer.FullBatch(5)).Refused)
+
+	later := starting.Apply(6, Batch{Era: 2, AsOf: 15, Rows: []Row{{Key: "config", Value: []byte("11"), Version: 15}}})
+	assert.Equal(t, len(later.Changes), 1)
+	assert.Assert(t, starting.Apply(7, peer.FullBatch(7)).Refused)
+	assert.Equal(t, string(starting.rows["config"].Value), "11")
+}
+
 // TestChangesOfOtherEraAreRefused guards against changes of a new era that are applied to
 // a copy of the last one, which leaves out what was written in between.
 func TestChangesOfOtherEraAreRefused(t *testing.T) {
--- a/pkg/feed/mirror.go
+++ b/pkg/feed/mirror.go
@@ -109,7 +109,8 @@
 	Changes []Row
 	// Kept are the rows of the batch that did not replace a row of higher rank.
 	Kept []Row
-	// Refused says that the batch is older than the copy, or lacks the rows between both.
+	// Refused says that the batch is older than the copy and has no row of higher rank, or
+	// lacks the rows between both.
 	Refused bool
 	// NewEra says that the batch is the first one of a later era than the copy.
 	NewEra bool
@@ -168,12 +169,12 @@
 	return m.confirmedAt
 }
 
-// Apply applies a batch. One that is older than the copy changes nothing. The first
-// batch of a later era must be a whole table, because the changes of an era continue
-// from the older copy from which the store returned.
+// Apply applies a batch. Of one that is older than the copy, only rows of higher rank are
+// taken. The first batch of a later era must be a whole table, because the changes of an era
+// continue from the older copy from which the store returned.
 func (m *Mirror) Apply(now int64, batch Batch) Applied {
 	if !m.accepts(batch) {
-		return Applied{Refused: true}
+		return m.applyHigherRanks(batch)
 	}
 	applied := Applied{NewEra: m.Loaded() && batch.Era != m.era}
 	if !m.Loaded() {
@@ -205,6 +206,28 @@
 	}
 }
 
+// applyHigherRanks takes rows of higher rank from a batch of the same era as of an earlier
+// version. It is from a gateway that has kept them, as the store lacks them.
+func (m *Mirror) applyHigherRanks(batch Batch) Applied {
+	var applied Applied
+	if !m.Loaded() || batch.Era != m.era {
+		return Applied{Refused: true}
+	}
+	for _, row := range batch.Rows {
+		old := m.rows[row.Key]
+		rank := m.computeRank(row)
+		if old.Deleted || rank <= m.ranks[row.Key] {
+			continue
+		}
+		m.earlier.add(old, m.ranks[row.Key])
+		row.Version = max(row.Version, old.Version)
+		m.put(row, rank)
+		applied.Changes = append(applied.Changes, row)
+	}
+	applied.Refused = len(applied.Changes) == 0
+	return applied
+}
+
 // startEra forgets what belongs to versions of the last era. Its values must not serve
 // as bases, because their versions are given out again.
 func (m *Mirror) startEra() {
