Refuse a keyed call whose earlier claim the store may have lost

What callers saw (balsamhilld serve): a call with an idempotency key runs again when it is resent after the table service has returned from an older copy of itself; or a gateway says "not run" of a call that ran.

Cause: the copy lacks the claim, so the key is free there. Each gateway knows from the change feed, or because it dispatched the call, that the key was claimed, but did not ask itself; and an absent row outweighed this knowledge.

Change: versions that are given out again show that the service has returned: a commit at a version that was known before, or a position of the feed that lies before the last one. From then on, for as long as rows are kept, a key that the gateway knows and whose row is absent is refused with the outcome unknown, and an absent row is no evidence for "not run". The feed is read again from its start, because the position has lost its meaning, and the filter of keys is not rebuilt meanwhile.

Open: a claim of the last second before the loss that no other gateway has read, if the gateway that dispatched the call has ended; a return that no gateway sees because the versions have passed the known ones before its next read.

--- a/pkg/claim/digest.go
+++ b/pkg/claim/digest.go
@@ -78,6 +78,12 @@
 	return ids
 }
 
+// StoreReturned starts to read the feed from its beginning again, after the store has returned
+// from an older copy. The keys that the copy lacks stay in the filter.
+func (d *Digest) StoreReturned() {
+	d.position, d.complete, d.next = 0, false, nil
+}
+
 // AddFeedPage adds one page of the feed, read from Position. next is the position
 // after the page, and more means that further pages follow.
 func (d *Digest) AddFeedPage(ids []ID, next uint64, more bool) {
--- a/pkg/claimstore/claims.go
+++ b/pkg/claimstore/claims.go
@@ -387,8 +387,13 @@
 func (s *Store) commit(ctx context.Context, txn platform.Txn, timeout time.Duration) platform.CommitResult {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	newest := uint64(0)
+	s.withLock(func() { newest = s.returnDetector.Newest() })
 	result := s.config.Table.Commit(ctx, txn)
 	s.clock.observe(s.config.Now(), result.Time)
+	if result.Status == platform.CommitApplied {
+		s.observeCommit(newest, result.Version)
+	}
 	return result
 }
 
--- a/pkg/claimstore/feed.go
+++ b/pkg/claimstore/feed.go
@@ -32,7 +32,7 @@
 func (s *Store) runFeed(ctx context.Context) {
 	rebuildAt := s.config.Now() + int64(s.jitter(rebuildInterval))
 	for {
-		if s.config.Now() >= rebuildAt {
+		if s.config.Now() >= rebuildAt && !s.mayLackRows() {
 			s.withLock(s.digest.Rebuild)
 			rebuildAt = s.config.Now() + int64(s.jitter(rebuildInterval))
 		}
@@ -60,7 +60,14 @@
 			return
 		}
 		ids := claim.DigestIDs(result.Rows)
-		s.withLock(func() { s.digest.AddFeedPage(ids, result.Next, result.More) })
+		s.withLock(func() {
+			if s.returnDetector.ObserveRead(s.config.Now(), position, result.Next) {
+				s.recordReturn()
+			}
+			if s.digest.Position() == position {
+				s.digest.AddFeedPage(ids, result.Next, result.More)
+			}
+		})
 		if !result.More {
 			break
 		}
--- a/pkg/claimstore/metrics.go
+++ b/pkg/claimstore/metrics.go
@@ -36,6 +36,8 @@
 	feedReads            *metrics.Counter
 	feedErrors           *metrics.Counter
 	rowsRemoved          *metrics.Counter
+	storeReturns         *metrics.Counter
+	lostClaims           *metrics.Counter
 	results              map[claim.ResultKind]*metrics.Counter
 	claimCommits         map[platform.CommitStatus]*metrics.Counter
 	resultCommits        map[platform.CommitStatus]*metrics.Counter
@@ -88,6 +90,8 @@
 		feedReads:            set.NewCounter("balsamhill_claim_feed_reads_total"),
 		feedErrors:           set.NewCounter("balsamhill_claim_feed_errors_total"),
 		rowsRemoved:          set.NewCounter("balsamhill_claim_rows_removed_total"),
+		storeReturns:         set.NewCounter("balsamhill_claim_store_returns_total"),
+		lostClaims:           set.NewCounter("balsamhill_claim_lost_total"),
 		results: map[claim.ResultKind]*metrics.Counter{
 			claim.ResultUnknown:  result("unknown"),
 			claim.ResultReleased: result("released"),
--- a/pkg/claimstore/return_test.go
+++ b/pkg/claimstore/return_test.go
@@ -26,3 +26,18 @@
 		})
 	}
 }
+
+// TestNotRunIsNotReportedForRowThatStoreLost guards against the outcome not-run for a call that
+// ran, because the store has returned without its row and the gateway that ran it has started
+// again.
+func TestNotRunIsNotReportedForRowThatStoreLost(t *testing.T) {
+	inFleet(t, 2, func(t *testing.T, f *fleet) {
+		sent := request{Gateway: 0, Key: 1, Timeout: 3 * time.Second, Outcome: outcomeResponded}
+		assert.Equal(t, f.serve(sent).Kind, claim.Dispatch)
+		time.Sleep(5 * time.Second)
+		f.table.returnFrom(0)
+		f.restart(0)
+		time.Sleep(5 * time.Second)
+		assert.Check(t, !f.gateway(1).store.VerifyNotRun(t.Context(), callOf("1")))
+	})
+}
--- a/pkg/claimstore/store.go
+++ b/pkg/claimstore/store.go
@@ -85,11 +85,13 @@
 
 	clock storeClock
 
-	mu            sync.Mutex // guards openAttempts, digest, history, pauseDetector
+	mu            sync.Mutex // guards openAttempts, digest, history, pauseDetector, returnDetector
 	openAttempts  *claim.OpenAttempts
 	digest        *claim.Digest
 	history       *claim.History
 	pauseDetector claim.PauseDetector
+	// returnDetector sees the versions of commits and of the change feed.
+	returnDetector claim.ReturnDetector
 
 	randMu sync.Mutex
 	rand   *rand.Rand
@@ -179,8 +181,13 @@
 		return claim.Decision{Kind: claim.Refuse, NotRun: true, Reason: "this gateway has just started"}
 	}
 	expect := uint64(0)
+	claimedBefore := s.mayBeClaimed(id)
 	for {
 		item := s.tryClaim(ctx, call, expect)
+		if item.next.Step == claim.StepOwned && claimedBefore && item.pending.Expect == 0 && s.mayLackRows() {
+			s.resolveLostClaim(item)
+			return claim.Decision{Kind: claim.Refuse, Reason: claim.ReasonMayHaveRun}
+		}
 		if item.next.Step == claim.StepOwned {
 			s.withLock(func() { s.openAttempts.AddClaim(id, item.pending.Owner.ClaimID) })
 			return claim.Decision{Kind: claim.Dispatch, Ticket: ticketOf(item)}
@@ -281,7 +288,7 @@
 	if evidence.NoPeerAttempts = s.queryPeers(ctx, call.Service, call.Key); evidence.NoPeerAttempts {
 		evidence = s.evidence(id)
 		evidence.NoPeerAttempts = true
-		evidence.RowClear = evidence.InDigest && s.rowIsClear(ctx, call)
+		evidence.RowClear = evidence.InDigest && !s.mayLackRows() && s.rowIsClear(ctx, call)
 		// The row was read without the lock, so another attempt may have started.
 		evidence.OtherAttempts = s.evidence(id).OtherAttempts
 	}
