Repeat suspicions before a caller sends its request again

What callers saw: a request that crashes servers crashes one more than allowed right after the gateways have started.

Cause: a gateway ignores messages of one that it does not know yet. The notice of the first crash was repeated after a second, about when the request came again.

Change: suspicions are repeated every 0.4 s.

--- a/pkg/edge/suspicions.go
+++ b/pkg/edge/suspicions.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// suspicionRepeatInterval is how long after the first notice of a suspicion a gateway
-	// sends it again, for lost messages, and suspicionNoticePeriod how long it is sent at all.
-	suspicionRepeatInterval = time.Second
+	// suspicionRepeatInterval is how often a gateway sends a suspicion again, for lost messages
+	// and gateways that have just started, and suspicionNoticePeriod is for how long. A caller
+	// sends a request that failed again after about a second.
+	suspicionRepeatInterval = 400 * time.Millisecond
 	suspicionNoticePeriod   = 2500 * time.Millisecond
 	// suspicionsPerMessage keeps messages below the usual maximum size of a packet.
 	suspicionsPerMessage = 20
