Send repeated suspicions of passive gateways with messages that are due

Change: only a new suspicion causes a message; repetitions go with the next one to all peers.

Test: TestRepeatedSuspicionsNeedNoMessage, which needs the new function; the tests of suspicions pass.

--- a/pkg/edge/sender.go
+++ b/pkg/edge/sender.go
@@ -135,8 +135,8 @@
 	e := s.edge
 	e.announcePending.Store(false)
 	indexed, isRelay := e.indexed.Load(), e.isRelay.Load()
-	suspicions := s.toldSuspicions.take(now, &s.suspicions, isRelay)
-	broadcast := len(suspicions) > 0 || s.leaving.untold(indexed, isRelay) || now-s.broadcastAt >= int64(passiveBroadcastInterval)
+	broadcast := s.toldSuspicions.untold(&s.suspicions, isRelay) || s.leaving.untold(indexed, isRelay) ||
+		now-s.broadcastAt >= int64(passiveBroadcastInterval)
 	if !broadcast && now-s.sentAt < int64(passiveHeartbeatInterval) {
 		return
 	}
@@ -151,8 +151,8 @@
 	}
 	e.peersMu.Unlock()
 	message := e.newMessage(now, interval)
-	message.Suspicions = suspicions
 	if broadcast {
+		message.Suspicions = s.toldSuspicions.take(now, &s.suspicions, isRelay)
 		message.Leaving = s.leaving.take(now, indexed, isRelay)
 	}
 	message.TableStates = e.tableStates(now)
--- a/pkg/edge/suspicions.go
+++ b/pkg/edge/suspicions.go
@@ -79,6 +79,14 @@
 	return suspicions
 }
 
+// untold reports whether there are suspicions that take has not returned yet.
+func (t *toldSuspicions) untold(notices *suspicionNotices, all bool) bool {
+	return slices.ContainsFunc(notices.recent, func(notice suspicionNotice) bool {
+		_, told := t.toldAt[notice.number]
+		return !told && (all || notice.suspicion.From == "")
+	})
+}
+
 func gossipSuspicion(now int64, suspicion crashguard.Suspicion) gossip.Suspicion {
 	encoded := gossip.Suspicion{Fingerprint: uint64(suspicion.Fingerprint), Cleared: suspicion.Cleared}
 	if suspicion.Cleared {
--- a/pkg/edge/suspicions_test.go
+++ b/pkg/edge/suspicions_test.go
@@ -56,3 +56,17 @@
 		})
 	}
 }
+
+// TestRepeatedSuspicionsNeedNoMessage guards against passive gateways that send messages to
+// their whole group only to repeat a suspicion.
+func TestRepeatedSuspicionsNeedNoMessage(t *testing.T) {
+	var notices suspicionNotices
+	var told toldSuspicions
+	notices.record(1, []crashguard.Suspicion{{Fingerprint: 1}, {Fingerprint: 2, From: "peer"}})
+	assert.Assert(t, told.untold(&notices, false))
+	assert.Equal(t, len(told.take(1, &notices, false)), 1)
+	assert.Assert(t, !told.untold(&notices, false))
+	assert.Assert(t, told.untold(&notices, true))
+	later := 1 + int64(suspicionRepeatInterval)
+	assert.Equal(t, len(told.take(later, &notices, false)), 1)
+}
