--- a/pkg/crashguard/types.go
+++ b/pkg/crashguard/types.go
@@ -22,6 +22,24 @@
 	return s.ID == other.ID && (s.Incarnation == other.Incarnation || s.Incarnation == 0 || other.Incarnation == 0)
 }
 
+// Suspicion records that the connection to a server was lost while a request with
+// the fingerprint was in flight, or, if Cleared is set, that a server has responded to
+// such a request.
+type Suspicion struct {
+	Fingerprint Fingerprint
+	// Server is not set if Cleared is.
+	Server  Server
+	Cleared bool
+	// SentAt and LostAt are the times at which the attempt was sent and lost, 0 if they are
+	// unknown.
+	SentAt, LostAt int64
+	// From is the peer that reported the suspicion, empty if this gateway lost the
+	// connection itself. A gateway sends its own suspicions to all peers. Those of
+	// peers need relaying only if some gateways have no session with each other, and
+	// must not be sent back to From.
+	From string
+}
+
 // Attempt is an attempt that has ended.
 type Attempt struct {
 	Fingerprint Fingerprint
