--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -422,11 +422,7 @@
 func TestPeerReadOfInitiallyEmptyTable(t *testing.T) {
 	store := newFakeStore()
 	first := startEdge(t, "first", store)
-	eventually(t, "first has read the empty tables", 5*time.Second, func() bool {
-		_, configRead := first.watchers[0].state(first.now())
-		_, serversRead := first.watchers[1].state(first.now())
-		return configRead && serversRead
-	})
+	awaitTables(t, first)
 	store.write(feed.Config, "config", []byte("1"), false)
 	store.write(feed.Servers, "a", entry("a", 1), false)
 	eventually(t, "first is ready", 5*time.Second, first.ready)
@@ -435,6 +431,16 @@
 	eventually(t, "second is ready", 5*time.Second, second.ready)
 }
 
+// awaitTables waits until a gateway has read both tables.
+func awaitTables(t *testing.T, e *Edge) {
+	t.Helper()
+	eventually(t, e.settings.ID+" has read the tables", 5*time.Second, func() bool {
+		_, configRead := e.watchers[0].state(e.now())
+		_, serversRead := e.watchers[1].state(e.now())
+		return configRead && serversRead
+	})
+}
+
 // readOnlyStore is a store that refuses the rows of the gateways, so that its version stays 0
 // until the test writes.
 type readOnlyStore struct{ *fakeStore }
@@ -447,11 +453,7 @@
 func TestPeerReadOfTableAtVersionZero(t *testing.T) {
 	store := readOnlyStore{newFakeStore()}
 	first := startEdge(t, "first", store)
-	eventually(t, "first has read the empty tables", 5*time.Second, func() bool {
-		_, configRead := first.watchers[0].state(first.now())
-		_, serversRead := first.watchers[1].state(first.now())
-		return configRead && serversRead
-	})
+	awaitTables(t, first)
 	store.write(feed.Config, "config", []byte("1"), false)
 	eventually(t, "first is ready", 5*time.Second, first.ready)
 	store.setDown(true)
