--- a/pkg/crashguard/types.go
+++ b/pkg/crashguard/types.go
@@ -5,6 +5,8 @@
 // suspicions. The package does no I/O, starts no goroutine and reads no clock.
 package crashguard
 
+import "time"
+
 // Fingerprint identifies a request across resends. The proxy computes it; the guard
 // only compares it.
 type Fingerprint uint64
@@ -40,6 +42,14 @@
 	From string
 }
 
+// Duration returns how long the attempt took until it was lost, 0 if that is unknown.
+func (s *Suspicion) Duration() time.Duration {
+	if s.SentAt == 0 {
+		return 0
+	}
+	return time.Duration(s.LostAt - s.SentAt)
+}
+
 // Attempt is an attempt that has ended.
 type Attempt struct {
 	Fingerprint Fingerprint
--- a/pkg/edge/suspicions.go
+++ b/pkg/edge/suspicions.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -131,16 +132,13 @@
 func (e *Edge) logSuspicions(suspicions []crashguard.Suspicion) {
 	for _, suspicion := range suspicions {
 		request := fmt.Sprintf("%016x", uint64(suspicion.Fingerprint))
-		source := "own"
-		if suspicion.From != "" {
-			source = suspicion.From
-		}
+		source := cmp.Or(suspicion.From, "own")
 		if suspicion.Cleared {
 			e.log.Info("server has responded to a request that was suspected of crashing servers", "fingerprint", request, "source", source)
 			continue
 		}
 		e.log.Info("request was in flight when the connection to a server was lost", "fingerprint", request,
 			"server", suspicion.Server.ID, "incarnation", suspicion.Server.Incarnation, "source", source,
-			"took", time.Duration(suspicion.LostAt-suspicion.SentAt).String())
+			"took", suspicion.Duration().String())
 	}
 }
