Look for the older version itself in the test of the configuration's log

Cause: the test takes any line that says that a configuration stays in force. The gateway that reads the store logs one for version 4. The other one takes the row of version 5, which the reader keeps at a later version, and logs one for version 5; if both lines are there when the test looks, it takes the latter.

Change: the test looks for the line of version 4, and fails if there is none; the other checks stay.

--- a/pkg/edge/readlog_test.go
+++ b/pkg/edge/readlog_test.go
@@ -59,11 +59,13 @@
 	anyLine := func(map[string]any) bool { return true }
 	isFive := func(fields map[string]any) bool { return fields["revision"] == 5.0 }
 	store.write(feed.Config, "config", []byte("4"), false)
-	// Only the gateway that reads the store sees the older version.
+	// Only the gateway that reads the store sees the older version. The other one sees that
+	// version 5 is kept.
+	isFour := func(fields map[string]any) bool { return fields["revision"] == 4.0 }
 	var older map[string]any
 	eventually(t, "a line for the older version", 5*time.Second, func() bool {
 		for _, buffer := range []*logBuffer{firstLogs, logs} {
-			if line := buffer.find(t, "configuration is not newer; the one in force stays", anyLine); line != nil {
+			if line := buffer.find(t, "configuration is not newer; the one in force stays", isFour); line != nil {
 				older = line
 			}
 		}
