Log and count by whose probes a server counts as unresponsive

Change: a line and a counter (balsamhill_probe_verdicts_total) for each change, with the gateway that probed. No decision changes.

--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -78,6 +78,19 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf(`balsamhill_server_withdrawals_total{kind=%q,source=%q}`, kind, source)).Inc()
 }
 
+// recordProbeVerdict counts a change of whether a server responds to probes, by whose probes
+// they are.
+func (c *counters) recordProbeVerdict(unresponsive, ownProbes bool) {
+	verdict, source := "responsive", "gateway"
+	if unresponsive {
+		verdict = "unresponsive"
+	}
+	if ownProbes {
+		source = "probe"
+	}
+	c.set.GetOrCreateCounter(fmt.Sprintf(`balsamhill_probe_verdicts_total{verdict=%q,source=%q}`, verdict, source)).Inc()
+}
+
 func (c *counters) recordPeerRead(err error) {
 	c.set.GetOrCreateCounter(fmt.Sprintf(`balsamhill_gateway_reads_total{result=%q}`, resultLabel(err))).Inc()
 }
--- a/pkg/edge/probes.go
+++ b/pkg/edge/probes.go
@@ -114,15 +114,25 @@
 	}
 	if result.ok {
 		state.failures = 0
-		result.server.Stats.SetUnresponsive(false)
+		p.edge.setUnresponsive(result.server, false, p.edge.self.ID)
 		return
 	}
 	state.failures++
 	if state.failures >= unresponsiveThreshold {
-		result.server.Stats.SetUnresponsive(true)
+		p.edge.setUnresponsive(result.server, true, p.edge.self.ID)
 	}
 }
 
+// setUnresponsive records, counts and logs whether a server responds to the probes of a gateway.
+func (e *Edge) setUnresponsive(server *routing.Server, unresponsive bool, prober string) {
+	if !server.Stats.SetUnresponsive(unresponsive) {
+		return
+	}
+	e.counters.recordProbeVerdict(unresponsive, prober == e.self.ID)
+	e.log.Info("server responsiveness changed", "server", server.ID, "service", server.Service,
+		"unresponsive", unresponsive, "prober", prober)
+}
+
 // tick starts the probes that are due and returns the delay until the next tick.
 func (p *probeScheduler) tick(ctx context.Context) time.Duration {
 	e := p.edge
--- a/pkg/edge/receiver.go
+++ b/pkg/edge/receiver.go
@@ -98,7 +98,7 @@
 		}
 		server.Stats.ReportFromPeer(now-int64(report.Age), report.InFlight, report.SlowdownPermille)
 		if report.Unresponsive != server.Stats.Unresponsive() && !e.shouldProbe(assignment, server) {
-			server.Stats.SetUnresponsive(report.Unresponsive)
+			e.setUnresponsive(server, report.Unresponsive, sender)
 		}
 	}
 }
--- a/pkg/routing/server.go
+++ b/pkg/routing/server.go
@@ -221,9 +221,10 @@
 	return s.ownReportedAt.Load()
 }
 
-// SetUnresponsive records whether the server does not respond to probes.
-func (s *Stats) SetUnresponsive(unresponsive bool) {
-	s.unresponsive.Store(unresponsive)
+// SetUnresponsive records whether the server does not respond to probes, and reports whether
+// that is new.
+func (s *Stats) SetUnresponsive(unresponsive bool) (changed bool) {
+	return s.unresponsive.Swap(unresponsive) != unresponsive
 }
 
 // Unresponsive reports whether the server does not respond to probes.
