Move the connections to servers into a package of their own

No behaviour changes.

Tests: pkg/proxy, pkg/gateway and platform pass; of pkg/edge the tests of starts, readiness and probes.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -21,6 +21,7 @@
 	"balsamhill/pkg/proxy"
 	"balsamhill/pkg/registry"
 	"balsamhill/pkg/routing"
+	"balsamhill/pkg/serverconn"
 )
 
 const (
@@ -34,7 +35,7 @@
 	// enough for a server that runs a few requests at once and queues about twice as many.
 	connectionsPerServer = 16
 	// idleTimeout applies to requests that may be repeated, nonRepeatableIdleTimeout to
-	// all others. Both are below the idle timeouts of servers; see proxy.TransportLimits.
+	// all others. Both are below the idle timeouts of servers; see serverconn.SharedConfig.
 	idleTimeout              = 4 * time.Second
 	nonRepeatableIdleTimeout = 500 * time.Millisecond
 	// responseBufferBytes is how much of a response is buffered before it is forwarded;
@@ -145,7 +146,7 @@
 
 	guard     *crashguard.Guard
 	proxy     *proxy.Proxy
-	transport *proxy.Transports
+	transport *serverconn.Transports
 	// ordinaryResponses counts successful first-attempt responses, of which a sample is
 	// logged.
 	ordinaryResponses atomic.Uint64
@@ -189,8 +190,8 @@
 		storeReached: make(chan struct{}, 1),
 		startup:      newStartupGate(),
 		metrics:      metrics.NewSet(),
-		transport: proxy.NewSharedTransports(proxy.TransportLimits{
-			Connections: connectionsPerServer, Idle: idleTimeout, FreshIdle: nonRepeatableIdleTimeout,
+		transport: serverconn.NewShared(serverconn.SharedConfig{
+			Dial: serverconn.Dial, Connections: connectionsPerServer, Idle: idleTimeout, FreshIdle: nonRepeatableIdleTimeout,
 		}),
 	}
 	e.limits.Store(&s.Limits)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"balsamhill/pkg/presetstore"
 	"balsamhill/pkg/proxy"
 	"balsamhill/pkg/routing"
+	"balsamhill/pkg/serverconn"
 	"balsamhill/pkg/settings"
 )
 
@@ -60,7 +61,7 @@
 
 	claimGate *claimGate
 	proxy     *proxy.Proxy
-	transport *proxy.Transports
+	transport *serverconn.Transports
 	metrics   *metrics.Set
 	counters  *counters
 
@@ -85,7 +86,7 @@
 		events:      make(chan control.Event, eventQueueSize),
 		readNow:     make(chan struct{}, 1),
 		metrics:     metrics.NewSet(),
-		transport:   proxy.NewTransports(s.Services, s.Peers.MaxGateways),
+		transport:   serverconn.New(s.Services, s.Peers.MaxGateways),
 		stop:        make(chan struct{}),
 
 		claimGate: newClaimGate(),
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -16,6 +16,7 @@
 	"balsamhill/pkg/crashguard"
 	"balsamhill/pkg/retry"
 	"balsamhill/pkg/routing"
+	"balsamhill/pkg/serverconn"
 )
 
 // Causes with which attempts are canceled.
@@ -48,7 +49,7 @@
 	// conn carries the request; it is nil until a connection was assigned, and if the
 	// transport does not track its connections. writesBefore is the number of writes
 	// on conn before this request.
-	conn         *trackedConn
+	conn         *serverconn.Conn
 	writesBefore int64
 	// fresh requires a fresh connection (see ServerTransport). A hedge and the attempt
 	// after a first-byte timeout need one, because all pooled connections may have
@@ -200,7 +201,7 @@
 func (a *attempt) dropResponse(cause error) {
 	a.err = cause
 	_ = a.response.Body.Close()
-	if a.conn != nil && !a.conn.multiplexed {
+	if a.conn != nil && !a.conn.Multiplexed() {
 		_ = a.conn.Close()
 	}
 	a.response = nil
@@ -244,12 +245,12 @@
 	}
 	a.gotConnection = true
 	a.reused.Store(info.Reused)
-	conn, _ := info.Conn.(*trackedConn)
+	conn, _ := info.Conn.(*serverconn.Conn)
 	a.conn = conn
 	if conn != nil {
-		a.writesBefore = conn.writes.Load()
-		if !conn.multiplexed {
-			conn.setUserTimeoutOff(a.call.upgrade != "" || a.call.body.present && a.call.body.buffered == nil)
+		a.writesBefore = conn.Writes()
+		if !conn.Multiplexed() {
+			conn.SetUserTimeoutOff(a.call.upgrade != "" || a.call.body.present && a.call.body.buffered == nil)
 		}
 	}
 	c := a.call
@@ -272,7 +273,7 @@
 // http.Transport assigns another connection to a request with a body only if the
 // first one could not be used at all.
 func (a *attempt) onMultiplexedConn() bool {
-	return a.conn != nil && a.conn.multiplexed
+	return a.conn != nil && a.conn.Multiplexed()
 }
 
 // deny keeps the transport from writing the request. On HTTP/2 canceling the
@@ -282,7 +283,7 @@
 func (a *attempt) deny() {
 	a.denied = true
 	a.cancel(errDenied)
-	if a.conn != nil && !a.conn.multiplexed {
+	if a.conn != nil && !a.conn.Multiplexed() {
 		_ = a.conn.Close()
 	}
 }
@@ -299,13 +300,13 @@
 		return true
 	case a.onMultiplexedConn():
 		return !a.denied
-	case a.conn.writes.Load() != a.writesBefore:
+	case a.conn.Writes() != a.writesBefore:
 		return true
 	}
 	// The transport's goroutine may be about to write. After Close no byte can be
 	// sent, and Close waits for a write in progress.
 	_ = a.conn.Close()
-	return a.conn.writes.Load() != a.writesBefore
+	return a.conn.Writes() != a.writesBefore
 }
 
 // got1xx forwards informational responses. net/http itself sends 100 Continue when
--- a/pkg/proxy/body.go
+++ b/pkg/proxy/body.go
@@ -23,13 +23,6 @@
 	errBodyClosed   = errors.New("request body read after its attempt or call ended")
 )
 
-// emptyBody is an empty body that http.Transport does not recognize as empty.
-// http.Transport may resend requests without a body on its own.
-type emptyBody struct{}
-
-func (*emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
-func (*emptyBody) Close() error             { return nil }
-
 // requestBody reads a caller's body with an idle timeout for each read and a limit
 // on its size. Goroutines of http.Transport may still read after the handler has
 // returned. They get an error then, and the caller's connection is not touched.
--- a/pkg/proxy/harness_test.go
+++ b/pkg/proxy/harness_test.go
@@ -19,6 +19,7 @@
 	"balsamhill/pkg/preset"
 	"balsamhill/pkg/proxy"
 	"balsamhill/pkg/routing"
+	"balsamhill/pkg/serverconn"
 	"balsamhill/pkg/settings"
 	"balsamhill/pkg/withdrawal"
 )
@@ -77,7 +78,7 @@
 	for _, server := range p.servers {
 		snapshot.ServersByID[server.ID] = server
 	}
-	transports := proxy.NewTransports([]settings.Service{{Name: serviceName, MaxConnections: 800, HTTP2: config.http2}}, 1)
+	transports := serverconn.New([]settings.Service{{Name: serviceName, MaxConnections: 800, HTTP2: config.http2}}, 1)
 	started := time.Now()
 	proxyConfig := proxy.Config{
 		Routes: routing.NewRouteTable([]routing.Route{
--- a/pkg/proxy/headers.go
+++ b/pkg/proxy/headers.go
@@ -9,6 +9,7 @@
 
 	"balsamhill/pkg/retry"
 	"balsamhill/pkg/routing"
+	"balsamhill/pkg/serverconn"
 )
 
 const (
@@ -71,7 +72,7 @@
 	if out.Body == nil && (c.safety != retry.Idempotent || c.route.IdempotencyFromClass) && safeMethod(r.Method) {
 		// http.Transport resends requests with these methods on its own unless they
 		// have a body that it cannot rewind. Its resends would bypass the retry budget.
-		out.Body = &emptyBody{}
+		out.Body = serverconn.EmptyBody{}
 	}
 	return out
 }
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -78,6 +78,22 @@
 	TrustedProxies []netip.Prefix
 }
 
+// ServerTransport sends requests to the servers of services. Implementations call
+// httptrace.ClientTrace.GotConn before they write a request; a request without that
+// call counts as never written.
+//
+// Connections are ordinary or fresh. A fresh connection is new or carried a response
+// within the last 500 ms or serverconn.SharedConfig.FreshIdle, so that it is
+// unlikely to have become unresponsive. Calls that are not idempotent use only fresh
+// connections.
+type ServerTransport interface {
+	// RoundTrip sends one request, on a fresh connection if fresh is set.
+	RoundTrip(service string, fresh bool, request *http.Request) (*http.Response, error)
+	// CloseIdle closes the idle ordinary connections of a service, at most once a
+	// second, after one of them turned out to be unresponsive.
+	CloseIdle(service string)
+}
+
 // Proxy is an http.Handler for callers' requests.
 type Proxy struct {
 	config   Config
--- a/pkg/proxy/resend_test.go
+++ b/pkg/proxy/resend_test.go
@@ -11,6 +11,7 @@
 
 	"balsamhill/pkg/retry"
 	"balsamhill/pkg/routing"
+	"balsamhill/pkg/serverconn"
 )
 
 // TestSecondConnectionIsClosedAfterWrite checks the second line of defense against
@@ -34,10 +35,10 @@
 			p := New(Config{Metrics: NewMetrics(metrics.NewSet()), Now: func() int64 { return 1 }})
 			a := &attempt{call: &call{proxy: p, safety: test.safety}, server: &routing.Server{Stats: &routing.Stats{}}}
 			a.ctx, a.cancel = context.WithCancelCause(t.Context())
-			connect := func() *trackedConn {
+			connect := func() *serverconn.Conn {
 				gatewaySide, serverSide := net.Pipe()
 				go func() { _, _ = serverSide.Read(make([]byte, 1)) }()
-				conn := newTrackedConn(gatewaySide, false)
+				conn := serverconn.NewConn(gatewaySide, false)
 				a.gotConn(httptrace.GotConnInfo{Conn: conn})
 				return conn
 			}
--- /dev/null
+++ b/pkg/serverconn/conn.go
@@ -0,0 +1,130 @@
+package serverconn
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// ConnectTimeout is how long opening a connection to a server may take.
+	ConnectTimeout = 250 * time.Millisecond
+	// userTimeout is how long sent bytes may stay unacknowledged.
+	userTimeout = 4 * time.Second
+)
+
+// DialFunc opens a connection to a server, like net.Dialer.DialContext.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+var dialer = &net.Dialer{
+	Timeout:         ConnectTimeout,
+	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
+	Control: func(_, _ string, raw syscall.RawConn) error {
+		return SetUserTimeout(raw, userTimeout)
+	},
+}
+
+// Dial is the DialFunc of the network.
+func Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	return dialer.DialContext(ctx, network, address)
+}
+
+// tracked returns a function that opens connections of type Conn.
+func tracked(dial DialFunc, multiplexed bool) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(conn, multiplexed), nil
+	}
+}
+
+// SetUserTimeout sets how long sent bytes may stay unacknowledged on a connection;
+// 0 means the kernel's default.
+func SetUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// Conn counts the writes of which the kernel accepted at least one byte, so
+// that an attempt can determine whether any byte of its request was written.
+type Conn struct {
+	net.Conn
+	// multiplexed connections (HTTP/2) carry several requests at a time.
+	multiplexed bool
+	closed      atomic.Bool
+	writes      atomic.Int64
+	// userTimeoutOff reports whether the TCP user timeout is disabled.
+	userTimeoutOff atomic.Bool
+}
+
+// NewConn returns a connection without writes.
+func NewConn(conn net.Conn, multiplexed bool) *Conn {
+	return &Conn{Conn: conn, multiplexed: multiplexed}
+}
+
+// Write implements net.Conn. The count is raised before the write, so that a reader
+// during the write assumes that bytes were written.
+func (c *Conn) Write(p []byte) (int, error) {
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	c.writes.Add(1)
+	n, err := c.Conn.Write(p)
+	if n == 0 && err != nil {
+		c.writes.Add(-1)
+	}
+	return n, err
+}
+
+// Writes returns the number of writes so far.
+func (c *Conn) Writes() int64 {
+	return c.writes.Load()
+}
+
+// Multiplexed reports whether the connection carries several requests at a time (HTTP/2).
+func (c *Conn) Multiplexed() bool {
+	return c.multiplexed
+}
+
+// Close implements net.Conn. No byte is written after it returns.
+func (c *Conn) Close() error {
+	c.closed.Store(true)
+	return c.Conn.Close()
+}
+
+// SetUserTimeoutOff disables the TCP user timeout for streamed bodies. Linux also
+// applies it to a receiver that acknowledges but does not read for 4 s, which a
+// busy server may do during an upload. The idle timeout of the class applies
+// instead.
+func (c *Conn) SetUserTimeoutOff(off bool) {
+	if c.userTimeoutOff.Load() == off {
+		return
+	}
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return
+	}
+	timeout := userTimeout
+	if off {
+		timeout = 0
+	}
+	if SetUserTimeout(raw, timeout) == nil {
+		c.userTimeoutOff.Store(off)
+	}
+}
