--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -146,7 +146,9 @@
 
 	guard     *crashguard.Guard
 	proxy     *proxy.Proxy
-	transport *serverconn.Transports
+	// dialServer opens the connections to servers, those for probes too.
+	dialServer serverconn.DialFunc
+	transport  *serverconn.Transports
 	// ordinaryResponses counts successful first-attempt responses, of which a sample is
 	// logged.
 	ordinaryResponses atomic.Uint64
@@ -190,16 +192,17 @@
 		storeReached: make(chan struct{}, 1),
 		startup:      newStartupGate(),
 		metrics:      metrics.NewSet(),
-		transport: serverconn.NewShared(serverconn.SharedConfig{
-			Dial: serverconn.Dial, Connections: connectionsPerServer, Idle: idleTimeout, FreshIdle: nonRepeatableIdleTimeout,
-		}),
+		dialServer:   serverconn.Dial,
 	}
+	e.transport = serverconn.NewShared(serverconn.SharedConfig{
+		Dial: e.dial, Connections: connectionsPerServer, Idle: idleTimeout, FreshIdle: nonRepeatableIdleTimeout,
+	})
 	e.limits.Store(&s.Limits)
 	e.setTableAges(s.Limits)
 	e.peers = gossip.NewPeers(e.self)
 	e.counters = newCounters(e.metrics)
 	e.serverLimits = newServerLimits(e)
-	e.probeTransport = newProbeTransport()
+	e.probeTransport = newProbeTransport(e.dial)
 	for index, table := range feed.Tables() {
 		e.watchers = append(e.watchers, newWatcher(e, table, index))
 	}
@@ -231,6 +234,11 @@
 	return e, e.listen()
 }
 
+// dial opens a connection to a server.
+func (e *Edge) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	return e.dialServer(ctx, network, address)
+}
+
 func (e *Edge) listen() error {
 	var err error
 	e.trafficListener, err = net.Listen("tcp", e.settings.TrafficAddress)
--- a/pkg/edge/probes.go
+++ b/pkg/edge/probes.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"maps"
-	"net"
 	"net/http"
 	"time"
 
@@ -12,6 +11,7 @@
 	"balsamhill/pkg/prober"
 	"balsamhill/pkg/proxy"
 	"balsamhill/pkg/routing"
+	"balsamhill/pkg/serverconn"
 )
 
 const (
@@ -35,9 +35,9 @@
 	maxProbeHeaderBytes = 8 << 10
 )
 
-func newProbeTransport() *http.Transport {
+func newProbeTransport(dial serverconn.DialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: probeTimeout}).DialContext,
+		DialContext:         dial,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 1,
 		MaxConnsPerHost:     2,
@@ -233,6 +233,17 @@
 	}
 }
 
+// recordProbeLimit records the limit that the response to a probe names.
+func (e *Edge) recordProbeLimit(server *routing.Server, response *http.Response) {
+	protocol := e.codec.Protocol()
+	if protocol == nil {
+		return
+	}
+	if limit := protocol.ServerLimit(response.Header); limit.Kind == proxy.LimitNamed {
+		server.Stats.Gate.RecordNamed(e.now(), limit.Rate)
+	}
+}
+
 // fetchLoad sends a probe, records the reported load and reports whether the server
 // responded.
 func (e *Edge) fetchLoad(ctx context.Context, server *routing.Server, path string) bool {
@@ -255,9 +266,7 @@
 	if id != server.ID {
 		return false
 	}
-	if limit := e.codec.Protocol().ServerLimit(response.Header); limit.Kind == proxy.LimitNamed {
-		server.Stats.Gate.RecordNamed(e.now(), limit.Rate)
-	}
+	e.recordProbeLimit(server, response)
 	if ok {
 		server.Stats.ReportLoad(e.now(), report.InFlight, report.SlowdownPermille)
 	}
