Do not believe isolated gateways that servers are unresponsive

Cause: each server is probed by one gateway, whose verdict holds for all. A gateway judged each server by itself and never asked whether its own links had failed, so one that reached no server reported all of its share as unresponsive; the others ranked these a hundred times slower. Class of fault: failures that share a cause taken for independent evidence, and work left with one that cannot do it.

An isolated gateway says so in its messages, at once; it gets no probes and no share of the limits of servers, and passes on no verdict while its own links are in doubt.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -14,6 +14,7 @@
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
 
+	"balsamhill/pkg/contact"
 	"balsamhill/pkg/control"
 	"balsamhill/pkg/crashguard"
 	"balsamhill/pkg/feed"
@@ -144,10 +145,11 @@
 
 	serverLimits *serverLimits
 
-	guard     *crashguard.Guard
-	proxy     *proxy.Proxy
+	guard *crashguard.Guard
+	proxy *proxy.Proxy
 	// dialServer opens the connections to servers, those for probes too.
 	dialServer serverconn.DialFunc
+	contact    *contact.Monitor
 	transport  *serverconn.Transports
 	// ordinaryResponses counts successful first-attempt responses, of which a sample is
 	// logged.
@@ -194,15 +196,18 @@
 		metrics:      metrics.NewSet(),
 		dialServer:   serverconn.Dial,
 	}
+	e.contact = contact.NewMonitor(contact.Config{
+		Dial: e.dial, Servers: e.contactServers, Now: e.now, Log: log, Metrics: e.metrics, Changed: e.contactChanged,
+	})
 	e.transport = serverconn.NewShared(serverconn.SharedConfig{
-		Dial: e.dial, Connections: connectionsPerServer, Idle: idleTimeout, FreshIdle: nonRepeatableIdleTimeout,
+		Dial: e.contact.Dial, Connections: connectionsPerServer, Idle: idleTimeout, FreshIdle: nonRepeatableIdleTimeout,
 	})
 	e.limits.Store(&s.Limits)
 	e.setTableAges(s.Limits)
 	e.peers = gossip.NewPeers(e.self)
 	e.counters = newCounters(e.metrics)
 	e.serverLimits = newServerLimits(e)
-	e.probeTransport = newProbeTransport(e.dial)
+	e.probeTransport = newProbeTransport(e.contact.Dial)
 	for index, table := range feed.Tables() {
 		e.watchers = append(e.watchers, newWatcher(e, table, index))
 	}
@@ -330,6 +335,7 @@
 		addLoop(w.run)
 	}
 	addLoop(e.runMembership)
+	addLoop(e.contact.Run)
 	addLoop(e.runSender)
 	addLoop(e.runProber)
 	group.Add(func() error { e.runReceiver(); return nil }, func(error) { _ = e.datagrams.Close() })
--- a/pkg/edge/limits.go
+++ b/pkg/edge/limits.go
@@ -192,7 +192,7 @@
 	demands := l.outgoingDemands()
 	e.peersMu.Lock()
 	members, live, known := e.peers.LimitMembers(now, assignment)
-	if !e.stopping.Load() {
+	if !e.stopping.Load() && !e.contact.Isolated() {
 		members = append(members, e.peers.LimitMember(assignment, demands))
 	}
 	for domain, region := range e.settings.Regions {
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -139,6 +139,7 @@
 	gauge(float64(alive), "balsamhill_gateways_alive")
 	gauge(indicator(e.longPollsStore(now)), "balsamhill_reader")
 	gauge(indicator(e.isRelay.Load()), "balsamhill_relay")
+	gauge(indicator(e.contact.Isolated()), "balsamhill_isolated")
 	snapshot := e.snapshot.Load()
 	if snapshot == nil {
 		return
--- a/pkg/edge/probes.go
+++ b/pkg/edge/probes.go
@@ -223,9 +223,11 @@
 func (e *Edge) probe(ctx context.Context, server *routing.Server, path string, results chan<- probeResult) {
 	callCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	sentAt := e.now()
 	result := probeResult{server: server, ok: e.fetchLoad(callCtx, server, path)}
 	if !result.ok {
 		e.counters.probeErrors.Inc()
+		e.contact.ProbeFailed(server.Address, sentAt)
 	}
 	select {
 	case results <- result:
--- a/pkg/edge/receiver.go
+++ b/pkg/edge/receiver.go
@@ -35,6 +35,7 @@
 		return current
 	}
 	e.peersMu.Lock()
+	e.peers.SetIsolated(e.contact.Isolated())
 	updated := e.peers.Assign(now)
 	known, alive := e.peers.KnownInRegion(), e.peers.AliveInGroup(now)
 	e.peersMu.Unlock()
@@ -68,12 +69,17 @@
 func (e *Edge) receive(message *gossip.Message) {
 	now := e.now()
 	e.peersMu.Lock()
+	wasIsolated := e.peers.IsIsolated(message.Key)
 	newer, joined := e.peers.ApplyMessage(now, message)
 	sender := e.peers.IDOf(message.Key)
 	e.peersMu.Unlock()
 	if !newer {
 		return
 	}
+	if message.Isolated != wasIsolated {
+		e.log.Info("reachability of the servers changed at another gateway", "gateway", sender, "isolated", message.Isolated)
+		e.assignedAt.Store(0)
+	}
 	if joined {
 		e.counters.joins.Inc()
 		e.announcePending.Store(true)
--- a/pkg/edge/reports.go
+++ b/pkg/edge/reports.go
@@ -70,11 +70,12 @@
 	if !server.Stats.Unresponsive() {
 		return current, true
 	}
-	if assignment.ShouldProbe(id, server.FailureDomain) {
+	if assignment.ShouldProbe(id, server.FailureDomain) && !s.edge.contact.Doubtful() {
 		current.unresponsive = true
 		return current, true
 	}
-	// Only the gateway that probes a server reports it as unresponsive. Any gateway that
+	// Only the gateway that probes a server reports it as unresponsive, unless its own links may
+	// have failed. Any gateway that
 	// receives a new response from it reports it as responsive.
 	return current, current.reportedAt != s.sent[id].reportedAt
 }
--- a/pkg/edge/sender.go
+++ b/pkg/edge/sender.go
@@ -71,8 +71,11 @@
 	// was told.
 	suspicions     suspicionNotices
 	toldSuspicions toldSuspicions
-	buffer         []byte
-	random         *rand.Rand
+	// toldIsolated says whether the last message to all peers said that this gateway is
+	// isolated.
+	toldIsolated bool
+	buffer       []byte
+	random       *rand.Rand
 }
 
 // gatewaysPerMessage is how many other gateways a message with the description of its
@@ -98,12 +101,13 @@
 	tableStates, changed := s.currentTableStates(now)
 	suspicions := s.toldSuspicions.take(now, &s.suspicions, e.isRelay.Load())
 	leaving := s.leaving.take(now, e.indexed.Load(), e.isRelay.Load())
-	announce := e.announcePending.Swap(false)
+	announce := e.announcePending.Swap(false) || s.toldIsolated != e.contact.Isolated()
 	if len(reports) == 0 && len(suspicions) == 0 && len(leaving) == 0 && !changed && !announce && now-s.sentAt < int64(heartbeatInterval) {
 		return sendIntervalOf(assignment)
 	}
 	s.sentAt = now
 	message := e.newMessage(now, heartbeatInterval)
+	s.toldIsolated = message.Isolated
 	message.Suspicions = suspicions
 	message.Leaving = leaving
 	if changed || announce || now-s.tableStatesSentAt >= int64(heartbeatInterval) {
@@ -129,14 +133,14 @@
 
 // sendPassive sends the heartbeats of a passive gateway: to the probers every
 // passiveHeartbeatInterval, to all peers every passiveBroadcastInterval or at once if it
-// suspects a request of crashing servers. Its table states can wait, because the others
+// suspects a request of crashing servers or lost its links to the servers. Its table states can wait, because the others
 // receive them from the reader.
 func (s *sender) sendPassive(now int64, assignment *gossip.Assignment) {
 	e := s.edge
 	e.announcePending.Store(false)
 	indexed, isRelay := e.indexed.Load(), e.isRelay.Load()
 	broadcast := s.toldSuspicions.untold(&s.suspicions, isRelay) || s.leaving.untold(indexed, isRelay) ||
-		now-s.broadcastAt >= int64(passiveBroadcastInterval)
+		s.toldIsolated != e.contact.Isolated() || now-s.broadcastAt >= int64(passiveBroadcastInterval)
 	if !broadcast && now-s.sentAt < int64(passiveHeartbeatInterval) {
 		return
 	}
@@ -152,6 +156,7 @@
 	e.peersMu.Unlock()
 	message := e.newMessage(now, interval)
 	if broadcast {
+		s.toldIsolated = message.Isolated
 		message.Suspicions = s.toldSuspicions.take(now, &s.suspicions, isRelay)
 		message.Leaving = s.leaving.take(now, indexed, isRelay)
 	}
@@ -182,6 +187,7 @@
 		Incarnation:    e.self.Incarnation,
 		SentAt:         now,
 		Stopping:       e.stopping.Load(),
+		Isolated:       e.contact.Isolated(),
 		StoreReachable: !e.storeState.unreachable(),
 		KeepsLimits:    true,
 		Interval:       interval,
--- a/pkg/edge/sender_test.go
+++ b/pkg/edge/sender_test.go
@@ -7,8 +7,10 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
 
+	"balsamhill/pkg/contact"
 	"balsamhill/pkg/feed"
 	"balsamhill/pkg/gossip"
 	"balsamhill/pkg/routing"
@@ -28,7 +30,11 @@
 // domain.
 func newSenderAndServer() (*sender, *routing.Server) {
 	return &sender{
-			edge: &Edge{settings: &Settings{ID: "g1", Region: "r", FailureDomain: "d"}}, sent: make(map[string]sentReport),
+			edge: &Edge{
+				settings: &Settings{ID: "g1", Region: "r", FailureDomain: "d"},
+				contact:  contact.NewMonitor(contact.Config{Metrics: metrics.NewSet()}),
+			},
+			sent: make(map[string]sentReport),
 		},
 		&routing.Server{ID: "a", Region: "r", FailureDomain: "d", Stats: &routing.Stats{}}
 }
--- a/pkg/gossip/assignment.go
+++ b/pkg/gossip/assignment.go
@@ -18,15 +18,18 @@
 	allProbers []Gateway
 }
 
-// Assign divides the servers among the gateways that are alive. In a small region
-// all gateways probe. If the region is grouped by failure domain, the high-capacity
+// Assign divides the servers among the gateways that are alive and reach servers. In a
+// small region all of them probe. If the region is grouped by failure domain, the high-capacity
 // gateways of each domain probe the domain's servers, or fallbackProbers gateways of
 // the domain if it has no high-capacity one.
 func (p *Peers) Assign(now int64) Assignment {
 	a := Assignment{self: p.self, byDomain: p.GroupedByDomain(), probers: make(map[string][]Gateway)}
-	candidates := []candidate{{p.self, p.ranks.prober}}
+	var candidates []candidate
+	if !p.isolated {
+		candidates = append(candidates, candidate{p.self, p.ranks.prober})
+	}
 	for _, peer := range p.peers {
-		if peer.active(now) && p.inGroup(peer.gateway, a.byDomain) {
+		if peer.active(now) && !peer.isolated && p.inGroup(peer.gateway, a.byDomain) {
 			candidates = append(candidates, candidate{peer.gateway, peer.ranks.prober})
 		}
 	}
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -20,6 +20,7 @@
 		Sequence:       rapid.Uint64().Draw(t, "sequence"),
 		SentAt:         rapid.Int64Range(0, 3600e6).Draw(t, "sent at") * 1000,
 		Stopping:       rapid.Bool().Draw(t, "stopping"),
+		Isolated:       rapid.Bool().Draw(t, "isolated"),
 		StoreReachable: rapid.Bool().Draw(t, "reachable"),
 		Interval:       time.Duration(rapid.IntRange(0, 10_000).Draw(t, "interval")) * time.Millisecond,
 	}
@@ -193,6 +194,56 @@
 	}
 }
 
+// TestServersOfIsolatedGatewaysAreProbedByOthers guards against servers that are probed only by
+// gateways that reach none, and against shares of limits that such gateways keep.
+func TestServersOfIsolatedGatewaysAreProbedByOthers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const now = int64(10e9)
+		var gateways []Gateway
+		count := rapid.IntRange(2, 40).Draw(t, "gateways")
+		for i := range count {
+			gateways = append(gateways, gateway(i, fmt.Sprint("d", i%2), rapid.Bool().Draw(t, "highCapacity")))
+		}
+		fleet := newFleet(now, gateways)
+		isolated := make([]bool, count)
+		reachableIn := make(map[string]int)
+		for i, g := range gateways {
+			isolated[i] = rapid.Bool().Draw(t, "isolated")
+			if !isolated[i] {
+				reachableIn[g.FailureDomain]++
+			}
+			fleet[i].SetIsolated(isolated[i])
+			message := messageFrom(g, 2)
+			message.Isolated = isolated[i]
+			message.KeepsLimits = true
+			for _, table := range fleet {
+				table.ApplyMessage(now, message)
+			}
+		}
+		for server := range 20 {
+			domain, probers := fmt.Sprint("d", server%2), 0
+			for i, table := range fleet {
+				assignment := table.Assign(now)
+				if assignment.ShouldProbe(fmt.Sprint("s", server), domain) {
+					probers++
+					assert.Assert(t, !isolated[i])
+				}
+			}
+			// In a large region only the gateways of a domain probe its servers.
+			if reachableIn[domain] > 0 || count <= maxFullMesh && len(reachableIn) > 0 {
+				assert.Equal(t, probers, 1)
+			}
+		}
+		for _, table := range fleet {
+			assignment := table.Assign(now)
+			members, _, _ := table.LimitMembers(now, &assignment)
+			for _, member := range members {
+				assert.Assert(t, !table.IsIsolated(member.Key))
+			}
+		}
+	})
+}
+
 // TestOneStoreReader guards against two store readers, and against a reader that
 // does not reach the store while another gateway does.
 func TestOneStoreReader(t *testing.T) {
--- a/pkg/gossip/limitview.go
+++ b/pkg/gossip/limitview.go
@@ -17,7 +17,8 @@
 			continue
 		}
 		live++
-		if !peer.keepsLimits {
+		if !peer.keepsLimits || peer.isolated {
+			// An isolated gateway sends nothing to servers, so that it needs no share.
 			continue
 		}
 		members = append(members, serverlimit.Member{
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -40,6 +40,8 @@
 	KnownGateways []Gateway
 	// Stopping says that the sender is shutting down.
 	Stopping bool
+	// Isolated says that the sender reaches no server.
+	Isolated bool
 	// StoreReachable says that the sender's last call to the store succeeded.
 	StoreReachable bool
 	// Interval is the maximum time between two messages of the sender. A sender
@@ -159,6 +161,7 @@
 	flagStopping = 1 << iota
 	flagStoreReachable
 	flagKeepsLimits
+	flagIsolated
 )
 
 // Field numbers of gateways, table states, reports and suspicions.
@@ -217,6 +220,9 @@
 	if m.KeepsLimits {
 		flags |= flagKeepsLimits
 	}
+	if m.Isolated {
+		flags |= flagIsolated
+	}
 	buffer = appendVarint(buffer, fieldFlags, flags)
 	buffer = appendVarint(buffer, fieldIntervalMillis, uint64(max(0, m.Interval.Milliseconds())))
 	buffer = appendVarint(buffer, fieldSentAtMicros, microseconds(time.Duration(m.SentAt)))
--- a/pkg/gossip/peers.go
+++ b/pkg/gossip/peers.go
@@ -44,11 +44,12 @@
 	sequence      uint64
 	// lastSentAt is when this gateway last sent it a message.
 	lastSentAt int64
-	// stopping and storeReachable are from its last message, tableStates and
+	// stopping, isolated and storeReachable are from its last message, tableStates and
 	// tableStatesAt from its last message with table states. For a peer,
 	// tableStatesAt starts as the time at which the peer was added, so that a peer
 	// that never sends a message is kept for its TTL.
 	stopping       bool
+	isolated       bool
 	storeReachable bool
 	tableStates    []feed.TableState
 	tableStatesAt  int64
@@ -70,6 +71,7 @@
 		message.addAge(c.delay.Record(now, message.SentAt))
 	}
 	c.stopping = message.Stopping
+	c.isolated = message.Isolated
 	c.storeReachable = message.StoreReachable
 	c.keepsLimits = message.KeepsLimits
 	if message.Demands != nil {
@@ -91,10 +93,12 @@
 // Peers is the table of the other gateways of the region, and of a few gateways
 // of the other regions. It is not safe for concurrent use.
 type Peers struct {
-	self    Gateway
-	ranks   ranks
-	peers   map[uint64]*peer
-	remotes map[uint64]*remote
+	self  Gateway
+	ranks ranks
+	// isolated says that this gateway reaches no server.
+	isolated bool
+	peers    map[uint64]*peer
+	remotes  map[uint64]*remote
 }
 
 // NewPeers returns a table without peers.
@@ -146,6 +150,20 @@
 	return true, joined
 }
 
+// SetIsolated records whether this gateway reaches no server.
+func (p *Peers) SetIsolated(isolated bool) {
+	p.isolated = isolated
+}
+
+// IsIsolated reports whether another gateway reaches no server, according to its last message.
+func (p *Peers) IsIsolated(key uint64) bool {
+	if existing := p.peers[key]; existing != nil {
+		return existing.isolated
+	}
+	existing := p.remotes[key]
+	return existing != nil && existing.isolated
+}
+
 // IDOf returns the ID of a known gateway by its key, empty if it is unknown.
 func (p *Peers) IDOf(key uint64) string {
 	if existing := p.peers[key]; existing != nil {
--- a/pkg/gossip/unmarshal.go
+++ b/pkg/gossip/unmarshal.go
@@ -38,6 +38,7 @@
 		m.Stopping = value&flagStopping != 0
 		m.StoreReachable = value&flagStoreReachable != 0
 		m.KeepsLimits = value&flagKeepsLimits != 0
+		m.Isolated = value&flagIsolated != 0
 	case fieldIntervalMillis:
 		m.Interval = time.Duration(min(value, uint64(maxInterval/time.Millisecond))) * time.Millisecond
 	case fieldSentAtMicros:
