Hand off calls to another gateway while no server can be reached

Cause: such a gateway knew no other way to a server, although other gateways were in reach of both. Class of fault: one path where several exist, and no notion of the failure of one's own links.

Change: an isolated gateway hands off calls to a gateway that reaches servers and passes the response on (pkg/handoff chooses, pkg/proxy sends). The other gateway treats the call as its own; attempts, deadline, budget, caller and outcome hold over both; a call is handed off once.

--- a/pkg/edge/cut_test.go
+++ b/pkg/edge/cut_test.go
@@ -21,6 +21,7 @@
 	"balsamhill/pkg/loadreport"
 	"balsamhill/pkg/preset"
 	"balsamhill/pkg/registry"
+	"balsamhill/pkg/routing"
 	"balsamhill/pkg/serverconn"
 )
 
@@ -323,3 +324,33 @@
 		}
 	}
 }
+
+// TestGatewayServesItselfSoonAfterCut guards against a gateway that goes on handing off calls, or that
+// sends none to servers that failed only because of the cut, after its links are back.
+func TestGatewayServesItselfSoonAfterCut(t *testing.T) {
+	store := storeWith()
+	startServers(t, store, 6)
+	gateways := startCutGateways(t, store, 6, "first", "second")
+	first := gateways[0]
+	first.links.set(linkRefuses)
+	eventually(t, "first is isolated", cutBound, func() bool {
+		first.send(t, "/book/x", "early", "b")
+		return first.contact.Isolated()
+	})
+	first.links.set(linkWhole)
+	eventually(t, "first reaches servers", time.Second, func() bool { return !first.contact.Isolated() })
+	handoffs := first.metrics.GetOrCreateCounter(`balsamhill_handoffs_total{result="taken"}`)
+	before := handoffs.Get()
+	for n := range 20 {
+		assert.Equal(t, first.send(t, "/book/x", fmt.Sprintf("late-%d", n), "b").status, http.StatusOK)
+	}
+	assert.Equal(t, handoffs.Get(), before)
+	eventually(t, "all servers are available", time.Second, func() bool {
+		for _, server := range first.snapshot.Load().ServersByID {
+			if server.Availability != routing.Available || server.Stats.Unresponsive() {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -150,6 +150,7 @@
 	// dialServer opens the connections to servers, those for probes too.
 	dialServer serverconn.DialFunc
 	contact    *contact.Monitor
+	handoffs   *handoffs
 	transport  *serverconn.Transports
 	// ordinaryResponses counts successful first-attempt responses, of which a sample is
 	// logged.
@@ -207,6 +208,7 @@
 	e.peers = gossip.NewPeers(e.self)
 	e.counters = newCounters(e.metrics)
 	e.serverLimits = newServerLimits(e)
+	e.handoffs = newHandoffs(e)
 	e.probeTransport = newProbeTransport(e.contact.Dial)
 	for index, table := range feed.Tables() {
 		e.watchers = append(e.watchers, newWatcher(e, table, index))
@@ -228,6 +230,8 @@
 		EndsAt:              e.endsAt.Load,
 		GatewayCount:        func() float64 { return float64(1 + e.livePeers.Load()) },
 		Observer:            observer{e},
+		Handoff:             e.handoffs,
+		GatewayID:           s.ID,
 	})
 	e.traffic = &http.Server{
 		Handler:           e.connectionCloseHandler(e.proxy),
@@ -340,7 +344,9 @@
 	addLoop(e.runProber)
 	group.Add(func() error { e.runReceiver(); return nil }, func(error) { _ = e.datagrams.Close() })
 	addServer(&http.Server{Handler: e.readyHandler(), IdleTimeout: callerIdleTimeout}, e.readyListener)
-	addServer(&http.Server{Handler: e.peerHandler(), IdleTimeout: callerIdleTimeout}, e.peerListener)
+	addServer(&http.Server{
+		Handler: e.peerHandler(), IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
+	}, e.peerListener)
 	if e.settings.MetricsPort != 0 {
 		addLoop(e.serveMetrics)
 	}
@@ -350,6 +356,7 @@
 	group.Add(func() error { return e.serveTraffic(ctx) }, func(error) { _ = e.traffic.Close() })
 	err := group.Run()
 	e.transport.CloseIdleConnections()
+	e.handoffs.transports.CloseIdleConnections()
 	if eris.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -363,10 +370,11 @@
 	e.log.Info("settings read again", "changed", *old != s.Limits)
 }
 
-// ready reports whether the gateway can serve callers: it has a configuration and the
-// list of servers, and is not shutting down.
+// ready reports whether the gateway can serve callers: it has a configuration and the list of
+// servers, reaches a server or a gateway that may, and is not shutting down.
 func (e *Edge) ready() bool {
-	return e.snapshot.Load() != nil && e.serversLoaded.Load() && !e.stopping.Load()
+	return e.snapshot.Load() != nil && e.serversLoaded.Load() && !e.stopping.Load() &&
+		(!e.contact.Isolated() || e.handoffs.possible())
 }
 
 func (e *Edge) readyHandler() http.Handler {
--- a/pkg/edge/tables.go
+++ b/pkg/edge/tables.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"balsamhill/pkg/feed"
+	"balsamhill/pkg/handoff"
 	"balsamhill/pkg/tablecodec"
 )
 
@@ -90,8 +91,20 @@
 	return query, nil
 }
 
-// peerHandler serves the copies of the tables to other gateways, and /metrics.
+// peerHandler processes the calls that other gateways hand off, and serves the copies of the
+// tables to them, and /metrics.
 func (e *Edge) peerHandler() http.Handler {
+	tables, calls := e.tableHandler(), e.connectionCloseHandler(http.HandlerFunc(e.proxy.ServeHandoff))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, handedOff := r.Header[handoff.Header]; handedOff {
+			calls.ServeHTTP(w, r)
+			return
+		}
+		tables.ServeHTTP(w, r)
+	})
+}
+
+func (e *Edge) tableHandler() http.Handler {
 	mux := http.NewServeMux()
 	for _, w := range e.watchers {
 		mux.HandleFunc("GET "+tablePath+string(w.table), func(writer http.ResponseWriter, r *http.Request) {
--- a/pkg/gossip/peers.go
+++ b/pkg/gossip/peers.go
@@ -164,6 +164,39 @@
 	return existing != nil && existing.isolated
 }
 
+// HandoffCandidate is a gateway that may reach servers.
+type HandoffCandidate struct {
+	Gateway Gateway
+	// Heard says that it sent a message lately.
+	Heard bool
+}
+
+// HandoffCandidates returns the gateways that may take calls of this one: all but those that
+// stopped, whose last messages say that they stop or reach no server, or that are silent although
+// their messages should arrive here.
+func (p *Peers) HandoffCandidates(now int64) []HandoffCandidate {
+	var candidates []HandoffCandidate
+	byDomain := p.GroupedByDomain()
+	for _, peer := range p.peers {
+		heard := peer.alive(now)
+		if heard || !p.inGroup(peer.gateway, byDomain) {
+			candidates = peer.appendHandoff(now, candidates, heard)
+		}
+	}
+	for _, r := range p.remotes {
+		candidates = r.appendHandoff(now, candidates, r.relayAlive(now))
+	}
+	return candidates
+}
+
+// appendHandoff appends the gateway unless it said within peerTTL that it takes no calls.
+func (c *contact) appendHandoff(now int64, candidates []HandoffCandidate, heard bool) []HandoffCandidate {
+	if (c.stopping || c.isolated) && now-c.lastMessageAt <= int64(peerTTL) {
+		return candidates
+	}
+	return append(candidates, HandoffCandidate{Gateway: c.gateway, Heard: heard})
+}
+
 // IDOf returns the ID of a known gateway by its key, empty if it is unknown.
 func (p *Peers) IDOf(key uint64) string {
 	if existing := p.peers[key]; existing != nil {
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"balsamhill/pkg/crashguard"
+	"balsamhill/pkg/handoff"
 	"balsamhill/pkg/retry"
 	"balsamhill/pkg/routing"
 	"balsamhill/pkg/serverconn"
@@ -73,6 +74,12 @@
 	// was chosen. Another server may be tried.
 	withdrawn bool
 
+	// handoff describes the call to the gateway to which the attempt hands it off. declined
+	// says that that gateway did not take the call, and conclusive that its refusal is the
+	// response.
+	handoff              handoff.Request
+	declined, conclusive bool
+
 	dispatch     Dispatch
 	response     *http.Response
 	responseKind ResponseKind
@@ -89,6 +96,9 @@
 		// service-time estimate.
 		a.inFlightBefore = c.view.InFlightWith(server, now)
 	}
+	if server.Gateway {
+		a.recordHandoff()
+	}
 	a.ctx, a.cancel = context.WithCancelCause(c.baseContext)
 	c.latestAttempt.Store(a)
 	return a
@@ -114,7 +124,7 @@
 // send sends the request and waits for the response header or a failure.
 func (a *attempt) send() {
 	c := a.call
-	guard := c.proxy.config.CrashGuard
+	guard := a.crashGuard()
 	// The first attempt was admitted before its server was chosen; see
 	// acquireCrashGuard.
 	if guard != nil && a.number > 1 {
@@ -133,6 +143,9 @@
 		a.err = errWithdrawn
 	}
 	now := c.proxy.config.Now()
+	if a.server.Gateway {
+		a.recordHandoffResult()
+	}
 	if a.response != nil {
 		a.recordResponse(now)
 	} else {
@@ -149,6 +162,15 @@
 	}
 }
 
+// crashGuard returns the crash guard that applies to the attempt, nil for none. The gateway to
+// which a call is handed off applies its own.
+func (a *attempt) crashGuard() CrashGuard {
+	if a.server.Gateway {
+		return nil
+	}
+	return a.call.proxy.config.CrashGuard
+}
+
 // acquireCrashGuard asks the crash guard to admit the first attempt, and refuses the
 // call if it does not.
 func (c *call) acquireCrashGuard() bool {
@@ -178,16 +200,27 @@
 	c := a.call
 	trace := &httptrace.ClientTrace{GotConn: a.gotConn, Got1xxResponse: a.got1xx}
 	a.dispatch = c.newDispatch(a.server, a.number)
+	if a.server.Gateway {
+		a.dispatch.Handoff = a.handoff.String()
+	}
 	request := c.outgoingRequest(a.server, a.dispatch).WithContext(httptrace.WithClientTrace(a.ctx, trace))
 	c.body.initStallTimer(func() { a.cancel(errIdle) })
 	fresh := a.fresh || c.safety != retry.Idempotent
-	a.response, a.err = c.proxy.config.Transport.RoundTrip(c.serviceName, fresh, request)
+	if a.server.Gateway {
+		a.response, a.err = c.proxy.config.Handoff.RoundTrip(fresh, request)
+	} else {
+		a.response, a.err = c.proxy.config.Transport.RoundTrip(c.serviceName, fresh, request)
+	}
 	if a.err != nil {
 		a.response = nil
 		return
 	}
-	a.responseKind = c.proxy.config.Protocol.ClassifyResponse(a.response, a.dispatch)
-	a.recordWithdrawal()
+	if a.server.Gateway {
+		a.classifyHandoff()
+	} else {
+		a.responseKind = c.proxy.config.Protocol.ClassifyResponse(a.response, a.dispatch)
+		a.recordWithdrawal()
+	}
 	switch a.responseKind {
 	case ResponseMismatched, ResponseUnconfirmed:
 		a.dropResponse(errUnusableResponse)
@@ -320,6 +353,10 @@
 
 func (a *attempt) classify() retry.Result {
 	o := retry.Observation{}
+	if a.response != nil && a.server.Gateway && a.responseKind == ResponseFinal {
+		// The other gateway has made the retries that the status permits.
+		return retry.ResponseReceived
+	}
 	if a.response != nil {
 		return resultOf(a.responseKind, a.response.StatusCode)
 	}
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -15,6 +15,7 @@
 	"balsamhill/pkg/admission"
 	"balsamhill/pkg/claim"
 	"balsamhill/pkg/crashguard"
+	"balsamhill/pkg/handoff"
 	"balsamhill/pkg/preset"
 	"balsamhill/pkg/retry"
 	"balsamhill/pkg/routing"
@@ -95,8 +96,9 @@
 	// the call has none.
 	arrived  int64
 	deadline int64
-	// peer is the address of the connection, and trusted reports whether it is one
-	// of Config.TrustedProxies.
+	// peer is the address of the connection, or that of the caller of a call that another
+	// gateway handed off. trusted reports whether the headers of gateways are kept: the
+	// connection is that of another gateway or of one of Config.TrustedProxies.
 	peer      netip.Addr
 	trusted   bool
 	requestID string
@@ -138,8 +140,13 @@
 	latestAttempt atomic.Pointer[attempt]
 	// atLimit says that the call is refused because of the limits that servers named.
 	atLimit bool
-	// notRunCount is the number of attempts that certainly did not run.
-	notRunCount int
+	// notRunCount is the number of attempts that certainly did not run, and unsentCount that
+	// of those that reached neither a server nor a gateway that took the call.
+	notRunCount, unsentCount int
+	// received describes a call that another gateway handed off, nil for a call of a caller.
+	received *handoff.Request
+	// handedOff says that this gateway reached no server when the call arrived.
+	handedOff bool
 }
 
 var randPool = sync.Pool{New: func() any {
@@ -172,9 +179,12 @@
 	c.startLateTimer()
 	c.informational.w = c.w
 	c.informational.protocol = c.proxy.config.Protocol
-	c.service.calls.Add(1)
-	c.service.retryBudget.RecordCall(c.arrived)
-	c.service.hedgeBudget.RecordCall(c.arrived)
+	c.handedOff = c.mustHandOff()
+	if c.countsForBudget() {
+		c.service.calls.Add(1)
+		c.service.retryBudget.RecordCall(c.arrived)
+		c.service.hedgeBudget.RecordCall(c.arrived)
+	}
 	if limits.MaxBodyBytes > 0 && c.r.ContentLength > limits.MaxBodyBytes {
 		c.refuseTooLarge()
 		return
@@ -187,6 +197,10 @@
 	if !c.bufferBody() {
 		return
 	}
+	if c.handedOff {
+		c.handOff()
+		return
+	}
 	if !c.admit() {
 		return
 	}
@@ -208,13 +222,16 @@
 	if server == nil {
 		return
 	}
-	var last *attempt
+	c.respond(c.run(server))
+}
+
+// run sends attempts, the first one to the given server, and returns the one that decides the
+// call.
+func (c *call) run(server *routing.Server) *attempt {
 	if c.mayRunInParallel() {
-		last = c.runWithHedging(server)
-	} else {
-		last = c.runSequentially(server)
+		return c.runWithHedging(server)
 	}
-	c.respond(last)
+	return c.runSequentially(server)
 }
 
 // candidateCount returns how many servers the call may be sent to: the usable ones
@@ -303,7 +320,7 @@
 // takeRetry reports whether the call may be sent to another server after the last
 // attempt, and takes a retry from the budget if so.
 func (c *call) takeRetry(last *attempt) bool {
-	if !c.mayAddAttempt() || last.denied && !last.withdrawn || !retry.MayAddAttempts(c.incomingAttempt) {
+	if !c.mayAddAttempt() || last.conclusive || last.denied && !last.withdrawn || !retry.MayAddAttempts(c.incomingAttempt) {
 		return false
 	}
 	if !c.resultAllowsRetry(last) || !c.body.replayable() {
@@ -313,7 +330,7 @@
 	if retry.Expired(now, c.deadline) || c.baseContext.Err() != nil {
 		return false
 	}
-	if !last.neverSent() && !c.service.retryBudget.Take(now, c.limits.RetryPercent, c.proxy.retryBase()) {
+	if !c.nextIsFree(last) && !c.service.retryBudget.Take(now, c.limits.RetryPercent, c.proxy.retryBase()) {
 		c.service.Metrics.retriesDenied.Inc()
 		return false
 	}
@@ -336,9 +353,17 @@
 	return p.config.RetryBase()
 }
 
-// mayAddAttempt reports whether the limits on attempts allow another one.
+// nextIsFree reports whether the next attempt is no retry: none before it reached a server, and
+// the last one was withdrawn or the next one goes to another gateway.
+func (c *call) nextIsFree(last *attempt) bool {
+	return last.neverSent() || last.declined || c.unsentCount == c.attemptCount && c.mustHandOff()
+}
+
+// mayAddAttempt reports whether the limits on attempts allow another one. They hold for the
+// attempts of all gateways that the call passed.
 func (c *call) mayAddAttempt() bool {
-	return c.attemptCount-c.notRunCount < c.maxAttempts() && c.attemptCount < maxTotalAttempts
+	sent, mayHaveRun := c.earlierAttempts()
+	return c.attemptCount-c.notRunCount+mayHaveRun < c.maxAttempts() && c.attemptCount+sent < maxTotalAttempts
 }
 
 func (c *call) maxAttempts() int {
@@ -392,6 +417,9 @@
 	if a.result.DidNotRun() {
 		c.notRunCount++
 	}
+	if a.result == retry.NeverWritten || a.declined {
+		c.unsentCount++
+	}
 	c.reportFailedAttempt(a)
 	c.service.Metrics.attempts[a.result].Inc()
 }
@@ -399,6 +427,15 @@
 // respond forwards the response of the last attempt, or refuses the call if there
 // is none.
 func (c *call) respond(a *attempt) {
+	if a.conclusive {
+		c.respondConclusive(a)
+		return
+	}
+	if a.declined {
+		a.finish()
+		c.refuseIsolated()
+		return
+	}
 	if a.response != nil && a.result == retry.RefusedNotRun && c.proxy.config.ReplaceRejections {
 		a.finish()
 		c.proxy.config.Metrics.failed[a.result].Inc()
--- a/pkg/proxy/choose.go
+++ b/pkg/proxy/choose.go
@@ -19,8 +19,11 @@
 }
 
 // chooseToSend is like choose, and takes one of the requests that this gateway may send
-// to the server.
+// to the server. While no server can be reached, it returns another gateway.
 func (c *call) chooseToSend() *routing.Server {
+	if c.mustHandOff() {
+		return c.chooseGateway()
+	}
 	for {
 		server := c.choose()
 		if server == nil || server.Stats.Take(c.proxy.config.Now()) {
--- a/pkg/proxy/deliver.go
+++ b/pkg/proxy/deliver.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"balsamhill/pkg/claim"
+	"balsamhill/pkg/handoff"
 	"balsamhill/pkg/retry"
 )
 
@@ -38,6 +39,7 @@
 	header := c.w.Header()
 	copyResponseHeader(c.proxy.config.Protocol, header, a.response.Header)
 	c.setOutcomeHeader(a)
+	c.setHandoffOutcome(header, handoff.Answered)
 	declareTrailers(c.proxy.config.Protocol, header, a.response.Trailer)
 	if len(a.response.Trailer) > 0 && c.r.ProtoMajor == 1 && c.r.Method != http.MethodHead {
 		// HTTP/1.1 allows trailers only in chunked responses; HTTP/2 also allows
@@ -75,8 +77,15 @@
 		response.Body == http.NoBody || response.Request != nil && response.Request.Method == http.MethodHead
 }
 
-// setOutcomeHeader sets the header that states whether a failed call ran.
+// setOutcomeHeader sets the header that states whether a failed call ran. What another gateway
+// said of that stays.
 func (c *call) setOutcomeHeader(a *attempt) {
+	if a.server.Gateway {
+		if outcome := a.response.Header.Get(outcomeHeader); outcome != "" {
+			c.w.Header().Set(outcomeHeader, outcome)
+		}
+		return
+	}
 	switch a.result {
 	case retry.RefusedNotRun:
 		c.w.Header().Set(outcomeHeader, string(c.resolveOutcome()))
--- a/pkg/proxy/forwarded.go
+++ b/pkg/proxy/forwarded.go
@@ -44,10 +44,11 @@
 }
 
 // addForwardingHeaders appends the peer to X-Forwarded-For, and to Forwarded if a
-// trusted proxy sent it. Only the default protocol has these headers. outgoingHeader has already removed the forwarding headers of
-// untrusted peers.
+// trusted proxy sent it. Only the default protocol has these headers. outgoingHeader has already
+// removed the forwarding headers of untrusted peers. The gateway that handed off a call has added
+// those of its caller.
 func (c *call) addForwardingHeaders(to http.Header, values *valueArena) {
-	if _, isDefault := c.proxy.config.Protocol.(defaultProtocol); !isDefault {
+	if _, isDefault := c.proxy.config.Protocol.(defaultProtocol); !isDefault || c.received != nil {
 		return
 	}
 	scheme := "http"
--- a/pkg/proxy/headers.go
+++ b/pkg/proxy/headers.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 
+	"balsamhill/pkg/handoff"
 	"balsamhill/pkg/retry"
 	"balsamhill/pkg/routing"
 	"balsamhill/pkg/serverconn"
@@ -107,6 +108,9 @@
 		to["User-Agent"] = nil
 	}
 	c.proxy.config.Protocol.SetRequestHeader(to, dispatch)
+	if dispatch.Handoff != "" {
+		values.set(to, handoff.Header, dispatch.Handoff)
+	}
 	c.addForwardingHeaders(to, &values)
 	return to
 }
@@ -114,16 +118,19 @@
 // newDispatch describes the attempt with the given number to a server.
 func (c *call) newDispatch(server *routing.Server, number int) Dispatch {
 	remaining, _ := retry.RemainingMillis(c.proxy.config.Now(), c.deadline)
-	return Dispatch{
+	dispatch := Dispatch{
 		RequestID:       c.requestID,
-		ServerID:        server.ID,
 		Attempt:         retry.OutgoingAttempt(c.incomingAttempt, number),
 		RemainingMillis: remaining,
 	}
+	if !server.Gateway {
+		dispatch.ServerID = server.ID
+	}
+	return dispatch
 }
 
 // maxAddedHeaders is the maximum number of headers that the gateway adds to a request.
-const maxAddedHeaders = 8
+const maxAddedHeaders = 9
 
 // valueArena stores the values of several single-valued headers in one allocation.
 type valueArena []string
@@ -173,7 +180,7 @@
 func copyResponseHeader(protocol Protocol, to, from http.Header) {
 	named := connectionOptions(from)
 	for name, values := range from {
-		if hopByHopHeaders[name] || (named != nil && named[name]) || protocol.IsInternal(name) {
+		if hopByHopHeaders[name] || (named != nil && named[name]) || protocol.IsInternal(name) || name == handoff.Header {
 			continue
 		}
 		to[name] = values
--- a/pkg/proxy/hedge.go
+++ b/pkg/proxy/hedge.go
@@ -73,7 +73,11 @@
 	h.firstByteTimeout = retry.FirstByteTimeout(started, c.deadline)
 	wait := h.firstByteTimeout
 	hedgeAfter, known := c.service.hedgeDelay.HedgeAfter(started)
-	if c.route.LatencyTarget > 0 {
+	switch {
+	case h.first.server.Gateway:
+		// The other gateway sends the hedges.
+		known = false
+	case c.route.LatencyTarget > 0:
 		// The slowdown that the server reports shows a slow call earlier than the
 		// time since its start.
 		known = false
@@ -270,7 +274,7 @@
 func (c *call) completeHedged(h *hedgedCall, last *attempt) {
 	h.cancelOthers(last)
 	now := c.proxy.config.Now()
-	if last.response == nil {
+	if last.response == nil || last.server.Gateway {
 		return
 	}
 	// If the hedge responded first, the first attempt would have taken at least this
--- a/pkg/proxy/metrics.go
+++ b/pkg/proxy/metrics.go
@@ -29,14 +29,21 @@
 	serversAtLimit   *metrics.Counter
 	serversWithdrawn *metrics.Counter
 	gatewayStopping  *metrics.Counter
+	isolated         *metrics.Counter
 	guardBusy        *metrics.Counter
 	guardBlocked     *metrics.Counter
 	shed             map[admission.Decision]*metrics.Counter
 	failed           map[retry.Result]*metrics.Counter
 	outcomes         map[Outcome]*metrics.Counter
-	claims           map[claim.Kind]*metrics.Counter
-	lateResponses    *metrics.Counter
-	resendsRefused   *metrics.Counter
+	// handoffsReceived counts the calls of other gateways, handoffsDeclined those that this
+	// one declined because it reaches no server, and handoffsUnreadable those that it could not
+	// read.
+	handoffsReceived   *metrics.Counter
+	handoffsDeclined   *metrics.Counter
+	handoffsUnreadable *metrics.Counter
+	claims             map[claim.Kind]*metrics.Counter
+	lateResponses      *metrics.Counter
+	resendsRefused     *metrics.Counter
 	// attemptsWithdrawn counts attempts that were not sent because their server withdrew,
 	// and unreadableWithdrawals responses with an invalid header field about it.
 	attemptsWithdrawn     *metrics.Counter
@@ -59,24 +66,28 @@
 		return set.GetOrCreateCounter(fmt.Sprintf(`balsamhill_calls_total{outcome=%q}`, outcome))
 	}
 	m := &Metrics{
-		set:              set,
-		completed:        calls("answered"),
-		truncated:        calls("truncated"),
-		canceled:         calls("caller_left"),
-		upgraded:         calls("upgraded"),
-		badRequest:       calls("bad_request"),
-		noRoute:          calls("no_route"),
-		noServer:         calls("no_server"),
-		notReady:         calls("not_ready"),
-		tooLarge:         calls("body_too_large"),
-		badBody:          calls("body_failed"),
-		unframedResponse: calls("unframed_answer"),
-		serversFull:      calls("servers_full"),
-		serversAtLimit:   calls("servers_at_limit"),
-		serversWithdrawn: calls("servers_withdrawn"),
-		gatewayStopping:  calls("gateway_stopping"),
-		guardBusy:        calls("crash_guard_busy"),
-		guardBlocked:     calls("crash_guard_blocked"),
+		set:                set,
+		completed:          calls("answered"),
+		truncated:          calls("truncated"),
+		canceled:           calls("caller_left"),
+		upgraded:           calls("upgraded"),
+		badRequest:         calls("bad_request"),
+		noRoute:            calls("no_route"),
+		noServer:           calls("no_server"),
+		notReady:           calls("not_ready"),
+		tooLarge:           calls("body_too_large"),
+		badBody:            calls("body_failed"),
+		unframedResponse:   calls("unframed_answer"),
+		serversFull:        calls("servers_full"),
+		serversAtLimit:     calls("servers_at_limit"),
+		serversWithdrawn:   calls("servers_withdrawn"),
+		gatewayStopping:    calls("gateway_stopping"),
+		isolated:           calls("isolated"),
+		handoffsReceived:   set.GetOrCreateCounter(`balsamhill_handoffs_received_total{result="taken"}`),
+		handoffsDeclined:   set.GetOrCreateCounter(`balsamhill_handoffs_received_total{result="declined"}`),
+		handoffsUnreadable: set.GetOrCreateCounter(`balsamhill_handoffs_received_total{result="unreadable"}`),
+		guardBusy:          calls("crash_guard_busy"),
+		guardBlocked:       calls("crash_guard_blocked"),
 		shed: map[admission.Decision]*metrics.Counter{
 			admission.ShedFull:     calls("shed_full"),
 			admission.ShedDeadline: calls("shed_deadline"),
@@ -125,3 +136,8 @@
 	}
 	return s
 }
+
+// handoff returns the counter of the calls that were handed off to other gateways with a result.
+func (m *Metrics) handoff(result string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`balsamhill_handoffs_total{result=%q}`, result))
+}
--- a/pkg/proxy/observer.go
+++ b/pkg/proxy/observer.go
@@ -10,8 +10,12 @@
 
 const drainingHeader = "Balsamhill-Draining"
 
-// recordResponse updates the server's statistics from a response.
+// recordResponse updates the server's statistics from a response. That of another gateway says
+// nothing of that gateway.
 func (a *attempt) recordResponse(now int64) {
+	if a.server.Gateway {
+		return
+	}
 	response, stats := a.response, a.server.Stats
 	served := false
 	switch {
--- a/pkg/proxy/outcome.go
+++ b/pkg/proxy/outcome.go
@@ -72,6 +72,7 @@
 	outcome := c.resolveOutcome()
 	c.proxy.config.Metrics.outcomes[outcome].Inc()
 	c.reportRefusal(status, outcome, detail)
+	c.setHandoffOutcome(c.w.Header(), c.refusalOutcome(outcome))
 	c.closeIfBodyUnread()
 	_ = c.control.SetWriteDeadline(time.Now().Add(c.idleTimeout()))
 	c.proxy.refuse(c.w, status, outcome, detail, c.retryAfter())
@@ -87,6 +88,8 @@
 	case c.outlivesGateway():
 		// Other gateways serve.
 		return shortRetryAfter
+	case c.mustHandOff():
+		return defaultRetryAfter
 	case c.view != nil && c.view.AllWithdrawn(now):
 		return c.withdrawalRetryAfter(now)
 	case c.atLimit:
--- a/pkg/proxy/protocol.go
+++ b/pkg/proxy/protocol.go
@@ -86,7 +86,11 @@
 // Dispatch describes one request to one server.
 type Dispatch struct {
 	RequestID string
-	ServerID  string
+	// ServerID is empty if the request goes to another gateway.
+	ServerID string
+	// Handoff is the value of handoff.Header if the request goes to another gateway, else
+	// empty. The protocol need not set that header.
+	Handoff string
 	// Attempt is the number of the attempt, counted from 1 across all gateways that
 	// the call passed.
 	Attempt int
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"balsamhill/pkg/handoff"
 	"balsamhill/pkg/preset"
 	"balsamhill/pkg/retry"
 	"balsamhill/pkg/routing"
@@ -74,6 +75,11 @@
 	// CrashGuard limits how many servers one request can crash. It may be nil; no
 	// request is then blocked.
 	CrashGuard CrashGuard
+	// Handoff hands calls off while no server can be reached. It may be nil; such calls then
+	// fail.
+	Handoff Handoff
+	// GatewayID is the ID of this gateway in calls that it hands off.
+	GatewayID string
 	// TrustedProxies are the addresses whose forwarding headers are kept.
 	TrustedProxies []netip.Prefix
 }
@@ -139,10 +145,18 @@
 
 // ServeHTTP implements http.Handler.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.serve(w, r, nil)
+}
+
+// serve processes a call. received describes the call if another gateway handed it off, else nil.
+func (p *Proxy) serve(w http.ResponseWriter, r *http.Request, received *handoff.Request) {
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
 	arrived := p.config.Now()
 	peer, _ := peerAddress(r.RemoteAddr)
+	if received != nil {
+		peer = received.Caller
+	}
 	id := p.requestID(r)
 	p.config.Protocol.SetRequestID(w.Header(), id)
 	if !checkRequest(p, w, r, arrived) {
@@ -178,7 +192,8 @@
 		service:     p.service(serviceName),
 		arrived:     arrived,
 		peer:        peer,
-		trusted:     p.trustsPeer(peer),
+		trusted:     p.trustsPeer(peer) || received != nil,
+		received:    received,
 		requestID:   id,
 		control:     http.NewResponseController(w),
 	}
--- a/pkg/proxy/upgrade.go
+++ b/pkg/proxy/upgrade.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"balsamhill/pkg/claim"
+	"balsamhill/pkg/handoff"
 )
 
 // requestedUpgrade returns the protocol to which an HTTP/1.1 request asks to switch,
@@ -64,6 +65,7 @@
 	header.Set("Connection", "Upgrade")
 	header.Set("Upgrade", response.Header.Get("Upgrade"))
 	c.proxy.config.Protocol.SetRequestID(header, c.requestID)
+	c.setHandoffOutcome(header, handoff.Answered)
 	_, err := w.WriteString("HTTP/1.1 101 Switching Protocols\r\n")
 	if err != nil {
 		return err
--- a/pkg/routing/server.go
+++ b/pkg/routing/server.go
@@ -79,7 +79,10 @@
 	// WarmupUntil is the end of the warm-up that the server registered, 0 for none.
 	// Slow start, in contrast, lowers Weight.
 	WarmupUntil int64
-	Stats       *Stats
+	// Gateway says that the entry is another gateway, to which calls are handed off. It is in
+	// no snapshot.
+	Gateway bool
+	Stats   *Stats
 }
 
 // Stats are a gateway's observations of one server. The goroutines that serve calls
