Discard the failures of servers after a cut of the own links

Cause: failures of the own links count as failures of the servers.

Change: when servers can be reached again, the control loop discards failures and ejections since the first failure of the cut; older ejections stay.

Test: TestCutOfOwnLinksDoesNotEjectServers, which failed with the event ignored.

--- a/pkg/control/apply.go
+++ b/pkg/control/apply.go
@@ -24,6 +24,16 @@
 		s.applyPeerLost(e)
 	case PeerJoined:
 		s.applyPeerJoined(now, e)
+	case LinksRestored:
+		s.applyLinksRestored(now, e)
+	}
+}
+
+// applyLinksRestored discards the failures of the servers since the links were lost.
+func (s *State) applyLinksRestored(now int64, e LinksRestored) {
+	for _, row := range s.sortedServers() {
+		row.stats.ConsecutiveFailures.Store(0)
+		row.ejection.Discard(now, row.counters(), e.LostAt)
 	}
 }
 
--- a/pkg/control/control_test.go
+++ b/pkg/control/control_test.go
@@ -277,3 +277,38 @@
 	h.tick(4 * second)
 	assert.Equal(t, outside.published.availability, routing.OutsideSubset)
 }
+
+// TestCutOfOwnLinksDoesNotEjectServers guards against servers that get no calls for seconds after the
+// links of the gateway are back, because their failures while it was cut off count, and against
+// an older ejection that ends with the cut.
+func TestCutOfOwnLinksDoesNotEjectServers(t *testing.T) {
+	h := newHarness("g")
+	h.state.Apply(second, PresetOffered{Version: version(1)})
+	h.state.Apply(second, ServerListRead{VMs: liveVMs(6)})
+	h.tick(second)
+	fail := func(id string) {
+		for range 6 {
+			h.server(id).Stats.Failure()
+		}
+	}
+	fail("s0")
+	h.tick(2 * second)
+	cutAt := 3 * second
+	fail("s1")
+	fail("s2")
+	h.tick(cutAt + 1)
+	for _, id := range []string{"s0", "s1", "s2"} {
+		assert.Equal(t, h.server(id).Availability, routing.Ejected)
+	}
+	fail("s3")
+	h.state.Apply(4*second, LinksRestored{LostAt: cutAt})
+	h.tick(4 * second)
+	assert.Equal(t, h.server("s0").Availability, routing.Ejected)
+	for _, id := range []string{"s1", "s2", "s3"} {
+		assert.Equal(t, h.server(id).Availability, routing.Available)
+		assert.Equal(t, h.server(id).Weight, 1.0)
+	}
+	h.server("s1").Stats.Failure()
+	h.tick(5 * second)
+	assert.Equal(t, h.server("s1").Availability, routing.Available)
+}
--- a/pkg/control/events.go
+++ b/pkg/control/events.go
@@ -73,6 +73,13 @@
 	Peer string
 }
 
+// LinksRestored says that this gateway reaches servers again, after it reached none.
+type LinksRestored struct {
+	// LostAt is when the first failure began that was due to the cut.
+	LostAt int64
+}
+
+func (LinksRestored) event()  {}
 func (ServerListRead) event() {}
 func (PresetOffered) event()  {}
 func (DrainNoticed) event()   {}
--- a/pkg/edge/contact.go
+++ b/pkg/edge/contact.go
@@ -18,8 +18,17 @@
 	return servers
 }
 
-// contactChanged passes the probes to other gateways when this one becomes isolated, and takes
-// its share again when it reaches servers.
-func (e *Edge) contactChanged(bool, int64) {
+// contactChanged passes the probes to other gateways when this one becomes isolated. When it
+// reaches servers again, it takes its share of the probes and discards the failures of the servers
+// since the links were lost.
+func (e *Edge) contactChanged(isolated bool, lostAt int64) {
 	e.assignedAt.Store(0)
+	if isolated {
+		return
+	}
+	select {
+	case e.linksRestored <- lostAt:
+	default:
+		// The loss that waits is an earlier one.
+	}
 }
--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -42,6 +42,8 @@
 		select {
 		case event := <-e.events:
 			e.apply(event)
+		case lostAt := <-e.linksRestored:
+			e.state.Apply(e.now(), control.LinksRestored{LostAt: lostAt})
 		case <-ticker.C:
 			e.guard.Expire(e.now())
 			if e.servers.Expire(e.now()) {
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -104,6 +104,8 @@
 	state   *control.State
 	servers *registry.Registry
 	events  chan tableEvent
+	// linksRestored receives, when servers can be reached again, when the links were lost.
+	linksRestored chan int64
 	// configReceipt is accessed only by the control goroutine.
 	configReceipt configReceipt
 
@@ -188,14 +190,15 @@
 			GatewayID: s.ID, Region: s.Region, FailureDomain: s.FailureDomain,
 			DomainLatency: domainRoundTripNanos, RegionLatency: regionRoundTripNanos,
 		}),
-		servers:      registry.New(s.Regions),
-		regionCount:  countRegions(s.Regions),
-		events:       make(chan tableEvent, eventQueueSize),
-		membersLost:  make(chan struct{}, 1),
-		storeReached: make(chan struct{}, 1),
-		startup:      newStartupGate(),
-		metrics:      metrics.NewSet(),
-		dialServer:   serverconn.Dial,
+		servers:       registry.New(s.Regions),
+		regionCount:   countRegions(s.Regions),
+		events:        make(chan tableEvent, eventQueueSize),
+		linksRestored: make(chan int64, 1),
+		membersLost:   make(chan struct{}, 1),
+		storeReached:  make(chan struct{}, 1),
+		startup:       newStartupGate(),
+		metrics:       metrics.NewSet(),
+		dialServer:    serverconn.Dial,
 	}
 	e.contact = contact.NewMonitor(contact.Config{
 		Dial: e.dial, Servers: e.contactServers, Now: e.now, Log: log, Metrics: e.metrics, Changed: e.contactChanged,
--- a/pkg/health/ejection.go
+++ b/pkg/health/ejection.go
@@ -23,6 +23,8 @@
 	lastCounts Counts
 	// windowStartedAt is when the current window started.
 	windowStartedAt int64
+	// ejectedAt is the start of the last ejection.
+	ejectedAt int64
 	// ejectedUntil is the end of the current ejection, 0 if not ejected.
 	ejectedUntil int64
 	// consecutiveEjections is the number of ejections, each less than maxEjectionDuration
@@ -106,11 +108,23 @@
 
 func (e *Ejection) eject(now int64, counts Counts) {
 	duration := min(baseEjectionDuration<<min(e.consecutiveEjections, maxDoublings), maxEjectionDuration)
+	e.ejectedAt = now
 	e.ejectedUntil = now + int64(duration)
 	e.consecutiveEjections++
 	e.startWindow(now, counts)
 }
 
+// Discard discards the outcomes since a moment at which the links to the server were lost. An
+// ejection that they caused ends without slow start.
+func (e *Ejection) Discard(now int64, counts Counts, since int64) {
+	e.lastCounts = counts
+	e.startWindow(now, counts)
+	if e.ejectedUntil != 0 && e.ejectedAt >= since {
+		e.ejectedUntil = 0
+		e.consecutiveEjections--
+	}
+}
+
 // Ejected reports whether the server is ejected.
 func (e *Ejection) Ejected() bool {
 	return e.ejectedUntil != 0
