--- a/pkg/edge/contact.go
+++ b/pkg/edge/contact.go
@@ -1,6 +1,9 @@
 package edge
 
-import "balsamhill/pkg/reachability"
+import (
+	"balsamhill/pkg/gossip"
+	"balsamhill/pkg/reachability"
+)
 
 // contactServers returns the servers by which the contact with all servers is verified.
 func (e *Edge) contactServers() []reachability.Server {
@@ -32,3 +35,10 @@
 		// The loss that waits is an earlier one.
 	}
 }
+
+// handoffCandidates returns the gateways that may take calls of this one.
+func (e *Edge) handoffCandidates(now int64) []gossip.HandoffCandidate {
+	e.peersMu.Lock()
+	defer e.peersMu.Unlock()
+	return e.peers.HandoffCandidates(now)
+}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -19,10 +19,12 @@
 	"balsamhill/pkg/crashguard"
 	"balsamhill/pkg/feed"
 	"balsamhill/pkg/gossip"
+	"balsamhill/pkg/handoffconn"
 	"balsamhill/pkg/proxy"
 	"balsamhill/pkg/registry"
 	"balsamhill/pkg/routing"
 	"balsamhill/pkg/serverconn"
+	"balsamhill/pkg/storestate"
 )
 
 const (
@@ -117,7 +119,7 @@
 	stopping      atomic.Bool
 	// endsAt is when the last calls must have ended, 0 before the shutdown.
 	endsAt     atomic.Int64
-	storeState storeState
+	storeState storestate.State
 	watchers   []*watcher
 
 	peersMu sync.Mutex
@@ -143,7 +145,7 @@
 	membersLost chan struct{}
 	// storeReached receives a value when a call has reached the store again.
 	storeReached chan struct{}
-	directory    directory
+	directory    gossip.Directory
 
 	serverLimits *serverLimits
 
@@ -152,7 +154,7 @@
 	// dialServer opens the connections to servers, those for probes too.
 	dialServer serverconn.DialFunc
 	contact    *contact.Monitor
-	handoffs   *handoffs
+	handoffs   *handoffconn.Sender
 	transport  *serverconn.Transports
 	// ordinaryResponses counts successful first-attempt responses, of which a sample is
 	// logged.
@@ -211,7 +213,9 @@
 	e.peers = gossip.NewPeers(e.self)
 	e.counters = newCounters(e.metrics)
 	e.serverLimits = newServerLimits(e)
-	e.handoffs = newHandoffs(e)
+	e.handoffs = handoffconn.NewSender(handoffconn.Config{
+		Region: s.Region, FailureDomain: s.FailureDomain, Required: e.contact.Isolated, Known: e.handoffCandidates, Now: e.now,
+	})
 	e.probeTransport = newProbeTransport(e.contact.Dial)
 	for index, table := range feed.Tables() {
 		e.watchers = append(e.watchers, newWatcher(e, table, index))
@@ -359,7 +363,7 @@
 	group.Add(func() error { return e.serveTraffic(ctx) }, func(error) { _ = e.traffic.Close() })
 	err := group.Run()
 	e.transport.CloseIdleConnections()
-	e.handoffs.transports.CloseIdleConnections()
+	e.handoffs.CloseIdleConnections()
 	if eris.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -377,7 +381,7 @@
 // servers, reaches a server or a gateway that may, and is not shutting down.
 func (e *Edge) ready() bool {
 	return e.snapshot.Load() != nil && e.serversLoaded.Load() && !e.stopping.Load() &&
-		(!e.contact.Isolated() || e.handoffs.possible())
+		(!e.contact.Isolated() || e.handoffs.Possible())
 }
 
 func (e *Edge) readyHandler() http.Handler {
--- a/pkg/edge/join.go
+++ b/pkg/edge/join.go
@@ -7,7 +7,6 @@
 	"errors"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -34,55 +33,10 @@
 	membershipSyncInterval = 15 * time.Second
 	// bootstrapPath is where a seed exchanges gateway descriptions.
 	bootstrapPath = "/meeting"
-	// directoryTTL is how long a seed returns a registered gateway to those that register
-	// later.
-	directoryTTL = time.Minute
 	// maxMembersBytes bounds the bodies of bootstrap requests and responses.
 	maxMembersBytes = 4 << 20
 )
 
-// directory holds the gateways of all regions that registered at this seed. It is safe
-// for concurrent use.
-type directory struct {
-	mu      sync.Mutex
-	entries map[string]directoryEntry
-}
-
-type directoryEntry struct {
-	gateway      gossip.Gateway
-	registeredAt int64
-}
-
-// maxRemotesPerDomain bounds how many gateways of each failure domain of other regions
-// register returns.
-const maxRemotesPerDomain = 3
-
-// register adds a gateway and returns the others of its region and a few of each failure
-// domain of other regions.
-func (d *directory) register(now int64, joining gossip.Gateway) []gossip.Gateway {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.entries == nil {
-		d.entries = make(map[string]directoryEntry)
-	}
-	others := []gossip.Gateway{}
-	remotes := make(map[string]int)
-	for id, entry := range d.entries {
-		domain := entry.gateway.FailureDomain
-		switch {
-		case now-entry.registeredAt > int64(directoryTTL):
-			delete(d.entries, id)
-		case id == joining.ID:
-		case entry.gateway.Region != joining.Region && remotes[domain] >= maxRemotesPerDomain:
-		default:
-			remotes[domain]++
-			others = append(others, entry.gateway)
-		}
-	}
-	d.entries[joining.ID] = directoryEntry{gateway: joining, registeredAt: now}
-	return others
-}
-
 // memberRow is a row of the table Members: a gateway and its live peers.
 type memberRow struct {
 	Self  gossip.Gateway   `json:"self"`
@@ -218,7 +172,7 @@
 
 // bootstrapHandler registers starting gateways and returns those that registered before.
 func (e *Edge) bootstrapHandler() http.Handler {
-	e.directory.register(e.now(), e.self)
+	e.directory.Register(e.now(), e.self)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+bootstrapPath, func(w http.ResponseWriter, r *http.Request) {
 		var joining gossip.Gateway
@@ -227,7 +181,7 @@
 			http.Error(w, "not an introduction", http.StatusBadRequest)
 			return
 		}
-		others := append(e.directory.register(e.now(), joining), e.self)
+		others := append(e.directory.Register(e.now(), joining), e.self)
 		e.addGateways([]gossip.Gateway{joining})
 		// An error here means that the other gateway closed the connection.
 		_ = json.NewEncoder(w).Encode(others)
--- a/pkg/edge/largeconfig_test.go
+++ b/pkg/edge/largeconfig_test.go
@@ -203,7 +203,7 @@
 		return !slices.ContainsFunc(fleet, func(e *Edge) bool { return e.revision() < 2 })
 	})
 	for _, e := range fleet {
-		assert.Equal(t, e.storeState.unreachable(), false, "%s", e.self.ID)
+		assert.Equal(t, e.storeState.Unreachable(), false, "%s", e.self.ID)
 	}
 }
 
--- a/pkg/edge/outage_test.go
+++ b/pkg/edge/outage_test.go
@@ -70,7 +70,7 @@
 	}
 	other = gateways[1-reader]
 	// The delay is that of a gateway which has made several calls during the outage.
-	other.storeState.recordFailure(other.now(), feed.Backoff{Min: maxBackoff, Max: maxBackoff})
+	other.storeState.RecordFailure(other.now(), feed.Backoff{Min: maxBackoff, Max: maxBackoff})
 	time.Sleep(2 * longPollPeriod)
 	assert.Assert(t, !other.longPollsStore(other.now()))
 	return store, paths[reader], other
--- a/pkg/edge/receiver.go
+++ b/pkg/edge/receiver.go
@@ -24,7 +24,7 @@
 // ranksFirstAsReader reports whether this gateway comes first among those of its group that
 // can read the store. The caller holds peersMu.
 func (e *Edge) ranksFirstAsReader(now int64) bool {
-	return !e.stopping.Load() && e.peers.IsStoreReader(now, !e.storeState.unreachable())
+	return !e.stopping.Load() && e.peers.IsStoreReader(now, !e.storeState.Unreachable())
 }
 
 // refreshAssignment returns the assignment of probes to gateways, at most one
--- a/pkg/edge/sender.go
+++ b/pkg/edge/sender.go
@@ -188,7 +188,7 @@
 		SentAt:         now,
 		Stopping:       e.stopping.Load(),
 		Isolated:       e.contact.Isolated(),
-		StoreReachable: !e.storeState.unreachable(),
+		StoreReachable: !e.storeState.Unreachable(),
 		KeepsLimits:    true,
 		Interval:       interval,
 	}
--- a/pkg/edge/tableclient_test.go
+++ b/pkg/edge/tableclient_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"balsamhill/pkg/feed"
+	"balsamhill/pkg/storestate"
 )
 
 // servedTable returns the address of a gateway that serves the watcher's table through
@@ -202,12 +203,12 @@
 // the response waited in the socket of a paused gateway.
 func TestDelayedStoreResponseIsOld(t *testing.T) {
 	const waited = int64(3 * time.Second)
-	var state storeState
+	var state storestate.State
 	at := func(now, sentAt int64) int64 {
-		return state.responseAge(now, now-int64(time.Minute), feed.Batch{SentAt: sentAt, Age: 5})
+		return state.ResponseAge(now, now-int64(time.Minute), feed.Batch{SentAt: sentAt, Age: 5})
 	}
 	assert.Equal(t, at(10e9, 100e9), int64(5))
 	assert.Equal(t, at(11e9+waited, 101e9), waited)
 	// The age cannot exceed the time since the request, also if the store's clock was reset.
-	assert.Equal(t, state.responseAge(20e9, 19e9, feed.Batch{SentAt: 1}), int64(1e9))
+	assert.Equal(t, state.ResponseAge(20e9, 19e9, feed.Batch{SentAt: 1}), int64(1e9))
 }
--- a/pkg/edge/tableread.go
+++ b/pkg/edge/tableread.go
@@ -83,7 +83,7 @@
 ) {
 	now := w.edge.now()
 	if err == nil {
-		batch.Age = w.edge.storeState.responseAge(now, read.began, batch)
+		batch.Age = w.edge.storeState.ResponseAge(now, read.began, batch)
 	}
 	w.edge.counters.recordStoreCall(w.table, err)
 	w.edge.recordRead(ctx, read, batch, err)
@@ -121,7 +121,7 @@
 	}
 	w.nextStoreReadAt = now + int64(changeCoalesceDelay)
 	event := tableEvent{
-		table: w.table, rows: applied.Changes, storeRecoveredAt: w.edge.storeState.recoveredAt(), source: source, era: batch.Era,
+		table: w.table, rows: applied.Changes, storeRecoveredAt: w.edge.storeState.RecoveredAt(), source: source, era: batch.Era,
 		receivedAt: now, announcedAt: announcedAt, confirmedAt: confirmedAt,
 	}
 	select {
@@ -146,7 +146,7 @@
 		return false
 	}
 	if batch.RecoveryAge > 0 {
-		w.edge.storeState.recordPeerRecovery(w.edge.now() - batch.RecoveryAge)
+		w.edge.storeState.RecordPeerRecovery(w.edge.now() - batch.RecoveryAge)
 	}
 	w.applyBatch(ctx, batch, address)
 	w.mu.Lock()
@@ -172,20 +172,20 @@
 		}
 		batch = w.mirror.ChangesSince(now, query.after)
 	}
-	if ended := w.edge.storeState.recoveredAt(); ended != 0 {
+	if ended := w.edge.storeState.RecoveredAt(); ended != 0 {
 		batch.RecoveryAge = now - ended
 	}
 	return batch, w.mirror.Value(query.base), true
 }
 
 func (e *Edge) storeFailed(now int64, table feed.Table, err error, backoff feed.Backoff) {
-	if e.storeState.recordFailure(now, backoff) {
+	if e.storeState.RecordFailure(now, backoff) {
 		e.log.Warn("lost the store; the last view stays in force", "table", table, "error", err)
 	}
 }
 
 func (e *Edge) storeSucceeded(now int64) {
-	if e.storeState.recordSuccess(now) {
+	if e.storeState.RecordSuccess(now) {
 		e.log.Info("reached the store again")
 		select {
 		case e.storeReached <- struct{}{}:
--- a/pkg/edge/tables.go
+++ b/pkg/edge/tables.go
@@ -3,19 +3,14 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fmt"
 	"net/http"
-	"slices"
 	"strconv"
-	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
 	"balsamhill/pkg/feed"
 	"balsamhill/pkg/handoff"
-	"balsamhill/pkg/tablecodec"
 )
 
 const (
@@ -131,19 +126,19 @@
 		_ = json.NewEncoder(w).Encode(batch)
 		return
 	}
-	encoded, err := watched.encodings.encode(batch, query.base, baseValue)
+	encoded, err := watched.encodings.Encode(batch, query.base, baseValue)
 	if err != nil {
 		e.log.Warn("cannot encode a table for another gateway", "table", watched.table, "error", err)
 		http.Error(w, "cannot encode the table", http.StatusInternalServerError)
 		return
 	}
 	setBatchHeaders(w.Header(), batch)
-	if encoded.relative {
+	if encoded.Relative {
 		w.Header().Set(headerRelative, "1")
 	}
 	w.Header().Set("Content-Type", tableContentType)
-	w.Header().Set("ETag", encoded.etag)
-	http.ServeContent(w, r, "", time.Time{}, bytes.NewReader(encoded.body))
+	w.Header().Set("ETag", encoded.ETag)
+	http.ServeContent(w, r, "", time.Time{}, bytes.NewReader(encoded.Body))
 }
 
 func setBatchHeaders(header http.Header, batch feed.Batch) {
@@ -159,65 +154,3 @@
 		header.Set(headerFull, "1")
 	}
 }
-
-// encodedRows is the body of a response.
-type encodedRows struct {
-	id   uint64
-	body []byte
-	etag string
-	// relative says that the body is encoded relative to the base of the query.
-	relative bool
-}
-
-// maxEncodings is how many large bodies are kept for further readers, and minKeptBytes the
-// size from which a body is kept.
-const (
-	maxEncodings = 4
-	minKeptBytes = 4 << 10
-)
-
-// encodings encodes rows and keeps the large results, because a change is read by all
-// gateways of a group at about the same time. It is safe for concurrent use.
-type encodings struct {
-	mu   sync.Mutex
-	kept []encodedRows
-}
-
-// encode encodes the rows of a batch relative to a value of another row, if that is not nil.
-func (e *encodings) encode(batch feed.Batch, base feed.Base, baseValue []byte) (encodedRows, error) {
-	rows := batch.Rows
-	if baseValue == nil {
-		base = feed.Base{}
-	}
-	id, size := identify(batch, base)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, kept := range e.kept {
-		if kept.id == id {
-			return kept, nil
-		}
-	}
-	body, err := tablecodec.Encode(rows, baseValue)
-	encoded := encodedRows{
-		id: id, body: body, relative: baseValue != nil, etag: fmt.Sprintf(`"%016x"`, xxhash.Sum64(body)),
-	}
-	if err == nil && size >= minKeptBytes {
-		e.kept = append(e.kept, encoded)
-		e.kept = slices.Delete(e.kept, 0, max(0, len(e.kept)-maxEncodings))
-	}
-	return encoded, err
-}
-
-// identify returns a hash of the rows of a batch and of the name of their base, and the
-// size of the rows. It covers the values, because a version does not identify the value
-// of a row whose earlier value was kept when the store returned from an older copy.
-func identify(batch feed.Batch, base feed.Base) (id uint64, size int) {
-	digest := xxhash.New()
-	_, _ = fmt.Fprintf(digest, "%q %d %d %d %d", base.Key, base.Era, base.Version, base.Rank, batch.Era)
-	for _, row := range batch.Rows {
-		_, _ = fmt.Fprintf(digest, " %q %d %t ", row.Key, row.Version, row.Deleted)
-		_, _ = digest.Write(row.Value)
-		size += len(row.Value)
-	}
-	return digest.Sum64(), size
-}
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -9,6 +9,7 @@
 
 	"balsamhill/pkg/feed"
 	"balsamhill/pkg/gossip"
+	"balsamhill/pkg/tablecodec"
 )
 
 const (
@@ -86,7 +87,7 @@
 	failedUntil map[string]int64
 	client      tableClient
 
-	encodings encodings
+	encodings tablecodec.Cache
 
 	mu     sync.Mutex
 	mirror feed.Mirror
@@ -162,7 +163,7 @@
 		return ageCheckInterval
 	}
 	backoff := w.edge.storeBackoff(known, reader)
-	if wait := w.edge.storeState.retryDelay(now, backoff); wait > 0 {
+	if wait := w.edge.storeState.RetryDelay(now, backoff); wait > 0 {
 		w.logDelayedRead(now, wait, state, known, reader)
 		return min(wait, ageCheckInterval)
 	}
@@ -182,7 +183,7 @@
 // confirmed recently, or the store does not respond. In an outage all copies grow old, and the
 // gateways serve with them.
 func (w *watcher) mayReadPeer(state feed.TableState) bool {
-	return state.Age < int64(w.edge.maxTableAge) || w.edge.storeState.unreachable()
+	return state.Age < int64(w.edge.maxTableAge) || w.edge.storeState.Unreachable()
 }
 
 // fallbackDelay returns how much longer than maxTableAge this gateway waits for a peer that
@@ -197,7 +198,7 @@
 		return 0
 	}
 	w.edge.peersMu.Lock()
-	before := w.edge.peers.StoreReadersBefore(now, !w.edge.storeState.unreachable())
+	before := w.edge.peers.StoreReadersBefore(now, !w.edge.storeState.Unreachable())
 	w.edge.peersMu.Unlock()
 	readTime := time.Duration(len(value)) * time.Second / fallbackBytesPerSecond
 	return min(time.Duration(before)*readTime, maxFallbackDelay)
@@ -214,7 +215,7 @@
 // mayLongPoll reports whether the reader may long-poll the store: the response must
 // arrive before the copies of the other gateways exceed maxTableAge.
 func (w *watcher) mayLongPoll(state feed.TableState) bool {
-	return !w.edge.storeState.unreachable() && state.Age+int64(w.edge.longPollWait) <= int64(w.edge.maxTableAge)
+	return !w.edge.storeState.Unreachable() && state.Age+int64(w.edge.longPollWait) <= int64(w.edge.maxTableAge)
 }
 
 // outpaced reports whether a change that was announced during the read is still missing after
@@ -266,7 +267,7 @@
 // storeReturned records that the store returned from an older copy: entries of servers may
 // be missing until they are written again, and the gateways' own rows may be lost.
 func (e *Edge) storeReturned(now int64) {
-	e.storeState.recordReturn(now)
+	e.storeState.RecordReturn(now)
 	select {
 	case e.membersLost <- struct{}{}:
 	default:
@@ -277,7 +278,7 @@
 // the peer holds changes that this gateway lacks. It ends a slow read of the store in
 // favor of the peer.
 func (w *watcher) confirm(now int64, state feed.TableState, peer string) {
-	if state.Loaded() && w.edge.storeState.recordPeerResponse(now-state.Age) {
+	if state.Loaded() && w.edge.storeState.RecordPeerResponse(now-state.Age) {
 		w.edge.log.Info("store responds to another gateway again", "gateway", peer, "responseAge", time.Duration(state.Age).String())
 	}
 	w.mu.Lock()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -91,7 +91,7 @@
 
 		claimGate: newClaimGate(),
 	}
-	trusted, err := proxy.ParsePrefixes(s.Traffic.TrustedProxies)
+	trusted, err := settings.ParsePrefixes(s.Traffic.TrustedProxies)
 	if err != nil {
 		return nil, err
 	}
