Test that a pause concerns the gateway that sent the call

Calls that are handed off are a new related path: the gateway that sent the call to the server keeps the pause, the one that handed it off is free to ask.

Test: TestPauseConcernsGatewayThatSentTheCall passes; no code changes.

--- a/pkg/proxy/handoff_test.go
+++ b/pkg/proxy/handoff_test.go
@@ -375,3 +375,20 @@
 }
 
 func (recordingGuard) Done(int64, crashguard.Attempt, crashguard.Result) {}
+
+// TestPauseConcernsGatewayThatSentTheCall guards against a server that asks for a pause and gets more
+// requests by way of other gateways' calls, and against a gateway that keeps the pause of another one.
+func TestPauseConcernsGatewayThatSentTheCall(t *testing.T) {
+	var requests atomic.Int64
+	header := map[string]string{"Balsamhill-Outcome": "not-run", "Retry-After": "60"}
+	server := withdrawnServer(t, http.StatusServiceUnavailable, header, &requests)
+	second := newHandoffProxy(t, testConfig{class: preset.ClassFetch}, server)
+	first := newHandoffProxy(t, testConfig{class: preset.ClassFetch}, server)
+	first.handsOffTo(second.others)
+	for range 5 {
+		assert.Equal(t, first.send(t, http.MethodGet, "").StatusCode, http.StatusServiceUnavailable)
+	}
+	assert.Equal(t, requests.Load(), int64(1))
+	assert.Assert(t, second.servers[0].Stats.Withdrawal.Withdrawn(second.now()))
+	assert.Assert(t, !first.servers[0].Stats.Withdrawal.Withdrawn(first.now()))
+}
