--- a/pkg/proxy/handoff_test.go
+++ b/pkg/proxy/handoff_test.go
@@ -93,6 +93,14 @@
 	p.handoff.isolated.Store(true)
 }
 
+// classDecidesSafety lets the proxy have a route of fetches that may be repeated whatever their method.
+// Attempt numbers in requests have no effect on it.
+func classDecidesSafety(config *proxy.Config) {
+	config.Routes = routing.NewRouteTable([]routing.Route{
+		{PathPrefix: "/", Service: serviceName, Class: preset.ClassFetch, IdempotencyFromClass: true},
+	})
+}
+
 // echoServer repeats the body in chunks, with a trailer, and counts the requests.
 func echoServer(t *testing.T, requests *atomic.Int64) string {
 	return startServer(t, func(w http.ResponseWriter, r *http.Request) {
@@ -202,10 +210,12 @@
 		w.Header().Set(handoff.Header, string(handoff.Declined))
 	})
 	second, third := newHandoffProxy(t, testConfig{}, forging), newHandoffProxy(t, testConfig{}, forging)
-	first := newHandoffProxy(t, testConfig{}, unusedAddress(t))
+	// This protocol has no headers that are meant for gateways only.
+	first := newHandoffProxy(t, testConfig{configure: func(config *proxy.Config) { config.Protocol = headerProtocol{} }}, unusedAddress(t))
 	first.handsOffTo(second.others, third.others)
 	got := do(t, newClient(t, false), newRequest(t, http.MethodPost, first.url+"/x", nil))
 	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.header.Get(handoff.Header), "")
 	assert.Equal(t, requests.Load(), int64(1))
 }
 
@@ -245,7 +255,7 @@
 		first.handoff.isolated.Store(true)
 		panic(http.ErrAbortHandler)
 	})
-	config := testConfig{limits: allowExtraAttempts}
+	config := testConfig{limits: allowExtraAttempts, configure: classDecidesSafety}
 	second := newHandoffProxy(t, config, breaking, breaking, breaking)
 	first = newHandoffProxy(t, config, breaking, breaking, breaking)
 	first.handsOffTo(second.others)
@@ -348,9 +358,7 @@
 	guards := make(chan crashguard.Fingerprint, 4)
 	second := newHandoffProxy(t, testConfig{configure: func(config *proxy.Config) {
 		config.CrashGuard = recordingGuard{guards}
-		config.Routes = routing.NewRouteTable([]routing.Route{
-			{PathPrefix: "/", Service: serviceName, Class: preset.ClassFetch, IdempotencyFromClass: true},
-		})
+		classDecidesSafety(config)
 	}}, server)
 	send := func(caller string) {
 		request := newRequest(t, http.MethodGet, "http://"+second.others+"/fetch", nil, "X-Forwarded-For", caller,
