Hand off calls only to gateways whose build takes them

During a rolling update an isolated gateway could hand off a booking to a gateway of an older build. That one answers 404 without the header of a handoff, so the call would have ended with an unknown outcome, although it had not run.

Change: the description of a gateway, which travels with messages, the seeds and the store, says that it takes handoffs.

Tests: TestHandoffCandidates (the case of the older build fails without the check); tests of pkg/handoffconn.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -187,6 +187,7 @@
 			Region:        s.Region,
 			FailureDomain: s.FailureDomain,
 			HighCapacity:  s.CPUShare >= highCapacityCPUShare,
+			TakesHandoffs: true,
 		},
 		state: control.NewState(control.Config{
 			GatewayID: s.ID, Region: s.Region, FailureDomain: s.FailureDomain,
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -27,7 +27,7 @@
 	if rapid.Bool().Draw(t, "has sender description") {
 		m.Sender = &Gateway{
 			ID: "g", Incarnation: m.Incarnation, Address: "10.0.0.1:1", Region: "r", FailureDomain: "d",
-			HighCapacity: rapid.Bool().Draw(t, "high capacity"),
+			HighCapacity: rapid.Bool().Draw(t, "high capacity"), TakesHandoffs: rapid.Bool().Draw(t, "takes handoffs"),
 		}
 	}
 	for range rapid.IntRange(0, 2).Draw(t, "known gateways") {
@@ -244,6 +244,43 @@
 	})
 }
 
+// TestHandoffCandidates guards against calls that are handed off to gateways that cannot take them.
+func TestHandoffCandidates(t *testing.T) {
+	const now = int64(10e9)
+	tests := []struct {
+		desc   string
+		change func(g *Gateway, m *Message)
+		heard  bool
+		age    int64
+		want   bool
+	}{
+		{"in touch", func(*Gateway, *Message) {}, true, 0, true},
+		{"stopping", func(_ *Gateway, m *Message) { m.Stopping = true }, true, 0, false},
+		{"isolated", func(_ *Gateway, m *Message) { m.Isolated = true }, true, 0, false},
+		{"silent", func(*Gateway, *Message) {}, true, int64(minPeerTimeout) + 1, false},
+		{"older build", func(g *Gateway, _ *Message) { g.TakesHandoffs = false }, true, 0, false},
+		{"other region, never heard", func(g *Gateway, _ *Message) { g.Region = "other" }, false, 0, true},
+		{"other region, older build", func(g *Gateway, _ *Message) { g.Region, g.TakesHandoffs = "other", false }, false, 0, false},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			other := gateway(1, "d", true)
+			other.TakesHandoffs = true
+			table := NewPeers(gateway(0, "d", true))
+			message := messageFrom(other, 1)
+			test.change(&other, message)
+			message.Sender = &other
+			table.AddGateway(now, other)
+			if test.heard {
+				table.ApplyMessage(now, message)
+			}
+			candidates := table.HandoffCandidates(now + test.age)
+			assert.Equal(t, len(candidates) == 1, test.want)
+			assert.Assert(t, !test.want || candidates[0].Heard == test.heard)
+		})
+	}
+}
+
 // TestOneStoreReader guards against two store readers, and against a reader that
 // does not reach the store while another gateway does.
 func TestOneStoreReader(t *testing.T) {
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -92,6 +92,9 @@
 	// HighCapacity says that the gateway's VM has the CPU to work on behalf of its
 	// group.
 	HighCapacity bool `json:"strong,omitempty"`
+	// TakesHandoffs says that the gateway takes calls that others hand off. Gateways of older
+	// builds do not.
+	TakesHandoffs bool `json:"handoffs,omitempty"`
 }
 
 // KeyOf returns the key of a gateway, a hash of its ID.
@@ -172,6 +175,7 @@
 	gatewayFieldDomain
 	gatewayFieldHighCapacity
 	gatewayFieldIncarnation
+	gatewayFieldTakesHandoffs
 )
 
 const (
@@ -294,6 +298,9 @@
 	if g.HighCapacity {
 		encoded = appendVarint(encoded, gatewayFieldHighCapacity, 1)
 	}
+	if g.TakesHandoffs {
+		encoded = appendVarint(encoded, gatewayFieldTakesHandoffs, 1)
+	}
 	return encoded
 }
 
--- a/pkg/gossip/peers.go
+++ b/pkg/gossip/peers.go
@@ -171,9 +171,9 @@
 	Heard bool
 }
 
-// HandoffCandidates returns the gateways that may take calls of this one: all but those that
-// stopped, whose last messages say that they stop or reach no server, or that are silent although
-// their messages should arrive here.
+// HandoffCandidates returns the gateways that may take calls of this one: all but those of older
+// builds, those whose last messages say that they stop or reach no server, and those that are silent
+// although their messages should arrive here.
 func (p *Peers) HandoffCandidates(now int64) []HandoffCandidate {
 	var candidates []HandoffCandidate
 	byDomain := p.GroupedByDomain()
@@ -189,9 +189,9 @@
 	return candidates
 }
 
-// appendHandoff appends the gateway unless it said within peerTTL that it takes no calls.
+// appendHandoff appends the gateway unless it takes no calls, or said so within peerTTL.
 func (c *contact) appendHandoff(now int64, candidates []HandoffCandidate, heard bool) []HandoffCandidate {
-	if (c.stopping || c.isolated) && now-c.lastMessageAt <= int64(peerTTL) {
+	if !c.gateway.TakesHandoffs || (c.stopping || c.isolated) && now-c.lastMessageAt <= int64(peerTTL) {
 		return candidates
 	}
 	return append(candidates, HandoffCandidate{Gateway: c.gateway, Heard: heard})
--- a/pkg/gossip/unmarshal.go
+++ b/pkg/gossip/unmarshal.go
@@ -112,6 +112,8 @@
 			gateway.FailureDomain = string(content)
 		case gatewayFieldHighCapacity:
 			gateway.HighCapacity = value != 0
+		case gatewayFieldTakesHandoffs:
+			gateway.TakesHandoffs = value != 0
 		case gatewayFieldIncarnation:
 			gateway.Incarnation = value
 		}
