--- a/pkg/edge/reports.go
+++ b/pkg/edge/reports.go
@@ -75,8 +75,7 @@
 		return current, true
 	}
 	// Only the gateway that probes a server reports it as unresponsive, unless its own links may
-	// have failed. Any gateway that
-	// receives a new response from it reports it as responsive.
+	// have failed. Any gateway that receives a new response from it reports it as responsive.
 	return current, current.reportedAt != s.sent[id].reportedAt
 }
 
--- a/pkg/edge/sender.go
+++ b/pkg/edge/sender.go
@@ -133,8 +133,8 @@
 
 // sendPassive sends the heartbeats of a passive gateway: to the probers every
 // passiveHeartbeatInterval, to all peers every passiveBroadcastInterval or at once if it
-// suspects a request of crashing servers or lost its links to the servers. Its table states can wait, because the others
-// receive them from the reader.
+// suspects a request of crashing servers, learned that a server leaves, or lost or regained its
+// links to the servers. Its table states can wait, because the others receive them from the reader.
 func (s *sender) sendPassive(now int64, assignment *gossip.Assignment) {
 	e := s.edge
 	e.announcePending.Store(false)
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -353,8 +353,9 @@
 	return p.config.RetryBase()
 }
 
-// nextIsFree reports whether the next attempt is no retry: none before it reached a server, and
-// the last one was withdrawn or the next one goes to another gateway.
+// nextIsFree reports whether the next attempt needs no budget. The last one reached no server, so
+// that what it needed covers the next one; or no attempt did, and the next one goes to another
+// gateway.
 func (c *call) nextIsFree(last *attempt) bool {
 	return last.neverSent() || last.declined || c.unsentCount == c.attemptCount && c.mustHandOff()
 }
