Do not take the crash of fewer than three servers for a cut

Cause: the test has two servers. After the request had crashed both, the gateways took that for a cut and handed the request off to the only one that was not isolated, in another region. Its entry of a restarted server was stale there, so that its crash counted as the one before, and the request crashed a fourth time.

Change: a cut is told from the failure of the servers only if one is left to verify it, so that fewer than three servers raise no suspicion.

Test: TestFewServersThatCrashAreNoCut, which fails without the change. The property of cuts that are found draws three servers or more: below that none is found now.

--- a/pkg/reachability/reachability.go
+++ b/pkg/reachability/reachability.go
@@ -40,6 +40,9 @@
 	// suspectServers is how many servers must fail, with no sign of life of another one, to
 	// raise a suspicion. One server fails for reasons of its own.
 	suspectServers = 2
+	// minServers is the number of servers from which a cut is told from their own failure: at
+	// least one must be left to verify the suspicion.
+	minServers = suspectServers + 1
 	// checkServers is how many further servers verify a suspicion.
 	checkServers = 3
 	// minSuspicionInterval is the time between two suspicions. It bounds the connections
@@ -185,8 +188,7 @@
 
 // suspect starts to verify a suspicion if there is one, and returns the servers for that.
 func (t *Tracker) suspect(now int64, servers []Server, random *rand.Rand) []Server {
-	enough := min(suspectServers, len(servers))
-	if len(t.connectFailures) < enough && len(t.unanswered) < enough {
+	if len(servers) < minServers || len(t.connectFailures) < suspectServers && len(t.unanswered) < suspectServers {
 		return nil
 	}
 	t.lostAt = now
