--- a/pkg/handoff/choose.go
+++ b/pkg/handoff/choose.go
@@ -4,7 +4,6 @@
 
 // Candidate is another gateway.
 type Candidate struct {
-	ID string
 	// Heard says that the gateway recently said that it reaches servers. Those of other
 	// groups seldom or never say so.
 	Heard                    bool
--- a/pkg/handoffconn/handoffconn.go
+++ b/pkg/handoffconn/handoffconn.go
@@ -23,8 +23,8 @@
 	// connections; see proxy.ServerTransport.
 	idleTimeout      = 4 * time.Second
 	freshIdleTimeout = 500 * time.Millisecond
-	// suspension is how long a gateway that declined a call, or did not respond to it,
-	// is chosen only if there is no other one.
+	// suspension is how long a gateway that declined a call, or did not respond to it, is the
+	// last choice, or none if it was not heard lately; see handoff.Choose.
 	suspension = time.Second
 )
 
@@ -100,7 +100,7 @@
 		}
 		entries = append(entries, g.entry)
 		candidates = append(candidates, handoff.Candidate{
-			ID: k.Gateway.ID, Heard: k.Heard,
+			Heard:      k.Heard,
 			SameRegion: k.Gateway.Region == s.config.Region, SameDomain: k.Gateway.FailureDomain == s.config.FailureDomain,
 			InFlight: g.entry.Stats.InFlight(), SuspendedUntil: g.suspendedUntil,
 		})
--- a/pkg/proxy/handoff.go
+++ b/pkg/proxy/handoff.go
@@ -80,7 +80,8 @@
 	c := a.call
 	earlier := c.attemptCount - 1
 	a.handoff = handoff.Request{
-		Gateway: c.proxy.config.GatewayID, Caller: c.peer, Sent: earlier - c.unsentCount, MayHaveRun: earlier - c.notRunCount, Counted: !c.handedOff,
+		Gateway: c.proxy.config.GatewayID, Caller: c.peer, Counted: !c.handedOff,
+		Sent: earlier - c.unsentCount, MayHaveRun: earlier - c.notRunCount,
 	}
 }
 
