--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -46,6 +46,8 @@
 	reader io.Reader
 	// deadline is the time budget.
 	deadline time.Duration
+	// leaveAfter is when the requester leaves, 0 for at its time budget.
+	leaveAfter time.Duration
 }
 
 // result is what the requester saw.
@@ -70,7 +72,11 @@
 
 // send sends a request to a gateway and returns what came back.
 func (c *caller) send(g *gateway, q request) result {
-	ctx, cancel := context.WithTimeout(context.Background(), q.deadline)
+	limit := q.deadline
+	if q.leaveAfter > 0 {
+		limit = q.leaveAfter
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	var body io.Reader
 	switch {
--- a/review/standins-2/instance.go
+++ b/review/standins-2/instance.go
@@ -27,12 +27,17 @@
 	service string
 	zone    string
 	address string
-	// born is when the instance started.
+	// born is when the instance started by the clock of its machine.
 	born time.Time
 	// work returns how long a request takes once it has a slot.
 	work func(r *http.Request) time.Duration
 	// crashes reports whether a request crashes the instance when it begins to run.
 	crashes func(r *http.Request, body []byte) bool
+	// pause is the Retry-After of rejections while rejecting is set.
+	pause     time.Duration
+	rejecting atomic.Bool
+	// clockBehind is how far the clock of the instance's machine is behind.
+	clockBehind time.Duration
 	// wrap returns the listener of the instance with a fault; nil for none.
 	wrap func(net.Listener) net.Listener
 
@@ -42,10 +47,13 @@
 	waiting atomic.Int64
 	seq     atomic.Int64
 	dead    atomic.Bool
-	// silent says that the instance leaves and writes no more heartbeats.
-	silent atomic.Bool
-	ctx    context.Context
-	cancel context.CancelFunc
+	// silent says that the instance leaves and writes no more heartbeats, draining that it has
+	// reported that it drains.
+	silent, draining atomic.Bool
+	// beganAt is when it last began to run a request, in Unix milliseconds.
+	beganAt atomic.Int64
+	ctx     context.Context
+	cancel  context.CancelFunc
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
@@ -68,7 +76,7 @@
 	if i.wrap != nil {
 		listener = i.wrap(listener)
 	}
-	i.born = time.Now()
+	i.born = time.Now().Add(-i.clockBehind)
 	if i.work == nil {
 		i.work = func(*http.Request) time.Duration { return 100 * time.Millisecond }
 	}
@@ -94,10 +102,14 @@
 }
 
 func (i *instance) register() {
+	state := "ready"
+	if i.draining.Load() {
+		state = "draining"
+	}
 	i.d.store.put("servers", i.id, map[string]any{
 		"address": i.address, "born": i.born.UnixMilli(),
 		"info":   map[string]any{"service": i.service, "version": "v1", "zone": i.zone, "slots": instanceSlots},
-		"status": map[string]any{"state": "ready", "seq": i.seq.Add(1), "warmupLeftMs": 0},
+		"status": map[string]any{"state": state, "seq": i.seq.Add(1), "warmupLeftMs": 0},
 	})
 }
 
@@ -127,6 +139,14 @@
 	i.d.record("instance %s leaves: the store acknowledged that its entry is removed", i.id)
 }
 
+// drain reports that the instance drains. It says in all its answers that it leaves, and goes on
+// serving until stop is called.
+func (i *instance) drain() {
+	i.draining.Store(true)
+	i.register()
+	i.d.record("instance %s: the store acknowledged that it drains", i.id)
+}
+
 // stop ends the process of an instance that has left.
 func (i *instance) stop() {
 	if i.dead.Swap(true) {
@@ -144,9 +164,13 @@
 	return i.removedAt
 }
 
+func (i *instance) leaving() bool {
+	return i.silent.Load() || i.draining.Load()
+}
+
 // sayLeaving adds the header by which an instance that leaves says so.
 func (i *instance) sayLeaving(header http.Header) {
-	if i.silent.Load() {
+	if i.leaving() {
 		header.Set("Server-Leaving", "1")
 	}
 }
@@ -177,7 +201,7 @@
 	i.sayLeaving(header)
 	if r.URL.Path == "/health" {
 		header.Set("Instance-Id", i.id)
-		if i.silent.Load() {
+		if i.leaving() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
@@ -190,6 +214,13 @@
 		return
 	}
 	i.d.requestReached(id, i, arrived, i.leftAt())
+	if i.rejecting.Load() {
+		header.Set("Not-Executed", "1")
+		header.Set("Retry-After", fmt.Sprintf("%.1f", i.pause.Seconds()))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		i.d.record("request %s: rejected by %s with Retry-After", id, i.id)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -211,6 +242,7 @@
 	defer func() { <-i.slots }()
 	i.running.Add(1)
 	defer i.running.Add(-1)
+	i.beganAt.Store(time.Now().UnixMilli())
 	i.d.requestRuns(id, i)
 	if i.crashes != nil && i.crashes(r, body) {
 		i.d.record("request %s begins to run at %s and crashes it", id, i.id)
