review: renumber the stopping gateway to case 10

Cause: case 9 is graver; the case about departures is dropped, because the first review shows its cause.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 # the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/balsamhilld ] && [ -x target/review-2 ] || exit 2
-exec target/review-2 -case drain-segments -record review/10/record.txt
+exec target/review-2 -case stop-silent -record review/10/record.txt
