Make calls in TestFastFailureDoesNotReplaceSlowResponse certain to be hedged

Seen: once "hedge delay known: not met" after its 60 s, in the first run of the package on this machine; 13 to 15 s in 2 runs of it alone, on too. Cause: the test waits for the first hedge, but its servers respond in some 0.2 ms and hedges start at 1 ms at the earliest, so that a hedge needed a stall of the machine. Change: one response in 30 takes 20 ms, above the 95th percentile. What the test asserts is unchanged.

--- a/pkg/proxy/attempts_test.go
+++ b/pkg/proxy/attempts_test.go
@@ -179,7 +179,12 @@
 func TestFastFailureDoesNotReplaceSlowResponse(t *testing.T) {
 	var slow atomic.Bool
 	var firstAtGood sync.Map
+	var warmUp atomic.Int64
 	good := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		// Above the 95th percentile, so that a call is certain to be hedged.
+		if warmUp.Add(1)%30 == 0 {
+			time.Sleep(20 * time.Millisecond)
+		}
 		if slow.Load() {
 			if r.Header.Get("Balsamhill-Attempt") == "1" {
 				firstAtGood.Store(r.URL.RawQuery, true)
