Log why an attempt was denied

Change: the error of a denied attempt names who denied it. Result: TestAttemptDeniedByStopSaysSo failed before ("attempt denied before it was sent") and passes.

--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -26,6 +26,8 @@
 	errIdle      = errors.New("body transfer idle for too long")
 	errDenied    = errors.New("attempt denied before it was sent")
 	errWithdrawn = errors.New("attempt denied because the server is leaving or asked for a pause")
+	errStopping  = errors.New("attempt denied because the gateway stops before the time limit of the call")
+	errGuarded   = errors.New("attempt denied by the crash guard")
 	errNotNeeded = errors.New("attempt no longer needed")
 	errCallEnded = errors.New("call ended")
 	// errUnusableResponse stands for ResponseMismatched and for ResponseUnconfirmed.
@@ -131,16 +133,17 @@
 		a.denyReason = c.admitByCrashGuard(c.crashFingerprint)
 		if a.denyReason != "" {
 			a.denied = true
+			a.err = errGuarded
 			a.result = retry.NeverWritten
-			a.cancel(errDenied)
+			a.cancel(errGuarded)
 			return
 		}
 	}
 	a.server.Stats.Start()
 	a.roundTrip()
 	a.result = a.classify()
-	if a.withdrawn {
-		a.err = errWithdrawn
+	if a.denied {
+		a.err = context.Cause(a.ctx)
 	}
 	now := c.proxy.config.Now()
 	if a.server.Gateway {
@@ -289,12 +292,12 @@
 	c := a.call
 	if a.resent && c.safety != retry.Idempotent {
 		c.proxy.config.Metrics.resendsRefused.Inc()
-		a.deny()
+		a.deny(errDenied)
 		return
 	}
 	switch {
 	case c.ticket != nil && !c.proxy.config.Claims.MayDispatch(*c.ticket):
-		a.deny()
+		a.deny(errDenied)
 	case c.outlivesGateway():
 		a.denyStopping()
 	case a.server.Stats.Withdrawal.Withdrawn(c.proxy.config.Now()):
@@ -313,9 +316,9 @@
 // context is enough, because the transport checks it before it writes. On HTTP/1.1
 // it does not check, but the connection belongs to this request alone and can be
 // closed.
-func (a *attempt) deny() {
+func (a *attempt) deny(cause error) {
 	a.denied = true
-	a.cancel(errDenied)
+	a.cancel(cause)
 	if a.conn != nil && !a.conn.Multiplexed() {
 		_ = a.conn.Close()
 	}
--- a/pkg/proxy/stopping.go
+++ b/pkg/proxy/stopping.go
@@ -29,5 +29,5 @@
 func (a *attempt) denyStopping() {
 	a.call.proxy.config.Metrics.gatewayStopping.Inc()
 	a.denyReason = stoppingDetail
-	a.deny()
+	a.deny(errStopping)
 }
--- a/pkg/proxy/stopping_test.go
+++ b/pkg/proxy/stopping_test.go
@@ -75,3 +75,30 @@
 		})
 	}
 }
+
+// failedAttempts records the errors of failed attempts.
+type failedAttempts struct {
+	refusalRecorder
+	errors []error
+}
+
+func (f *failedAttempts) AttemptFailed(event proxy.AttemptEvent) {
+	f.errors = append(f.errors, event.Err)
+}
+
+// TestAttemptDeniedByStopSaysSo guards against a log line of a failed attempt that does not tell a
+// gateway that stops from a lost claim.
+func TestAttemptDeniedByStopSaysSo(t *testing.T) {
+	var endsAt atomic.Int64
+	var seen failedAttempts
+	var now func() int64
+	p := newTestProxy(t, testConfig{configure: func(config *proxy.Config) {
+		now, config.EndsAt, config.Observer = config.Now, endsAt.Load, &seen
+		config.Transport = transportFunc{config.Transport, func(*http.Request) { endsAt.Store(now() + 1) }}
+	}}, startServer(t, func(http.ResponseWriter, *http.Request) {}))
+	got := do(t, newClient(t, false), newRequest(t, http.MethodPost, p.url+"/x", strings.NewReader("body")))
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, len(seen.errors), 1)
+	assert.ErrorContains(t, seen.errors[0], "the gateway stops")
+}
--- a/pkg/proxy/withdrawn.go
+++ b/pkg/proxy/withdrawn.go
@@ -56,7 +56,7 @@
 	a.call.proxy.config.Metrics.attemptsWithdrawn.Inc()
 	a.withdrawn = true
 	a.denyReason = "the server " + a.server.ID + " " + withdrawnDetail
-	a.deny()
+	a.deny(errWithdrawn)
 }
 
 // neverSent reports whether the attempt was denied because its server withdrew, before any of
