Keep an attempt in flight until another one has answered

Callers saw: at a gateway that was told to stop, 3 or 4 of 12 fetches were answered 502 or 504 after 2 s, while their servers were at work on them and 4 s of their time were left.

Cause: after the first-byte timeout the first attempt of a call was canceled before it was known whether the second one could be sent. The reviewer's guess is confirmed for that path: the log has the first attempt as timed_out and the second as never_written 0.7 to 1.2 ms later, denied because the gateway stops. The cause is wider: whether an attempt can be sent is known only when it has a connection, and what it is worth only when it has a response.

Related paths: a refusal with unknown outcome by another gateway counted as the answer of the call and canceled an attempt at a server beside it. A call that is sent sequentially dropped the rejection of a server for a next attempt that was then denied. Hedges and retries took a token although the gateway was about to stop. Not affected: an attempt whose server leaves (it is never canceled for that), a call whose body is awaited when the gateway stops (nothing was sent).

Change: package attempts decides, without I/O or clock. An attempt is canceled only when another one has a response that decides the call, or at the deadline. An overdue attempt goes on beside its replacement; if that one fails, a further one may follow, and else the call waits for the overdue one. Its server is counted as failed when another one has answered. Of several failures the call ends with the one that says most: that it may have run, then a response.

--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"balsamhill/pkg/attempts"
 	"balsamhill/pkg/crashguard"
 	"balsamhill/pkg/handoff"
 	"balsamhill/pkg/retry"
@@ -81,12 +82,16 @@
 	// response.
 	handoff              handoff.Request
 	declined, conclusive bool
+	// refusedElsewhere says that the response is a refusal of a call that may have run.
+	refusedElsewhere bool
 
 	dispatch     Dispatch
 	response     *http.Response
 	responseKind ResponseKind
 	err          error
 	result       retry.Result
+	// inSet is the number of the attempt in the set of its call.
+	inSet attempts.Number
 }
 
 func (c *call) newAttempt(server *routing.Server) *attempt {
@@ -366,13 +371,24 @@
 	if a.responseKind == ResponseUnconfirmed {
 		return retry.Shed
 	}
-	o.NotRun = refusedStream(a.err) && !a.resent
+	o.NotRun = serverconn.RefusedStream(a.err) && !a.resent
 	o.Written = a.written()
 	o.TimedOut = a.timedOut()
 	o.Canceled = a.ctx.Err() != nil && !a.resent
 	return retry.Classify(o)
 }
 
+// setResult returns the result of the attempt for the set of its call. An error is not final:
+// otherwise a server that fails fast would win over each slower good response. That holds for
+// the refusal of another gateway too.
+func (a *attempt) setResult() attempts.Result {
+	return attempts.Result{
+		Final:      a.result == retry.ResponseReceived && !a.refusedElsewhere,
+		Response:   a.response != nil,
+		MayHaveRun: !a.result.DidNotRun(),
+	}
+}
+
 func (a *attempt) timedOut() bool {
 	cause := context.Cause(a.ctx)
 	return errors.Is(cause, errDeadline) || errors.Is(cause, errIdle)
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"balsamhill/pkg/admission"
+	"balsamhill/pkg/attempts"
 	"balsamhill/pkg/claim"
 	"balsamhill/pkg/crashguard"
 	"balsamhill/pkg/handoff"
@@ -320,23 +321,33 @@
 // takeRetry reports whether the call may be sent to another server after the last
 // attempt, and takes a retry from the budget if so.
 func (c *call) takeRetry(last *attempt) bool {
-	if !c.mayAddAttempt() || last.conclusive || last.denied && !last.withdrawn || !retry.MayAddAttempts(c.incomingAttempt) {
+	if last.conclusive || last.denied && !last.withdrawn || !retry.MayAddAttempts(c.incomingAttempt) {
 		return false
 	}
 	if !c.resultAllowsRetry(last) || !c.body.replayable() {
 		return false
 	}
 	now := c.proxy.config.Now()
-	if retry.Expired(now, c.deadline) || c.baseContext.Err() != nil {
+	if !c.mayStartAnother(now) {
 		return false
 	}
-	if !c.nextIsFree(last) && !c.service.retryBudget.Take(now, c.limits.RetryPercent, c.proxy.retryBase()) {
+	if !c.nextIsFree(last) && !c.takeRetryToken(now) {
 		c.service.Metrics.retriesDenied.Inc()
 		return false
 	}
 	return true
 }
 
+// mayStartAnother reports whether another attempt could be sent now, whatever the budgets say.
+func (c *call) mayStartAnother(now int64) bool {
+	return c.mayAddAttempt() && !retry.Expired(now, c.deadline) && !c.outlivesGateway() && c.baseContext.Err() == nil
+}
+
+// takeRetryToken takes a retry from the budget of the service, and reports whether there is one.
+func (c *call) takeRetryToken(now int64) bool {
+	return c.service.retryBudget.Take(now, c.limits.RetryPercent, c.proxy.retryBase())
+}
+
 const (
 	// defaultMaxAttempts limits the attempts of a call that may have run, if its route
 	// sets no limit.
@@ -382,25 +393,47 @@
 	return retry.MayRetry(c.safety, last.result)
 }
 
-// runSequentially sends one attempt after the other.
+// runSequentially sends one attempt after the other. The response of a failed one is kept until
+// a later one has a result that says more.
 func (c *call) runSequentially(server *routing.Server) *attempt {
-	for {
+	var set attempts.Set
+	var sent []*attempt
+	for server != nil {
 		a := c.newAttempt(server)
+		a.inSet = set.Start()
+		sent = append(sent, a)
 		stop := a.startTimeout(c.attemptTimeout())
 		a.send()
 		stop()
 		c.recordAttempt(a)
-		if a.result == retry.ResponseReceived || !c.takeRetry(a) {
-			return a
+		server = nil
+		if set.End(a.inSet, a.setResult()) == attempts.Retry {
+			server = c.chooseForRetry(a)
 		}
-		next := c.chooseToSend()
-		if next == nil {
-			return a
+	}
+	if set.Winner() == 0 {
+		set.NoRetry()
+	}
+	winner := sent[set.Winner()-1]
+	for _, a := range sent {
+		if a != winner {
+			a.discard()
 		}
+	}
+	return winner
+}
+
+// chooseForRetry returns the server of another attempt after the last one failed, nil if none
+// may be sent.
+func (c *call) chooseForRetry(last *attempt) *routing.Server {
+	if !c.takeRetry(last) {
+		return nil
+	}
+	server := c.chooseToSend()
+	if server != nil {
 		c.service.Metrics.retries.Inc()
-		a.discard()
-		server = next
 	}
+	return server
 }
 
 // attemptTimeout returns how long the next attempt may wait for its response, 0 for
--- a/pkg/proxy/handoff.go
+++ b/pkg/proxy/handoff.go
@@ -89,8 +89,10 @@
 func (a *attempt) classifyHandoff() {
 	outcome := handoff.Outcome(a.response.Header.Get(handoff.Header))
 	switch outcome {
-	case handoff.Answered, handoff.RefusedUnknown:
+	case handoff.Answered:
 		a.responseKind = ResponseFinal
+	case handoff.RefusedUnknown:
+		a.responseKind, a.refusedElsewhere = ResponseFinal, true
 	case handoff.Declined:
 		a.responseKind, a.declined = ResponseNotRun, true
 	case handoff.RefusedNotRun:
--- a/pkg/proxy/harness_test.go
+++ b/pkg/proxy/harness_test.go
@@ -256,6 +256,13 @@
 	return f.admission
 }
 
+// deny lets Admit deny all further attempts.
+func (f *fakeGuard) deny() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.admission = crashguard.Blocked
+}
+
 func (f *fakeGuard) Done(_ int64, _ crashguard.Attempt, result crashguard.Result) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/pkg/proxy/hedge.go
+++ b/pkg/proxy/hedge.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"balsamhill/pkg/attempts"
 	"balsamhill/pkg/retry"
 	"balsamhill/pkg/routing"
 )
@@ -18,51 +19,59 @@
 // hedgedCall runs the attempts of a call that may be hedged. The first attempt runs
 // in the handler's goroutine, so that a call without a hedge costs no goroutine.
 // The others run in goroutines of their own, which the timer or a retry starts.
-// Attempts that end after the call is decided discard their own response.
+// Package attempts decides which one the call ends with; the others are canceled only
+// then, and discard their own response.
 type hedgedCall struct {
 	call             *call
 	first            *attempt
 	firstByteTimeout time.Duration
-	// results receives the attempts other than the first.
-	results chan *attempt
+	// decided is closed when an attempt decides the call.
+	decided chan struct{}
 
 	// mu guards the fields below, and those of the call that change with each
 	// attempt: attemptCount, notRunCount and tried.
-	mu           sync.Mutex
-	decided      bool
-	attempts     []*attempt
-	inFlight     int
+	mu sync.Mutex
+	// set holds the attempts, sent the same ones in the order of their numbers.
+	set          attempts.Set
+	sent         []*attempt
 	timer        *time.Timer
 	hedgePending bool
 	hedged       bool
 	// progress estimates the progress of the first attempt on routes with a latency
 	// target, else nil.
-	progress *progressEstimator
+	progress *attempts.Progress
 }
 
-// resultsCapacity is the capacity of hedgedCall.results. It is the maximum number of
-// attempts of one call, so that sending a result never blocks.
-const resultsCapacity = maxTotalAttempts
-
 // runWithHedging sends a call and, if the response takes longer than usual, a hedge
 // to another server; the first final response wins. It also retries as
 // runSequentially does.
 func (c *call) runWithHedging(server *routing.Server) *attempt {
-	h := &hedgedCall{call: c, results: make(chan *attempt, resultsCapacity), first: c.newAttempt(server)}
-	h.attempts = append(h.attempts, h.first)
-	h.inFlight = 1
+	h := &hedgedCall{call: c, decided: make(chan struct{}), first: c.newAttempt(server)}
+	h.add(h.first)
 	h.startTimer()
 	defer h.timer.Stop()
 	h.first.send()
-	var fallback *attempt
-	for a := h.first; ; a = <-h.results {
-		last, decided := h.attemptEnded(a, fallback)
-		if decided {
-			c.completeHedged(h, last)
-			return last
-		}
-		fallback = last
+	h.attemptEnded(h.first)
+	<-h.decided
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	winner := h.winner()
+	c.completeHedged(h, winner)
+	return winner
+}
+
+// add adds an attempt that is sent now.
+func (h *hedgedCall) add(a *attempt) {
+	a.inSet = h.set.Start()
+	h.sent = append(h.sent, a)
+}
+
+// winner returns the attempt that decides the call, nil while there is none.
+func (h *hedgedCall) winner() *attempt {
+	if n := h.set.Winner(); n != 0 {
+		return h.sent[n-1]
 	}
+	return nil
 }
 
 // startTimer starts the timer for the hedge, or for the first-byte timeout of the
@@ -81,7 +90,7 @@
 		// The slowdown that the server reports shows a slow call earlier than the
 		// time since its start.
 		known = false
-		h.progress = c.newProgressEstimator(h.first)
+		h.progress = c.newProgress(h.first)
 	}
 	if h.progress != nil {
 		wait = min(wait, progressInterval)
@@ -99,16 +108,16 @@
 func (h *hedgedCall) onTimer() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.decided {
+	if h.winner() != nil {
 		return
 	}
 	now := h.call.proxy.config.Now()
-	if left := time.Duration(h.first.startedAt-now) + h.firstByteTimeout; h.progress != nil && h.call.attemptCount == 1 && left > 0 {
+	if left := time.Duration(h.first.startedAt-now) + h.firstByteTimeout; h.progress != nil && h.set.Started() == 1 && left > 0 {
 		h.hedgeIfSlow(now)
 		h.timer.Reset(min(progressInterval, left))
 		return
 	}
-	if h.hedgePending && h.call.attemptCount == 1 {
+	if h.hedgePending && h.set.Started() == 1 {
 		h.hedgePending = false
 		h.startHedge(now)
 		h.timer.Reset(time.Duration(h.first.startedAt-now) + h.firstByteTimeout)
@@ -121,96 +130,66 @@
 
 // startAttempt runs an attempt in parallel to the first.
 func (h *hedgedCall) startAttempt(a *attempt) {
-	h.attempts = append(h.attempts, a)
-	h.inFlight++
+	h.add(a)
 	go func() {
 		a.send()
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		if h.decided {
-			a.discard()
-			return
-		}
-		h.results <- a
-		if a.isFinal() {
-			h.first.cancel(errNotNeeded)
-		}
+		h.attemptEnded(a)
 	}()
 }
 
-// isFinal reports whether the result of an attempt decides the call. An error does
-// not while other attempts are in flight: otherwise a server that fails fast would
-// win over each slower good response.
-func (a *attempt) isFinal() bool {
-	return a.result == retry.ResponseReceived
-}
-
-// attemptEnded records the result of an attempt and evaluates it; see evaluate.
-func (h *hedgedCall) attemptEnded(a, fallback *attempt) (*attempt, bool) {
+// attemptEnded records the result of an attempt, and sends another one or decides the call if
+// that follows from it.
+func (h *hedgedCall) attemptEnded(a *attempt) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.winner() != nil {
+		h.set.End(a.inSet, a.setResult())
+		h.call.service.Metrics.attempts[a.result].Inc()
+		a.discard()
+		return
+	}
 	h.call.recordAttempt(a)
-	h.inFlight--
-	last, decided := h.evaluate(a, fallback)
-	h.decided = decided
-	return last, decided
-}
-
-// cancelOthers cancels all attempts but the winner after the call is decided.
-func (h *hedgedCall) cancelOthers(winner *attempt) {
-	for _, a := range h.attempts {
-		if a != winner {
-			a.cancel(errNotNeeded)
-		}
+	step := h.set.End(a.inSet, a.setResult())
+	if step == attempts.Retry && !h.retry(a) {
+		step = h.set.NoRetry()
 	}
-	for {
-		select {
-		case a := <-h.results:
-			a.discard()
-		default:
-			return
-		}
+	if step == attempts.Decided {
+		h.decide()
 	}
 }
 
-// evaluate evaluates the result of one attempt. It returns the attempt that decides
-// the call and true, or the one to fall back to while others are in flight and
-// false.
-func (h *hedgedCall) evaluate(a, fallback *attempt) (*attempt, bool) {
-	c := h.call
-	if a.isFinal() {
-		if fallback != nil {
-			fallback.discard()
-		}
-		return a, true
+// retry sends another attempt after the last one failed, and reports whether it did.
+func (h *hedgedCall) retry(last *attempt) bool {
+	server := h.call.chooseForRetry(last)
+	if server == nil {
+		return false
 	}
-	if fallback != nil {
-		// Of two failed attempts, the one with a response has more information for
-		// the caller.
-		if a.response == nil {
-			a, fallback = fallback, a
+	h.startAttempt(h.call.newAttempt(server))
+	return true
+}
+
+// decide cancels and discards all attempts but the winner. One that was overdue counts as a
+// failure of its server.
+func (h *hedgedCall) decide() {
+	winner := h.winner()
+	for _, a := range h.sent {
+		switch {
+		case a == winner:
+		case h.set.Ended(a.inSet):
+			a.discard()
+		case h.set.Overdue(a.inSet):
+			a.cancel(errDeadline)
+		default:
+			a.cancel(errNotNeeded)
 		}
-		fallback.discard()
-	}
-	if h.inFlight > 0 {
-		return a, false
-	}
-	if !c.takeRetry(a) {
-		return a, true
-	}
-	server := c.chooseToSend()
-	if server == nil {
-		return a, true
 	}
-	c.service.Metrics.retries.Inc()
-	h.startAttempt(c.newAttempt(server))
-	return a, false
+	close(h.decided)
 }
 
 // startHedge starts a second attempt if the budget allows it and a server is left.
 func (h *hedgedCall) startHedge(now int64) {
 	c := h.call
-	if retry.Expired(now, c.deadline) || !c.mayAddAttempt() {
+	if !c.mayStartAnother(now) {
 		return
 	}
 	if !c.service.hedgeBudget.Take(now, c.limits.HedgePercent, 0) {
@@ -227,23 +206,22 @@
 }
 
 // onFirstByteTimeout runs when the first attempt has had no response within the
-// first-byte timeout, and again at the deadline. If no other attempt was started and
-// the limits allow one, it cancels the first attempt and starts one at another
-// server, so that a pool of unresponsive connections delays each caller by a bounded
-// time. At the deadline it cancels all attempts. It returns the time until the timer
-// must fire again, and false if it need not.
+// first-byte timeout, and again at the deadline. If no other attempt is in flight and
+// the limits allow one, it starts one at another server, so that a pool of unresponsive
+// connections delays each caller by a bounded time. At the deadline it cancels all
+// attempts. It returns the time until the timer must fire again, and false if it need not.
 func (h *hedgedCall) onFirstByteTimeout(now int64) (time.Duration, bool) {
 	c := h.call
 	if retry.Expired(now, c.deadline) {
-		for _, a := range h.attempts {
+		for _, a := range h.sent {
 			a.cancel(errDeadline)
 		}
 		return 0, false
 	}
-	if c.attemptCount == 1 && c.mayAddAttempt() && c.service.retryBudget.Take(now, c.limits.RetryPercent, c.proxy.retryBase()) {
+	h.set.MarkOverdue(h.first.inSet)
+	if !h.set.Promising() && c.mayStartAnother(now) && c.takeRetryToken(now) {
 		if server := h.serverAfterTimeout(); server != nil {
 			c.service.Metrics.retries.Inc()
-			h.first.cancel(errDeadline)
 			h.startAttempt(c.newFreshAttempt(server))
 		}
 	}
@@ -272,7 +250,6 @@
 
 // completeHedged ends the call's other attempts and records its latency.
 func (c *call) completeHedged(h *hedgedCall, last *attempt) {
-	h.cancelOthers(last)
 	now := c.proxy.config.Now()
 	if last.response == nil || last.server.Gateway {
 		return
--- a/pkg/proxy/refused.go
+++ b/pkg/serverconn/refused.go
@@ -1,4 +1,4 @@
-package proxy
+package serverconn
 
 import (
 	"errors"
@@ -26,11 +26,11 @@
 	goAwayError       = "http2: Transport received Server's graceful shutdown GOAWAY]"
 )
 
-// refusedStream reports whether an HTTP/2 server guaranteed that it did not process
+// RefusedStream reports whether an HTTP/2 server guaranteed that it did not process
 // the request: by REFUSED_STREAM, or by a GOAWAY frame that excludes the stream. The
 // text is compared from its beginning, because other errors contain the debug data of
 // a GOAWAY frame, which the server chooses.
-func refusedStream(err error) bool {
+func RefusedStream(err error) bool {
 	if err == nil {
 		return false
 	}
