Report ready when a server is known

Callers saw: the first request of a newcomer to the demo got 503, "the gateway does not know the preset in force yet" (for 15 ms on this machine, some 0.3 s on a slower one). Change: the demo prints its addresses when the gateway is ready.

--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -35,8 +36,8 @@
 // serversPerRegion is the number of stand-in servers of each service and region.
 const serversPerRegion = 2
 
-// Run starts the deployment, prints the URLs as one JSON line, and serves until ctx
-// ends. It returns after the graceful shutdown.
+// Run starts the deployment, prints the URLs as one JSON line when the gateway is ready, and
+// serves until ctx ends. It returns after the graceful shutdown.
 func Run(ctx context.Context, out io.Writer, log *slog.Logger) error {
 	platformAddress, err := serveOnFreePort(standin.New())
 	if err != nil {
@@ -60,15 +61,31 @@
 	if err != nil {
 		return err
 	}
-	err = json.NewEncoder(out).Encode(Addresses{
-		Gateway:  "http://" + g.TrafficAddress(),
-		Admin:    "http://" + g.AdminAddress(),
-		Platform: "http://" + platformAddress,
-	})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	printed := make(chan error, 1)
+	go func() {
+		printed <- printWhenReady(ctx, g, out, Addresses{
+			Gateway:  "http://" + g.TrafficAddress(),
+			Admin:    "http://" + g.AdminAddress(),
+			Platform: "http://" + platformAddress,
+		})
+	}()
+	err = g.Run(ctx)
+	cancel()
+	return errors.Join(err, <-printed)
+}
+
+// printWhenReady prints the addresses once the gateway is ready. If that fails, it stops the gateway.
+func printWhenReady(ctx context.Context, g *gateway.Gateway, out io.Writer, addresses Addresses) error {
+	if !g.AwaitReady(ctx) {
+		return nil
+	}
+	err := json.NewEncoder(out).Encode(addresses)
 	if err != nil {
-		return eris.Wrap(err, "print addresses")
+		g.Shutdown()
 	}
-	return g.Run(ctx)
+	return eris.Wrap(err, "print addresses")
 }
 
 // serveOnFreePort serves a handler on a free loopback port until the process ends.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -49,8 +49,9 @@
 	snapshot atomic.Pointer[routing.Snapshot]
 	status   atomic.Pointer[control.Status]
 	stopping atomic.Bool
-	// listRead says that the control loop has applied a VM list.
-	listRead atomic.Bool
+	// listRead says that the published snapshot takes a VM list into account, and serverKnown
+	// that a published snapshot had a server that may get calls.
+	listRead, serverKnown atomic.Bool
 
 	peers      *peers
 	budgets    *budgets
@@ -263,33 +264,6 @@
 	return err
 }
 
-// notReadyReason returns why the gateway must not receive calls yet, empty if it is
-// ready.
-func (g *Gateway) notReadyReason() string {
-	switch {
-	case g.snapshot.Load() == nil:
-		return "the preset in force is not known yet"
-	case !g.listRead.Load() && !g.allServersFixed():
-		return "the platform's list of VMs was not read yet, so no server is known"
-	case !g.claimGate.isOpen() && g.storeClock.known() && time.Since(g.started) < claimGateTimeout:
-		// Calls with an idempotency key would be refused. While the store is unreachable
-		// they are refused anyway, and all other calls can be served.
-		return "the other gateways do not know this one yet"
-	default:
-		return ""
-	}
-}
-
-// allServersFixed reports whether the settings list the servers of every service.
-func (g *Gateway) allServersFixed() bool {
-	for _, service := range g.settings.Services {
-		if len(service.Servers) == 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // row returns this gateway's row for the store.
 func (g *Gateway) row() membership.Row {
 	status := g.status.Load()
--- a/pkg/gateway/loops.go
+++ b/pkg/gateway/loops.go
@@ -33,15 +33,18 @@
 func (g *Gateway) runControl(ctx context.Context) {
 	ticker := time.NewTicker(control.TickInterval)
 	defer ticker.Stop()
+	listRead := false
 	for {
 		select {
 		case event := <-g.events:
-			g.applyEvents(event)
+			listRead = g.applyEvents(event) || listRead
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
 		}
 		g.performActions(g.state.Tick(g.now()))
+		// Only now the published snapshot has the servers of the list.
+		g.listRead.Store(listRead)
 		status := g.state.Status()
 		g.status.Store(&status)
 		g.peers.storeSummary(g.now(), g.state)
@@ -49,19 +52,20 @@
 }
 
 // applyEvents applies an event and those queued behind it, so that Tick runs once
-// for a burst of events.
-func (g *Gateway) applyEvents(event control.Event) {
+// for a burst of events. It reports whether the VM list was among them.
+func (g *Gateway) applyEvents(event control.Event) (listRead bool) {
 	for range eventQueueSize {
 		g.state.Apply(g.now(), event)
 		if _, ok := event.(control.ServerListRead); ok {
-			g.listRead.Store(true)
+			listRead = true
 		}
 		select {
 		case event = <-g.events:
 		default:
-			return
+			return listRead
 		}
 	}
+	return listRead
 }
 
 func (g *Gateway) performActions(actions []control.Action) {
@@ -69,6 +73,9 @@
 		switch a := action.(type) {
 		case control.Publish:
 			g.snapshot.Store(a.Snapshot)
+			if a.Snapshot.HasServer() {
+				g.serverKnown.Store(true)
+			}
 		case control.PresetAdopted:
 			g.counters.presetAdoptions.Inc()
 			g.log.Info("preset adopted", "preset", a.Version.Preset.Name, "revision", a.Version.Revision,
--- a/pkg/gateway/ready_test.go
+++ b/pkg/gateway/ready_test.go
@@ -28,3 +28,20 @@
 	platformStandin.SetFaults(platform.Faults{})
 	waitUntil(t, "ready", func() bool { return g.notReadyReason() == "" })
 }
+
+// TestNotReadyBeforeServerIsKnown guards against a gateway that reports ready when its published
+// snapshot has no server yet, so that the first calls get 503.
+func TestNotReadyBeforeServerIsKnown(t *testing.T) {
+	store := httptest.NewServer(standin.New())
+	t.Cleanup(store.Close)
+	client := httpplatform.New(store.URL)
+	t.Cleanup(client.Close)
+	useOrdinaryPreset(t, client)
+	g := newRegionGateway(t, "gw-1", "khomas", client)
+	startGateway(t, g)
+	waitUntil(t, "list read", g.listRead.Load)
+	assert.Equal(t, g.notReadyReason(), "no server that may get calls is known yet")
+	startStandinServer(t, client, "booking-1", "booking-desk", "khomas", nil)
+	waitUntil(t, "ready", func() bool { return g.notReadyReason() == "" })
+	assert.Assert(t, g.snapshot.Load().HasServer())
+}
--- a/pkg/routing/snapshot.go
+++ b/pkg/routing/snapshot.go
@@ -19,6 +19,16 @@
 	ServersByID map[string]*Server
 }
 
+// HasServer reports whether a service has a server that may get calls.
+func (s *Snapshot) HasServer() bool {
+	for _, view := range s.Services {
+		if len(view.candidates()) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // ServiceView is one service in a snapshot.
 type ServiceView struct {
 	Name string
