Bound what the connections of callers hold together

Callers saw: a crowd of 2,500 connections took 294 to 1,037 MB of a gateway's 284 MB, for which the platform ends it; one of 5,000 that sends nothing took all descriptors, and 43 of 125 ordinary requests were served.

Cause: each connection was bounded, their sum was not. Heads within the limit alone exceed a small machine, because a field takes some 300 bytes however short it is (TestCrowdOfHostileClients, largest allowed heads: 176 MB).

Change: package machine reads the memory and the descriptors of the process, package connlimit divides them and decides, without I/O or clock, which connection is closed first: the one that has used the largest share of the time that the limits give it for what it does. A connection whose request is at a server is never closed. Package callerconn does the I/O below net/http. The garbage collector works more often above 85 % of the memory. The gate for calls at the start moved to a package of its own.

--- /dev/null
+++ b/pkg/callerconn/handler.go
@@ -0,0 +1,62 @@
+package callerconn
+
+import (
+	"io"
+	"net/http"
+
+	"balsamhill/pkg/connlimit"
+)
+
+// handler admits requests before it passes them to next.
+func (g *Guard) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, _ := r.Context().Value(connKey{}).(*conn)
+		if c == nil {
+			next.ServeHTTP(w, r)
+			return
+		}
+		switch g.begin(c) {
+		case connlimit.Gone:
+			// The connection is being closed, so the request must not reach a server.
+			panic(http.ErrAbortHandler)
+		case connlimit.Refused:
+			g.config.Refuse(w, r)
+			return
+		}
+		defer g.end(c)
+		if r.Body != nil && r.Body != http.NoBody && r.ContentLength != 0 {
+			r.Body = &requestBody{ReadCloser: r.Body, conn: c}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (g *Guard) begin(c *conn) connlimit.Admission {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	admission := g.table.Begin(g.now(), g.config.Rules(), c.entry)
+	if admission == connlimit.Refused {
+		g.count(connlimit.Crowded)
+	}
+	return admission
+}
+
+func (g *Guard) end(c *conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.End(g.now(), c.entry)
+}
+
+// requestBody reports how long the process waits for a request body.
+type requestBody struct {
+	io.ReadCloser
+	conn *conn
+}
+
+// Read implements io.Reader.
+func (b *requestBody) Read(p []byte) (n int, err error) {
+	guard, entry := b.conn.guard, b.conn.entry
+	entry.BeginRead(guard.now())
+	defer func() { entry.EndRead(guard.now(), n) }()
+	return b.ReadCloser.Read(p)
+}
--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -194,7 +194,7 @@
 			e.snapshot.Store(a.Snapshot)
 			e.indexed.Store(newIndexedSnapshot(a.Snapshot))
 			if e.serversLoaded.Load() {
-				e.startup.open()
+				e.startup.Open()
 			}
 		case control.PresetAdopted:
 			e.recordAdoption(a)
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -14,16 +14,20 @@
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
 
+	"balsamhill/pkg/callerconn"
+	"balsamhill/pkg/connlimit"
 	"balsamhill/pkg/contact"
 	"balsamhill/pkg/control"
 	"balsamhill/pkg/crashguard"
 	"balsamhill/pkg/feed"
 	"balsamhill/pkg/gossip"
 	"balsamhill/pkg/handoffconn"
+	"balsamhill/pkg/machine"
 	"balsamhill/pkg/proxy"
 	"balsamhill/pkg/registry"
 	"balsamhill/pkg/routing"
 	"balsamhill/pkg/serverconn"
+	"balsamhill/pkg/startup"
 	"balsamhill/pkg/storestate"
 )
 
@@ -46,10 +50,6 @@
 	responseBufferBytes = 64 << 10
 	// replayBodyBytes is how much of an upload is kept for an attempt at a second server.
 	replayBodyBytes = 1 << 20
-	// headerTimeout and callerIdleTimeout exceed the limits of any configuration, so
-	// that no caller within its limits is disconnected.
-	headerTimeout     = 10 * time.Second
-	callerIdleTimeout = 5 * time.Minute
 	// crashedServersToBlock is the number of servers, or of runs of a server, whose
 	// connections must break while they run a request before that request is refused.
 	// Connections also break for other reasons, but rarely three times for the same request.
@@ -62,8 +62,10 @@
 	minCrashBlock = 30 * time.Second
 	maxCrashBlock = time.Minute
 	crashMemory   = time.Hour
-	// maxHeaderBytes exceeds the limit of any configuration.
-	maxHeaderBytes = 64 << 10
+	// maxHeaderBytes, headerTimeout and callerIdleTimeout apply to other gateways and programs.
+	maxHeaderBytes    = 64 << 10
+	headerTimeout     = 10 * time.Second
+	callerIdleTimeout = 5 * time.Minute
 )
 
 // highCapacityCPUShare is the share of a core from which a VM probes servers and reads
@@ -115,7 +117,7 @@
 	// indexed is the current snapshot with an index for incoming load reports.
 	indexed       atomic.Pointer[indexedSnapshot]
 	serversLoaded atomic.Bool
-	startup       startupGate
+	startup       *startup.Gate
 	stopping      atomic.Bool
 	// endsAt is when the last calls must have ended, 0 before the shutdown.
 	endsAt     atomic.Int64
@@ -168,12 +170,17 @@
 	peerListener      net.Listener
 	bootstrapListener net.Listener
 	datagrams         *net.UDPConn
-	traffic           *http.Server
+	traffic           *callerconn.Server
+	// shares is what each part may use of the machine, requestLimits are those of requests
+	// according to the configuration.
+	shares        connlimit.Shares
+	requestLimits atomic.Pointer[connlimit.Requests]
 }
 
 // New creates a gateway and opens its listeners.
 func New(s *Settings, store Store, codec Codec, log *slog.Logger) (*Edge, error) {
 	started := time.Now()
+	shares := connlimit.Divide(machine.Usable(s.Capacity, log))
 	e := &Edge{
 		settings: s,
 		store:    store,
@@ -199,10 +206,12 @@
 		linksRestored: make(chan int64, 1),
 		membersLost:   make(chan struct{}, 1),
 		storeReached:  make(chan struct{}, 1),
-		startup:       newStartupGate(),
+		startup:       startup.NewGate(),
 		metrics:       metrics.NewSet(),
-		dialServer:    serverconn.Dial,
+		shares:        shares,
 	}
+	e.dialServer = callerconn.LimitDial(serverconn.Dial, shares.Servers)
+	e.requestLimits.Store(&connlimit.DefaultRequests)
 	e.contact = contact.NewMonitor(contact.Config{
 		Dial: e.dial, Servers: e.contactServers, Now: e.now, Log: log, Metrics: e.metrics, Changed: e.contactChanged,
 	})
@@ -216,6 +225,7 @@
 	e.serverLimits = newServerLimits(e)
 	e.handoffs = handoffconn.NewSender(handoffconn.Config{
 		Region: s.Region, FailureDomain: s.FailureDomain, Required: e.contact.Isolated, Known: e.handoffCandidates, Now: e.now,
+		Dial: callerconn.LimitDial(serverconn.Dial, shares.Gateways),
 	})
 	e.probeTransport = newProbeTransport(e.contact.Dial)
 	for index, table := range feed.Tables() {
@@ -226,7 +236,7 @@
 		CrashGuard:          e.guard,
 		Protocol:            codec.Protocol(),
 		Snapshot:            e.snapshot.Load,
-		AwaitReady:          e.startup.wait,
+		AwaitReady:          e.startup.Wait,
 		Transport:           e.transport,
 		Now:                 e.now,
 		Metrics:             proxy.NewMetrics(e.metrics),
@@ -241,13 +251,7 @@
 		Handoff:             e.handoffs,
 		GatewayID:           s.ID,
 	})
-	e.traffic = &http.Server{
-		Handler:           e.connectionCloseHandler(e.proxy),
-		MaxHeaderBytes:    maxHeaderBytes,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       callerIdleTimeout,
-		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
-	}
+	e.traffic = e.newServer("callers", e.shares.Callers, e.connectionCloseHandler(e.proxy))
 	return e, e.listen()
 }
 
@@ -256,34 +260,6 @@
 	return e.dialServer(ctx, network, address)
 }
 
-func (e *Edge) listen() error {
-	var err error
-	e.trafficListener, err = net.Listen("tcp", e.settings.TrafficAddress)
-	if err != nil {
-		return eris.Wrap(err, "open traffic listener")
-	}
-	e.readyListener, err = net.Listen("tcp", e.settings.ReadyAddress)
-	if err != nil {
-		return eris.Wrap(err, "open readiness listener")
-	}
-	e.peerListener, err = net.Listen("tcp", e.self.Address)
-	if err != nil {
-		return eris.Wrap(err, "open peer listener")
-	}
-	if e.settings.BootstrapAddress != "" {
-		e.bootstrapListener, err = net.Listen("tcp", e.settings.BootstrapAddress)
-		if err != nil {
-			return eris.Wrap(err, "open bootstrap listener")
-		}
-	}
-	address, err := net.ResolveUDPAddr("udp", e.self.Address)
-	if err != nil {
-		return eris.Wrap(err, "resolve gossip address")
-	}
-	e.datagrams, err = net.ListenUDP("udp", address)
-	return eris.Wrap(err, "open gossip socket")
-}
-
 // crashLimits returns the limits of the crash guard. The blocks of the gateways have different
 // lengths, so that they do not all try a request again at the same moment.
 func crashLimits(gatewayID string) crashguard.Limits {
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -19,6 +19,7 @@
 
 	"balsamhill/pkg/feed"
 	"balsamhill/pkg/loadreport"
+	"balsamhill/pkg/machine"
 	"balsamhill/pkg/preset"
 	"balsamhill/pkg/proxy"
 	"balsamhill/pkg/registry"
@@ -46,6 +47,8 @@
 	MetricsPort int
 	// CPUShare is the share of a core that the process may use.
 	CPUShare float64
+	// Capacity is what the process may use of the machine; what is unknown is read from the system.
+	Capacity machine.Capacity
 	Limits   Limits
 }
 
--- a/pkg/edge/start_test.go
+++ b/pkg/edge/start_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"balsamhill/pkg/feed"
+	"balsamhill/pkg/startup"
 )
 
 // getStatus sends a call that no route matches, and returns its status and its duration.
@@ -27,7 +28,7 @@
 	store := newFakeStore()
 	store.setDown(true)
 	e := startEdge(t, "only", store)
-	e.startup.deadline = time.Now().Add(5 * time.Second)
+	e.startup.Deadline = time.Now().Add(5 * time.Second)
 	go func() {
 		time.Sleep(50 * time.Millisecond)
 		store.setDown(false)
@@ -45,7 +46,7 @@
 	e := startEdge(t, "only", store)
 	status, took := getStatus(t, e)
 	assert.Equal(t, status, http.StatusServiceUnavailable)
-	assert.Assert(t, took < maxStartupWait+200*time.Millisecond, "%s", took)
+	assert.Assert(t, took < startup.MaxWait+200*time.Millisecond, "%s", took)
 	status, took = getStatus(t, e)
 	assert.Equal(t, status, http.StatusServiceUnavailable)
 	assert.Assert(t, took < 200*time.Millisecond, "%s", took)
--- a/pkg/edge/stop.go
+++ b/pkg/edge/stop.go
@@ -29,7 +29,7 @@
 // goroutines of Run keep running until then.
 func (e *Edge) serveTraffic(ctx context.Context) error {
 	failed := make(chan error, 1)
-	go func() { failed <- e.traffic.Serve(e.trafficListener) }()
+	go func() { failed <- e.traffic.Serve(e.trafficListener, nil) }()
 	select {
 	case err := <-failed:
 		return err
--- a/pkg/handoffconn/handoffconn.go
+++ b/pkg/handoffconn/handoffconn.go
@@ -32,6 +32,8 @@
 type Config struct {
 	// Region and FailureDomain are those of this gateway.
 	Region, FailureDomain string
+	// Dial opens connections to gateways.
+	Dial serverconn.DialFunc
 	// Required reports whether this gateway reaches no server.
 	Required func() bool
 	// Known returns the gateways that may take calls.
@@ -64,7 +66,7 @@
 	return &Sender{
 		config: config, gateways: make(map[string]*gateway),
 		transports: serverconn.NewShared(serverconn.SharedConfig{
-			Dial: serverconn.Dial, Connections: connections, Idle: idleTimeout, FreshIdle: freshIdleTimeout,
+			Dial: config.Dial, Connections: connections, Idle: idleTimeout, FreshIdle: freshIdleTimeout,
 		}),
 	}
 }
--- a/pkg/handoffconn/handoffconn_test.go
+++ b/pkg/handoffconn/handoffconn_test.go
@@ -10,6 +10,7 @@
 
 	"balsamhill/pkg/gossip"
 	"balsamhill/pkg/routing"
+	"balsamhill/pkg/serverconn"
 )
 
 // fleet is what a sender knows of other gateways.
@@ -24,6 +25,7 @@
 		f.known = append(f.known, gossip.HandoffCandidate{Heard: true, Gateway: gossip.Gateway{ID: id, Address: id, Region: "r", Incarnation: 1}})
 	}
 	return f, NewSender(Config{
+		Dial:   serverconn.Dial,
 		Region: "r", Required: func() bool { return true }, Now: func() int64 { return f.now },
 		Known: func(int64) []gossip.HandoffCandidate { return f.known },
 	})
--- a/pkg/proxy/bodybuffer.go
+++ b/pkg/proxy/bodybuffer.go
@@ -71,6 +71,16 @@
 	return true
 }
 
+// crowdedDetail is the detail of the refusal of a call for which the gateway has no room.
+const crowdedDetail = "the gateway has too many calls in flight"
+
+// RefuseCrowded refuses a request because the gateway has too many calls in flight.
+func (p *Proxy) RefuseCrowded(w http.ResponseWriter, r *http.Request) {
+	p.config.Metrics.crowded.Inc()
+	p.config.Protocol.SetRequestID(w.Header(), p.requestID(r))
+	p.refuseUnrouted(w, r, p.config.Now(), 0, http.StatusServiceUnavailable, crowdedDetail)
+}
+
 // unread puts bytes that were read before the first attempt back to the beginning
 // of the body.
 func (b *requestBody) unread(data []byte) {
--- a/pkg/proxy/metrics.go
+++ b/pkg/proxy/metrics.go
@@ -30,6 +30,7 @@
 	serversWithdrawn *metrics.Counter
 	gatewayStopping  *metrics.Counter
 	isolated         *metrics.Counter
+	crowded          *metrics.Counter
 	guardBusy        *metrics.Counter
 	guardBlocked     *metrics.Counter
 	shed             map[admission.Decision]*metrics.Counter
@@ -83,6 +84,7 @@
 		serversWithdrawn:   calls("servers_withdrawn"),
 		gatewayStopping:    calls("gateway_stopping"),
 		isolated:           calls("isolated"),
+		crowded:            calls("crowded"),
 		handoffsReceived:   set.GetOrCreateCounter(`balsamhill_handoffs_received_total{result="taken"}`),
 		handoffsDeclined:   set.GetOrCreateCounter(`balsamhill_handoffs_received_total{result="declined"}`),
 		handoffsUnreadable: set.GetOrCreateCounter(`balsamhill_handoffs_received_total{result="unreadable"}`),
