Read the limits of requests from the configuration

Seen: heads of 60 KB were passed on to servers, four to fifteen times over the limit of the configuration. Cause: maxHeaderBytes, headerTimeoutMs and idleTimeoutMs of the configuration were not read. Fixed values held in their place, above "the limits of any configuration". Where the configuration has none, the old values hold.

--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -89,6 +89,7 @@
 	}
 	e.configReceipt = configReceipt{rowVersion: row.Version, event: event, decoding: time.Duration(e.now() - began)}
 	e.state.Apply(e.now(), control.PresetOffered{Version: e.presetVersion(document), Source: event.source})
+	e.requestLimits.Store(document.Limits.OrDefault())
 }
 
 const (
@@ -117,7 +118,7 @@
 	}
 	for _, class := range preset.Classes() {
 		classLimits := p.Classes[class]
-		classLimits.MaxBodyBytes = document.MaxBodyBytes
+		classLimits.MaxBodyBytes = document.Limits.MaxBodyBytes
 		classLimits.RetryPercent = retryPercent
 		classLimits.RetryErrors = true
 		classLimits.HedgePercent = 0
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -17,6 +17,7 @@
 	"net/http"
 	"time"
 
+	"balsamhill/pkg/connlimit"
 	"balsamhill/pkg/feed"
 	"balsamhill/pkg/loadreport"
 	"balsamhill/pkg/machine"
@@ -97,9 +98,9 @@
 // Document is a decoded configuration.
 type Document struct {
 	// Revision increases with each version of the configuration.
-	Revision     uint64
-	Routing      *preset.Routing
-	MaxBodyBytes int64
+	Revision uint64
+	Routing  *preset.Routing
+	Limits   connlimit.Requests
 }
 
 // Codec decodes the rows of the platform's tables and the headers of its servers.
