Bound the connections at the other listeners of a gateway

Seen: crowds at the listeners for readiness checks, registration, other gateways and metrics took up to 933 MB and over 1,000 descriptors. Other gateways may send heads that are 8 KB larger, for the headers that a handoff adds. Nothing changes in what gateways say to each other.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -62,10 +62,6 @@
 	minCrashBlock = 30 * time.Second
 	maxCrashBlock = time.Minute
 	crashMemory   = time.Hour
-	// maxHeaderBytes, headerTimeout and callerIdleTimeout apply to other gateways and programs.
-	maxHeaderBytes    = 64 << 10
-	headerTimeout     = 10 * time.Second
-	callerIdleTimeout = 5 * time.Minute
 )
 
 // highCapacityCPUShare is the share of a core from which a VM probes servers and reads
@@ -315,8 +311,8 @@
 			return nil
 		}, func(error) { stop() })
 	}
-	addServer := func(server *http.Server, listener net.Listener) {
-		group.Add(func() error { return server.Serve(listener) }, func(error) { _ = server.Close() })
+	addServer := func(server *callerconn.Server, listener net.Listener) {
+		group.Add(func() error { return server.Serve(listener, nil) }, func(error) { _ = server.Close() })
 	}
 	addLoop(e.runControl)
 	for _, w := range e.watchers {
@@ -327,15 +323,13 @@
 	addLoop(e.runSender)
 	addLoop(e.runProber)
 	group.Add(func() error { e.runReceiver(); return nil }, func(error) { _ = e.datagrams.Close() })
-	addServer(&http.Server{Handler: e.readyHandler(), IdleTimeout: callerIdleTimeout}, e.readyListener)
-	addServer(&http.Server{
-		Handler: e.peerHandler(), IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout,
-	}, e.peerListener)
+	addServer(e.newServer("ready", e.shares.Auxiliary, e.readyHandler()), e.readyListener)
+	addServer(e.newServer("gateways", e.shares.Gateways, e.peerHandler()), e.peerListener)
 	if e.settings.MetricsPort != 0 {
 		addLoop(e.serveMetrics)
 	}
 	if e.bootstrapListener != nil {
-		addServer(&http.Server{Handler: e.bootstrapHandler(), IdleTimeout: callerIdleTimeout}, e.bootstrapListener)
+		addServer(e.newServer("bootstrap", e.shares.Bootstrap, e.bootstrapHandler()), e.bootstrapListener)
 	}
 	group.Add(func() error { return e.serveTraffic(ctx) }, func(error) { _ = e.traffic.Close() })
 	err := group.Run()
--- a/pkg/edge/listeners.go
+++ b/pkg/edge/listeners.go
@@ -11,12 +11,20 @@
 	"balsamhill/pkg/connlimit"
 )
 
+// handoffHeadBytes is how much larger than the head of a caller that of a call that was handed
+// off may be.
+const handoffHeadBytes = 8 << 10
+
 // newServer returns a server for a listener that may have the given number of connections.
 func (e *Edge) newServer(name string, connections int, handler http.Handler) *callerconn.Server {
+	extraHeadBytes := 0
+	if name == "gateways" {
+		extraHeadBytes = handoffHeadBytes
+	}
 	return callerconn.NewServer(callerconn.Config{
 		Name: name, Log: e.log, Metrics: e.metrics, Refuse: e.proxy.RefuseCrowded,
 		Rules: func() connlimit.Rules {
-			return e.requestLimits.Load().Rules(&e.shares, connections, 0)
+			return e.requestLimits.Load().Rules(&e.shares, connections, extraHeadBytes)
 		},
 	}, &http.Server{Handler: handler, ErrorLog: slog.NewLogLogger(e.log.Handler(), slog.LevelDebug)})
 }
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -99,9 +99,12 @@
 // without it.
 func (e *Edge) serveMetrics(ctx context.Context) {
 	address := net.JoinHostPort(e.settings.IP, strconv.Itoa(e.settings.MetricsPort))
-	server := &http.Server{Addr: address, Handler: e.metricsHandler(), IdleTimeout: callerIdleTimeout}
+	server := e.newServer("metrics", e.shares.Auxiliary, e.metricsHandler())
 	go func() {
-		err := server.ListenAndServe()
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			err = server.Serve(listener, nil)
+		}
 		if !errors.Is(err, http.ErrServerClosed) {
 			e.log.Warn("metrics listener failed", "address", address, "error", err)
 		}
