Bound the bodies that calls keep together

Seen: a crowd of fetches with bodies of 65 KB that stall took 171 MB of 64 MB; with the connections bounded, 113 MB on a machine with more descriptors than its memory can use. Cause: each call may keep 64 KB of its body, 1 MB of an upload and 64 KB of the answer, for a second attempt or to see whether the answer is whole, and nothing bounded their sum. Change: kept bytes count for a share of the memory. Where it is used up, uploads and answers go on without being kept. A body that must be kept closes slower ones, or else its call is refused as not run. Tried before and left out: streaming such a body to a server without keeping it.

--- a/pkg/callerconn/handler.go
+++ b/pkg/callerconn/handler.go
@@ -1,6 +1,7 @@
 package callerconn
 
 import (
+	"context"
 	"io"
 	"net/http"
 
@@ -60,3 +61,22 @@
 	defer func() { entry.EndRead(guard.now(), n) }()
 	return b.ReadCloser.Read(p)
 }
+
+// KeepBytes reports whether the call whose request has a context may keep so many more bytes of its
+// bodies until it ends. For bytes that are essential, slower connections are closed. Requests that
+// did not come through a Guard may.
+func KeepBytes(ctx context.Context, bytes int, essential bool) bool {
+	c, _ := ctx.Value(connKey{}).(*conn)
+	return c == nil || c.guard.keep(c, bytes, essential)
+}
+
+func (g *Guard) keep(c *conn, bytes int, essential bool) bool {
+	g.mu.Lock()
+	kept, victims := g.table.Keep(g.now(), g.config.Rules(), c.entry, bytes, essential)
+	closing := g.removeAll(victims, connlimit.BodyMemory)
+	g.mu.Unlock()
+	for _, other := range closing {
+		_ = other.Conn.Close()
+	}
+	return kept
+}
--- a/pkg/connlimit/requests.go
+++ b/pkg/connlimit/requests.go
@@ -32,7 +32,7 @@
 // extraHeadBytes.
 func (r *Requests) Rules(shares *Shares, connections, extraHeadBytes int) Rules {
 	return Rules{
-		MaxConnections: connections, HeadMemory: shares.HeadMemory,
+		MaxConnections: connections, HeadMemory: shares.HeadMemory, BodyMemory: shares.BodyMemory,
 		MaxHeadBytes: r.MaxHeadBytes + extraHeadBytes, HeaderTimeout: r.HeaderTimeout, IdleTimeout: r.IdleTimeout,
 	}
 }
--- a/pkg/connlimit/shares.go
+++ b/pkg/connlimit/shares.go
@@ -11,8 +11,9 @@
 	// Servers is the number of connections to servers. To other gateways there may be as many as
 	// from them.
 	Servers int
-	// HeadMemory is the memory in bytes for large heads.
-	HeadMemory int64
+	// HeadMemory is the memory in bytes for large heads, and BodyMemory that for bodies that are
+	// kept.
+	HeadMemory, BodyMemory int64
 }
 
 const (
@@ -23,6 +24,7 @@
 	// heads, bodies, the state of the gateway and the heap that is not collected yet.
 	connectionsMemoryShare = 0.4
 	headMemoryShare        = 0.08
+	bodyMemoryShare        = 0.1
 
 	callersShare   = 0.4
 	gatewaysShare  = 0.1
@@ -46,5 +48,6 @@
 		Servers:   part(serversShare),
 
 		HeadMemory: int64(headMemoryShare * float64(memoryBytes)),
+		BodyMemory: int64(bodyMemoryShare * float64(memoryBytes)),
 	}
 }
--- a/pkg/connlimit/table.go
+++ b/pkg/connlimit/table.go
@@ -23,6 +23,8 @@
 	MaxConnections int
 	// HeadMemory is the memory in bytes that heads above freeHeadCost may take together.
 	HeadMemory int64
+	// BodyMemory is the memory in bytes that bodies may take together that calls keep.
+	BodyMemory int64
 	// MaxHeadBytes is the size of the largest head that is allowed.
 	MaxHeadBytes int
 	// HeaderTimeout is how long a client may take to send a head, and IdleTimeout how long it may
@@ -72,8 +74,10 @@
 const (
 	// HeadTooLarge means that a head is larger than Rules.MaxHeadBytes.
 	HeadTooLarge Reason = "head_too_large"
-	// HeadMemory means that the large heads of all connections take too much memory.
+	// HeadMemory and BodyMemory mean that the large heads of all connections, or the bodies that
+	// calls keep, take too much memory.
 	HeadMemory Reason = "head_memory"
+	BodyMemory Reason = "body_memory"
 	// Crowded means that another connection needed the place, or that there was none for a new one.
 	Crowded Reason = "crowded"
 	// HeadTimeout and IdleTimeout mean that a client took too long.
@@ -94,6 +98,8 @@
 	// opaque connections are encrypted or multiplexed; their heads are not counted.
 	opaque bool
 	calls  int
+	// keptBytes is what the calls keep of their bodies.
+	keptBytes int64
 
 	// reading is the number of reads of bodies that have not returned, readingSince when the last one
 	// began. bodyWait is how long earlier reads took, received how many bytes they returned.
@@ -120,9 +126,10 @@
 
 // Table holds the connections of one listener. It is not safe for concurrent use.
 type Table struct {
-	conns    map[*Conn]struct{}
-	heldHead int64
-	calls    int
+	conns     map[*Conn]struct{}
+	heldHead  int64
+	keptBytes int64
+	calls     int
 }
 
 // NewTable returns a table without connections.
@@ -130,9 +137,11 @@
 	return &Table{conns: make(map[*Conn]struct{})}
 }
 
-// Len returns the number of connections, and HeldByHeads the memory in bytes of large heads.
+// Len returns the number of connections, HeldByHeads the memory in bytes of large heads and
+// KeptBytes that of bodies that calls keep.
 func (t *Table) Len() int           { return len(t.conns) }
 func (t *Table) HeldByHeads() int64 { return t.heldHead }
+func (t *Table) KeptBytes() int64   { return t.keptBytes }
 
 // Open adds a connection, and returns the one that is closed for it, if any. It returns a nil
 // connection if there is no place for a new one now. The heads of opaque connections are not counted.
@@ -155,6 +164,7 @@
 		return
 	}
 	t.releaseHead(c)
+	t.releaseKept(c)
 	t.calls -= c.calls
 	c.phase = closed
 	delete(t.conns, c)
@@ -202,6 +212,37 @@
 	c.headCost, c.headBytes, c.headFields = 0, 0, 0
 }
 
+// Keep records that a call of a connection keeps more bytes of a body. It returns false if there is
+// no memory for them. For bytes that are essential to a call, connections are closed that keep bytes
+// and have used more of their time than c.
+func (t *Table) Keep(now int64, rules Rules, c *Conn, bytes int, essential bool) (kept bool, victims []*Conn) {
+	if c.phase == closed {
+		return false, nil
+	}
+	own := c.used(now, rules)
+	for t.keptBytes+int64(bytes) > rules.BodyMemory {
+		if !essential {
+			return false, nil
+		}
+		victim := t.mostOverdue(now, rules, func(other *Conn) bool {
+			return other != c && other.keptBytes > 0 && other.mayMakePlace(now, rules)
+		})
+		if victim == nil || own.closable && victim.used(now, rules).share() <= own.share() {
+			return false, victims
+		}
+		t.Close(victim)
+		victims = append(victims, victim)
+	}
+	t.keptBytes += int64(bytes)
+	c.keptBytes += int64(bytes)
+	return true, victims
+}
+
+func (t *Table) releaseKept(c *Conn) {
+	t.keptBytes -= c.keptBytes
+	c.keptBytes = 0
+}
+
 // Admission is the decision about a request whose head is complete.
 type Admission int
 
@@ -242,6 +283,9 @@
 	c.calls--
 	t.calls--
 	c.since = now
+	if c.calls == 0 {
+		t.releaseKept(c)
+	}
 }
 
 // SetIdle records that all responses of a connection have been sent.
--- a/pkg/connlimit/table_test.go
+++ b/pkg/connlimit/table_test.go
@@ -12,7 +12,7 @@
 )
 
 var rules = connlimit.Rules{
-	MaxConnections: 5, HeadMemory: 100 << 10, MaxHeadBytes: 16 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second,
+	MaxConnections: 5, HeadMemory: 100 << 10, BodyMemory: 100 << 10, MaxHeadBytes: 16 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second,
 }
 
 // state is what the test knows of a connection.
@@ -84,6 +84,26 @@
 	s.waiting = true
 }
 
+func (m *model) keepOrEnd(t *rapid.T, s *state) {
+	if rapid.Bool().Draw(t, "keep") {
+		m.keep(t, s)
+		return
+	}
+	m.end(s)
+}
+
+// keep keeps bytes of a body, which may end slower requests with bodies that are not complete.
+func (m *model) keep(t *rapid.T, s *state) {
+	essential := rapid.Bool().Draw(t, "essential")
+	bytes := rapid.IntRange(1, 80<<10).Draw(t, "kept")
+	_, victims := m.table.Keep(m.now, rules, s.conn, bytes, essential)
+	assert.Assert(t, essential || len(victims) == 0)
+	for _, victim := range victims {
+		assert.Assert(t, victim != s.conn)
+		assert.Assert(t, m.drop(victim).uploading, "a connection whose request is at a server was closed")
+	}
+}
+
 func (m *model) end(s *state) {
 	if s.uploading {
 		s.conn.EndRead(m.now, 1)
@@ -108,17 +128,19 @@
 					m.begin(t, s)
 				}
 			} else {
-				m.end(s)
+				m.keepOrEnd(t, s)
 			}
 			assert.Equal(t, m.table.Len(), len(m.conns))
 			assert.Assert(t, m.table.Len() <= rules.MaxConnections)
 			assert.Assert(t, m.table.HeldByHeads() <= rules.HeadMemory)
+			assert.Assert(t, m.table.KeptBytes() <= rules.BodyMemory)
 		}
 		for len(m.conns) > 0 {
 			m.table.Close(m.conns[0].conn)
 			m.drop(m.conns[0].conn)
 		}
 		assert.Equal(t, m.table.HeldByHeads(), int64(0))
+		assert.Equal(t, m.table.KeptBytes(), int64(0))
 	})
 }
 
@@ -230,7 +252,7 @@
 		s := connlimit.Divide(machine.Capacity{MemoryBytes: memory, Descriptors: descriptors})
 		assert.Assert(t, s.Callers+2*s.Gateways+s.Bootstrap+2*s.Auxiliary+s.Servers < descriptors)
 		const callMemory = 48 << 10
-		assert.Assert(t, int64(s.Callers)*callMemory+s.HeadMemory < memory*2/3)
+		assert.Assert(t, int64(s.Callers)*callMemory+s.HeadMemory+s.BodyMemory < memory*2/3)
 		assert.Assert(t, s.Callers >= 100)
 	})
 }
@@ -249,3 +271,27 @@
 	assert.Equal(t, table.Begin(2, one, first), connlimit.Gone)
 	assert.Equal(t, table.Begin(2, one, second), connlimit.Admitted)
 }
+
+// TestStalledBodiesMakePlace guards against bodies that stall and take the memory for those of ordinary
+// callers.
+func TestStalledBodiesMakePlace(t *testing.T) {
+	table := connlimit.NewTable()
+	begin := func(at int64) *connlimit.Conn {
+		c, _ := table.Open(at, rules, false)
+		table.Begin(at, rules, c)
+		c.BeginRead(at)
+		return c
+	}
+	stalled := begin(0)
+	kept, _ := table.Keep(0, rules, stalled, int(rules.BodyMemory), true)
+	assert.Assert(t, kept)
+	ordinary := begin(int64(time.Second))
+	kept, victims := table.Keep(int64(time.Second), rules, ordinary, 1000, false)
+	assert.Assert(t, !kept && len(victims) == 0)
+	kept, victims = table.Keep(int64(time.Second), rules, ordinary, 1000, true)
+	assert.Assert(t, kept)
+	assert.DeepEqual(t, len(victims), 1)
+	assert.Assert(t, victims[0] == stalled)
+	kept, _ = table.Keep(int64(time.Second), rules, stalled, 1, true)
+	assert.Assert(t, !kept, "a closed connection keeps bytes")
+}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -246,6 +246,7 @@
 		Observer:            observer{e},
 		Handoff:             e.handoffs,
 		GatewayID:           s.ID,
+		KeepBytes:           callerconn.KeepBytes,
 	})
 	e.traffic = e.newServer("callers", e.shares.Callers, e.connectionCloseHandler(e.proxy))
 	return e, e.listen()
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -254,7 +254,8 @@
 func (a *attempt) bufferResponse() {
 	limit := a.call.proxy.config.ResponseBufferBytes
 	body := a.response.Body
-	if limit == 0 || body == http.NoBody || a.response.StatusCode == http.StatusSwitchingProtocols {
+	if limit == 0 || body == http.NoBody || a.response.StatusCode == http.StatusSwitchingProtocols ||
+		!a.call.mayKeep(bufferSize(a.response.ContentLength, limit), false) {
 		return
 	}
 	data, err := io.ReadAll(io.LimitReader(body, int64(limit)+1))
--- a/pkg/proxy/body.go
+++ b/pkg/proxy/body.go
@@ -113,7 +113,7 @@
 	if !b.replayComplete() {
 		return
 	}
-	if len(b.replayBuffer)+len(data) > b.replayLimit {
+	if len(b.replayBuffer)+len(data) > b.replayLimit || !b.call.mayKeep(len(data), false) {
 		b.replayBuffer, b.replayOverflowed = nil, true
 		return
 	}
--- a/pkg/proxy/bodybuffer.go
+++ b/pkg/proxy/bodybuffer.go
@@ -53,6 +53,11 @@
 	if c.r.ContentLength > maxBufferedBodyBytes || c.route.Class == preset.ClassUpload && c.r.ContentLength < 0 {
 		return true
 	}
+	if !c.mayKeep(bufferSize(c.r.ContentLength, maxBufferedBodyBytes), true) {
+		c.proxy.config.Metrics.crowded.Inc()
+		c.refuse(http.StatusServiceUnavailable, crowdedDetail)
+		return false
+	}
 	data, complete, err := b.readUpTo(maxBufferedBodyBytes)
 	switch {
 	case errors.Is(err, errBodyTooLarge):
@@ -71,6 +76,20 @@
 	return true
 }
 
+// bufferSize returns how many bytes a buffer for a body takes, of which limit bytes are kept; length
+// is -1 if it is not known.
+func bufferSize(length int64, limit int) int {
+	if length < 0 {
+		return limit
+	}
+	return int(min(length, int64(limit)))
+}
+
+// mayKeep reports whether the call may keep so many more bytes of its bodies.
+func (c *call) mayKeep(bytes int, essential bool) bool {
+	return c.proxy.config.KeepBytes == nil || c.proxy.config.KeepBytes(c.r.Context(), bytes, essential)
+}
+
 // crowdedDetail is the detail of the refusal of a call for which the gateway has no room.
 const crowdedDetail = "the gateway has too many calls in flight"
 
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -80,6 +80,9 @@
 	Handoff Handoff
 	// GatewayID is the ID of this gateway in calls that it hands off.
 	GatewayID string
+	// KeepBytes reports whether the call with a context may keep so many more bytes of its bodies
+	// until it ends. An essential call cannot go on without them. It may be nil, for no bound.
+	KeepBytes func(ctx context.Context, bytes int, essential bool) bool
 	// TrustedProxies are the addresses whose forwarding headers are kept.
 	TrustedProxies []netip.Prefix
 }
