Bound the connections of serve, the demo and the stand-ins

Cause: as at the listeners of the users' platform; the admin listener took heads of up to 1 MB. Change: the listeners of `serve` for callers and administration, and those of the demo and the stand-ins, keep to shares of the machine by the same rules. Over TLS and HTTP/2 heads are bounded one by one only; calls of HTTP/2 connections are bounded together.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/google/subcommands"
+
+	"balsamhill/pkg/callerconn"
 )
 
 func main() {
@@ -51,8 +53,8 @@
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second, Protocols: protocols}
-	go func() { _ = server.Serve(listener) }()
+	server := callerconn.NewStandaloneServer("standin", &http.Server{Handler: handler, Protocols: protocols})
+	go func() { _ = server.Serve(listener, nil) }()
 	if hooks.started != nil {
 		err = hooks.started(listener.Addr().String())
 		if err != nil {
@@ -64,7 +66,7 @@
 	if hooks.stopping != nil {
 		hooks.stopping()
 	}
-	err = shutdownServer(ctx, server, hooks.shutdownTimeout)
+	err = shutdownServer(ctx, server.Server, hooks.shutdownTimeout)
 	if hooks.stopped != nil {
 		hooks.stopped()
 	}
--- a/pkg/callerconn/server.go
+++ b/pkg/callerconn/server.go
@@ -2,8 +2,14 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"balsamhill/pkg/connlimit"
+	"balsamhill/pkg/machine"
 )
 
 // Server is an http.Server whose connections a Guard keeps within limits.
@@ -31,3 +37,18 @@
 	}
 	return s.Server.Serve(guarded)
 }
+
+// NewStandaloneServer returns a server that may use what the machine has, with default limits of
+// requests and without metrics.
+func NewStandaloneServer(name string, server *http.Server) *Server {
+	log := slog.Default()
+	shares := connlimit.Divide(machine.Usable(machine.Capacity{}, log))
+	rules := connlimit.DefaultRequests.Rules(&shares, shares.Callers, 0)
+	return NewServer(Config{
+		Name: name, Log: log, Metrics: metrics.NewSet(),
+		Rules: func() connlimit.Rules { return rules },
+		Refuse: func(w http.ResponseWriter, _ *http.Request) {
+			http.Error(w, "too many requests are in flight", http.StatusServiceUnavailable)
+		},
+	}, server)
+}
--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"balsamhill/examples"
+	"balsamhill/pkg/callerconn"
 	"balsamhill/pkg/gateway"
 	"balsamhill/pkg/platform"
 	"balsamhill/pkg/platform/httpplatform"
@@ -94,8 +95,8 @@
 	if err != nil {
 		return "", eris.Wrap(err, "open listener")
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
-	go func() { _ = server.Serve(listener) }()
+	server := callerconn.NewStandaloneServer("standin", &http.Server{Handler: handler})
+	go func() { _ = server.Serve(listener, nil) }()
 	return listener.Addr().String(), nil
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -18,8 +18,11 @@
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
 
+	"balsamhill/pkg/callerconn"
+	"balsamhill/pkg/connlimit"
 	"balsamhill/pkg/control"
 	"balsamhill/pkg/crashguard"
+	"balsamhill/pkg/machine"
 	"balsamhill/pkg/membership"
 	"balsamhill/pkg/platform"
 	"balsamhill/pkg/presetstore"
@@ -68,10 +71,14 @@
 
 	trafficListener net.Listener
 	adminListener   net.Listener
-	traffic         *http.Server
-	admin           *http.Server
-	stop            chan struct{}
-	stopOnce        sync.Once
+	traffic         *callerconn.Server
+	admin           *callerconn.Server
+	// secureTraffic adds TLS to the listener for callers; nil without certificates.
+	secureTraffic func(net.Listener) net.Listener
+	// shares is what each part may use of the machine.
+	shares   connlimit.Shares
+	stop     chan struct{}
+	stopOnce sync.Once
 }
 
 // New opens the listeners and returns a gateway; Run starts it. Addresses with port 0
@@ -89,6 +96,7 @@
 		metrics:     metrics.NewSet(),
 		transport:   serverconn.New(s.Services, s.Peers.MaxGateways),
 		stop:        make(chan struct{}),
+		shares:      connlimit.Divide(machine.Usable(machine.Capacity{}, log)),
 
 		claimGate: newClaimGate(),
 	}
@@ -123,9 +131,10 @@
 		TrustedProxies: trusted,
 		Claims:         g.claims.store,
 		CrashGuard:     g.guard,
+		KeepBytes:      callerconn.KeepBytes,
 	})
 	g.traffic = g.newTrafficServer()
-	g.admin = &http.Server{Handler: g.adminHandler(), ReadHeaderTimeout: 5 * time.Second}
+	g.admin = g.newAdminServer()
 	g.metrics.RegisterMetricsWriter(g.writePeerMetrics)
 	g.metrics.RegisterMetricsWriter(g.writePlatformMetrics)
 	return g, nil
@@ -137,8 +146,9 @@
 	if err != nil {
 		return eris.Wrap(err, "open traffic listener")
 	}
-	g.trafficListener, err = g.secureTraffic(g.trafficListener)
+	g.secureTraffic, err = g.loadTrafficTLS()
 	if err != nil {
+		_ = g.trafficListener.Close()
 		return err
 	}
 	g.adminListener, err = net.Listen("tcp", g.settings.Admin.Listen)
@@ -149,21 +159,6 @@
 	return nil
 }
 
-func (g *Gateway) newTrafficServer() *http.Server {
-	protocols := &http.Protocols{}
-	protocols.SetHTTP1(true)
-	protocols.SetHTTP2(true)
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{
-		Handler:           g.proxy,
-		Protocols:         protocols,
-		MaxHeaderBytes:    g.settings.Traffic.MaxHeaderBytes,
-		ReadHeaderTimeout: time.Duration(g.settings.Traffic.HeaderTimeoutMillis) * time.Millisecond,
-		IdleTimeout:       time.Duration(g.settings.Traffic.IdleTimeoutMillis) * time.Millisecond,
-		ErrorLog:          slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
-	}
-}
-
 // TrafficAddress returns host:port of the listener for callers.
 func (g *Gateway) TrafficAddress() string {
 	return g.trafficListener.Addr().String()
@@ -216,15 +211,15 @@
 	addLoop(g.claims.run)
 	addLoop(g.runGuardExpiry)
 	g.addProbeLoops(addLoop)
-	group.Add(func() error { return serve(g.admin, g.adminListener) }, func(error) { _ = g.admin.Close() })
+	group.Add(func() error { return serve(g.admin, g.adminListener, nil) }, func(error) { _ = g.admin.Close() })
 	group.Add(func() error { return g.serveTraffic(ctx) }, func(error) { _ = g.traffic.Close() })
 	err := group.Run()
 	g.transport.CloseIdleConnections()
 	return err
 }
 
-func serve(server *http.Server, listener net.Listener) error {
-	err := server.Serve(listener)
+func serve(server *callerconn.Server, listener net.Listener, secure func(net.Listener) net.Listener) error {
+	err := server.Serve(listener, secure)
 	if eris.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -235,7 +230,7 @@
 // of the gateway run until then, because requests in flight need them.
 func (g *Gateway) serveTraffic(ctx context.Context) error {
 	failed := make(chan error, 1)
-	go func() { failed <- serve(g.traffic, g.trafficListener) }()
+	go func() { failed <- serve(g.traffic, g.trafficListener, g.secureTraffic) }()
 	select {
 	case err := <-failed:
 		return err
--- a/pkg/gateway/ready_test.go
+++ b/pkg/gateway/ready_test.go
@@ -39,7 +39,7 @@
 	useOrdinaryPreset(t, client)
 	g := newRegionGateway(t, "gw-1", "khomas", client)
 	startGateway(t, g)
-	waitUntil(t, "list read", g.listRead.Load)
+	waitUntil(t, "preset in force and list read", func() bool { return g.snapshot.Load() != nil && g.listRead.Load() })
 	assert.Equal(t, g.notReadyReason(), "no server that may get calls is known yet")
 	startStandinServer(t, client, "booking-1", "booking-desk", "khomas", nil)
 	waitUntil(t, "ready", func() bool { return g.notReadyReason() == "" })
