Do not take the own limit on connections for a failure of servers

Change: the limit lies above the monitor, whose checks are not limited, and an attempt that it stops is no failure of its server. The function moved to package serverconn. That a gateway without descriptors does not become isolated is not tested with a whole gateway.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -204,15 +204,15 @@
 		storeReached:  make(chan struct{}, 1),
 		startup:       startup.NewGate(),
 		metrics:       metrics.NewSet(),
+		dialServer:    serverconn.Dial,
 		shares:        shares,
 	}
-	e.dialServer = callerconn.LimitDial(serverconn.Dial, shares.Servers)
 	e.requestLimits.Store(&connlimit.DefaultRequests)
 	e.contact = contact.NewMonitor(contact.Config{
 		Dial: e.dial, Servers: e.contactServers, Now: e.now, Log: log, Metrics: e.metrics, Changed: e.contactChanged,
 	})
 	e.transport = serverconn.NewShared(serverconn.SharedConfig{
-		Dial: e.contact.Dial, Connections: connectionsPerServer, Idle: idleTimeout, FreshIdle: nonRepeatableIdleTimeout,
+		Dial: serverconn.LimitDial(e.contact.Dial, shares.Servers), Connections: connectionsPerServer, Idle: idleTimeout, FreshIdle: nonRepeatableIdleTimeout,
 	})
 	e.limits.Store(&s.Limits)
 	e.setTableAges(s.Limits)
@@ -221,7 +221,7 @@
 	e.serverLimits = newServerLimits(e)
 	e.handoffs = handoffconn.NewSender(handoffconn.Config{
 		Region: s.Region, FailureDomain: s.FailureDomain, Required: e.contact.Isolated, Known: e.handoffCandidates, Now: e.now,
-		Dial: callerconn.LimitDial(serverconn.Dial, shares.Gateways),
+		Dial: serverconn.LimitDial(serverconn.Dial, shares.Gateways),
 	})
 	e.probeTransport = newProbeTransport(e.contact.Dial)
 	for index, table := range feed.Tables() {
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -401,7 +401,7 @@
 	if a.resent {
 		return true
 	}
-	if a.denied || a.result == retry.Canceled || a.call.body.readFailed() {
+	if a.denied || a.result == retry.Canceled || a.call.body.readFailed() || errors.Is(a.err, serverconn.ErrTooManyConnections) {
 		return false
 	}
 	return a.timedOut() || a.ctx.Err() == nil
--- a/pkg/callerconn/dial.go
+++ b/pkg/serverconn/limit.go
@@ -1,4 +1,4 @@
-package callerconn
+package serverconn
 
 import (
 	"context"
@@ -8,8 +8,6 @@
 	"syscall"
 
 	"github.com/rotisserie/eris"
-
-	"balsamhill/pkg/serverconn"
 )
 
 // ErrTooManyConnections means that no connection was opened because the process has as many as it
@@ -17,7 +15,7 @@
 var ErrTooManyConnections = eris.New("as many connections are open as the descriptors of the machine allow")
 
 // LimitDial returns a function that opens connections like dial, at most limit at a time.
-func LimitDial(dial serverconn.DialFunc, limit int) serverconn.DialFunc {
+func LimitDial(dial DialFunc, limit int) DialFunc {
 	var open atomic.Int64
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		if open.Add(1) > int64(limit) {
@@ -29,19 +27,19 @@
 			open.Add(-1)
 			return nil, err
 		}
-		return &countedConn{Conn: c, closed: func() { open.Add(-1) }}, nil
+		return &limitedConn{Conn: c, closed: func() { open.Add(-1) }}, nil
 	}
 }
 
-// countedConn counts as open until it is closed.
-type countedConn struct {
+// limitedConn counts as open until it is closed.
+type limitedConn struct {
 	net.Conn
 	once   sync.Once
 	closed func()
 }
 
 // SyscallConn implements syscall.Conn.
-func (c *countedConn) SyscallConn() (syscall.RawConn, error) {
+func (c *limitedConn) SyscallConn() (syscall.RawConn, error) {
 	inner, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return nil, eris.New("the connection has no descriptor")
@@ -50,7 +48,7 @@
 }
 
 // Close implements net.Conn.
-func (c *countedConn) Close() error {
+func (c *limitedConn) Close() error {
 	c.once.Do(c.closed)
 	return c.Conn.Close()
 }
