Leave half of the memory for bodies to those that must be kept

Found while reading the diff. Copies of uploads, which only serve a second attempt, could take all memory for bodies; a call whose body must be kept would then have closed the slowest upload, an ordinary one too. Change: such copies, and answers that are kept to see whether they are whole, may take half of that memory. The capacity of a machine is a type of package connlimit, so that the decisions do not depend on the package that reads it; a function got the name of what it does. Result: TestCopiesLeaveMemoryForEssentialBodies fails without the half and passes; TestCapacityIsSmallerOfBoth is new.

--- a/pkg/callerconn/conn.go
+++ b/pkg/callerconn/conn.go
@@ -63,7 +63,7 @@
 	for {
 		c, replaced := g.tryOpen(accepted, encrypted)
 		if replaced != nil {
-			replaced.awaitedBy(g)
+			g.closeForNew(replaced)
 		}
 		if c != nil {
 			return c
@@ -100,9 +100,9 @@
 	return c, replaced
 }
 
-// awaitedBy closes a connection for another one. If the server still works on many such ones, it
-// waits for one of them, so that their memory does not add up while the processor is busy.
-func (c *conn) awaitedBy(g *Guard) {
+// closeForNew closes a connection for a new one. If the server still works on many that were closed,
+// it waits for one of them, so that their memory does not add up while the processor is busy.
+func (g *Guard) closeForNew(c *conn) {
 	_ = c.Conn.Close()
 	timer := time.NewTimer(closingTimeout)
 	defer timer.Stop()
--- a/pkg/callerconn/server.go
+++ b/pkg/callerconn/server.go
@@ -42,7 +42,7 @@
 // requests and without metrics.
 func NewStandaloneServer(name string, server *http.Server) *Server {
 	log := slog.Default()
-	shares := connlimit.Divide(machine.Usable(machine.Capacity{}, log))
+	shares := connlimit.Divide(machine.Usable(connlimit.Capacity{}, log))
 	rules := connlimit.DefaultRequests.Rules(&shares, shares.Callers, 0)
 	return NewServer(Config{
 		Name: name, Log: log, Metrics: metrics.NewSet(),
--- a/pkg/connlimit/shares.go
+++ b/pkg/connlimit/shares.go
@@ -1,7 +1,5 @@
 package connlimit
 
-import "balsamhill/pkg/machine"
-
 // Shares is what each part of a gateway may use of its machine.
 type Shares struct {
 	// Callers, Gateways, Bootstrap and Auxiliary are the connections at the listeners for callers,
@@ -36,7 +34,7 @@
 )
 
 // Divide divides what the process may use.
-func Divide(usable machine.Capacity) Shares {
+func Divide(usable Capacity) Shares {
 	memoryBytes := usable.MemoryBytes
 	part := func(share float64) int { return max(minConnections, int(share*float64(usable.Descriptors))) }
 	byMemory := int(connectionsMemoryShare * float64(memoryBytes) / connectionMemory)
--- a/pkg/connlimit/table.go
+++ b/pkg/connlimit/table.go
@@ -85,8 +85,8 @@
 	IdleTimeout Reason = "idle_timeout"
 )
 
-// Conn is one connection. The Record methods are safe for concurrent use; everything else belongs
-// to the Table.
+// Conn is one connection. BeginRead, EndRead and RecordWrite are safe for concurrent use; everything
+// else belongs to the Table.
 type Conn struct {
 	phase phase
 	// since is when the phase began.
@@ -213,17 +213,17 @@
 }
 
 // Keep records that a call of a connection keeps more bytes of a body. It returns false if there is
-// no memory for them. For bytes that are essential to a call, connections are closed that keep bytes
-// and have used more of their time than c.
+// no memory for them. Bytes that are not essential to their call may take half of the memory. For
+// essential ones connections are closed that keep bytes and have used more of their time than c.
 func (t *Table) Keep(now int64, rules Rules, c *Conn, bytes int, essential bool) (kept bool, victims []*Conn) {
 	if c.phase == closed {
 		return false, nil
 	}
+	if !essential && t.keptBytes+int64(bytes) > rules.BodyMemory/2 {
+		return false, nil
+	}
 	own := c.used(now, rules)
 	for t.keptBytes+int64(bytes) > rules.BodyMemory {
-		if !essential {
-			return false, nil
-		}
 		victim := t.mostOverdue(now, rules, func(other *Conn) bool {
 			return other != c && other.keptBytes > 0 && other.mayMakePlace(now, rules)
 		})
--- a/pkg/connlimit/table_test.go
+++ b/pkg/connlimit/table_test.go
@@ -8,7 +8,6 @@
 	"pgregory.net/rapid"
 
 	"balsamhill/pkg/connlimit"
-	"balsamhill/pkg/machine"
 )
 
 var rules = connlimit.Rules{
@@ -243,13 +242,24 @@
 	assert.Equal(t, table.Begin(0, rules, ordinary), connlimit.Admitted)
 }
 
+// TestCapacityIsSmallerOfBoth guards against a limit of the settings or of the system that is ignored,
+// and against an unknown one that counts as 0.
+func TestCapacityIsSmallerOfBoth(t *testing.T) {
+	system := connlimit.Capacity{MemoryBytes: 1000, Descriptors: 10}
+	assert.Equal(t, system.Restrict(connlimit.Capacity{MemoryBytes: 500}), connlimit.Capacity{MemoryBytes: 500, Descriptors: 10})
+	assert.Equal(t, system.Restrict(connlimit.Capacity{MemoryBytes: 2000, Descriptors: 5}), connlimit.Capacity{MemoryBytes: 1000, Descriptors: 5})
+	unknown := connlimit.Capacity{}.Restrict(connlimit.Capacity{Descriptors: 5}).OrDefault()
+	assert.Equal(t, unknown.Descriptors, 5)
+	assert.Assert(t, unknown.MemoryBytes > 0)
+}
+
 // TestSharesFollowMachine guards against limits that a machine cannot hold, and against ones that
 // are too small for a small machine.
 func TestSharesFollowMachine(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		memory := rapid.Int64Range(64<<20, 64<<30).Draw(t, "memory")
 		descriptors := rapid.IntRange(600, 1<<20).Draw(t, "descriptors")
-		s := connlimit.Divide(machine.Capacity{MemoryBytes: memory, Descriptors: descriptors})
+		s := connlimit.Divide(connlimit.Capacity{MemoryBytes: memory, Descriptors: descriptors})
 		assert.Assert(t, s.Callers+2*s.Gateways+s.Bootstrap+2*s.Auxiliary+s.Servers < descriptors)
 		const callMemory = 48 << 10
 		assert.Assert(t, int64(s.Callers)*callMemory+s.HeadMemory+s.BodyMemory < memory*2/3)
@@ -295,3 +305,22 @@
 	kept, _ = table.Keep(int64(time.Second), rules, stalled, 1, true)
 	assert.Assert(t, !kept, "a closed connection keeps bytes")
 }
+
+// TestCopiesLeaveMemoryForEssentialBodies guards against copies of uploads, kept for a second attempt,
+// for which slower callers are closed.
+func TestCopiesLeaveMemoryForEssentialBodies(t *testing.T) {
+	table := connlimit.NewTable()
+	upload, _ := table.Open(0, rules, false)
+	table.Begin(0, rules, upload)
+	upload.BeginRead(0)
+	half := int(rules.BodyMemory / 2)
+	kept, _ := table.Keep(0, rules, upload, half, false)
+	assert.Assert(t, kept)
+	kept, _ = table.Keep(0, rules, upload, 1, false)
+	assert.Assert(t, !kept)
+	now := int64(time.Second)
+	other, _ := table.Open(now, rules, false)
+	table.Begin(now, rules, other)
+	kept, victims := table.Keep(now, rules, other, half, true)
+	assert.Assert(t, kept && len(victims) == 0)
+}
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -20,7 +20,6 @@
 	"balsamhill/pkg/connlimit"
 	"balsamhill/pkg/feed"
 	"balsamhill/pkg/loadreport"
-	"balsamhill/pkg/machine"
 	"balsamhill/pkg/preset"
 	"balsamhill/pkg/proxy"
 	"balsamhill/pkg/registry"
@@ -49,7 +48,7 @@
 	// CPUShare is the share of a core that the process may use.
 	CPUShare float64
 	// Capacity is what the process may use of the machine; what is unknown is read from the system.
-	Capacity machine.Capacity
+	Capacity connlimit.Capacity
 	Limits   Limits
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -96,7 +96,7 @@
 		metrics:     metrics.NewSet(),
 		transport:   serverconn.New(s.Services, s.Peers.MaxGateways),
 		stop:        make(chan struct{}),
-		shares:      connlimit.Divide(machine.Usable(machine.Capacity{}, log)),
+		shares:      connlimit.Divide(machine.Usable(connlimit.Capacity{}, log)),
 
 		claimGate: newClaimGate(),
 	}
--- a/pkg/machine/capacity.go
+++ b/pkg/machine/capacity.go
@@ -11,18 +11,11 @@
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
-)
 
-// Capacity is what the process may use; 0 means unknown.
-type Capacity struct {
-	MemoryBytes int64
-	Descriptors int
-}
+	"balsamhill/pkg/connlimit"
+)
 
 const (
-	// defaultMemoryBytes and defaultDescriptors are assumed where the system does not tell.
-	defaultMemoryBytes = 256 << 20
-	defaultDescriptors = 1024
 	// maxDescriptors bounds limits that mean "unlimited".
 	maxDescriptors = 1 << 20
 	// cgroupMemoryFile holds the memory limit of the process's control group (cgroups version 2).
@@ -32,11 +25,11 @@
 
 // Detect returns the capacity that the system grants. The error says what could not be read; that
 // part is unknown.
-func Detect() (Capacity, error) {
+func Detect() (connlimit.Capacity, error) {
 	total, memoryErr := totalMemory()
-	capacity := Capacity{MemoryBytes: total}
+	capacity := connlimit.Capacity{MemoryBytes: total}
 	if limit, ok := cgroupMemory(); ok {
-		capacity = capacity.Restrict(Capacity{MemoryBytes: limit})
+		capacity = capacity.Restrict(connlimit.Capacity{MemoryBytes: limit})
 	}
 	var files unix.Rlimit
 	filesErr := unix.Getrlimit(unix.RLIMIT_NOFILE, &files)
@@ -46,19 +39,8 @@
 	return capacity, errors.Join(memoryErr, eris.Wrap(filesErr, "read the limit on descriptors"))
 }
 
-// OrDefault returns the capacity with defaults in place of what is unknown.
-func (c Capacity) OrDefault() Capacity {
-	if c.MemoryBytes == 0 {
-		c.MemoryBytes = defaultMemoryBytes
-	}
-	if c.Descriptors == 0 {
-		c.Descriptors = defaultDescriptors
-	}
-	return c
-}
-
 // Usable returns what the process may use: what the system grants, as far as the settings allow it.
-func Usable(allowed Capacity, log *slog.Logger) Capacity {
+func Usable(allowed connlimit.Capacity, log *slog.Logger) connlimit.Capacity {
 	granted, err := Detect()
 	if err != nil {
 		log.Info("limits of the machine are known in part only", "error", err)
@@ -66,22 +48,6 @@
 	return granted.Restrict(allowed).OrDefault()
 }
 
-// Restrict returns the smaller capacity of both in each respect.
-func (c Capacity) Restrict(other Capacity) Capacity {
-	return Capacity{
-		MemoryBytes: smallerKnown(c.MemoryBytes, other.MemoryBytes),
-		Descriptors: smallerKnown(c.Descriptors, other.Descriptors),
-	}
-}
-
-// smallerKnown returns the smaller of two values of which 0 means unknown.
-func smallerKnown[T int | int64](a, b T) T {
-	if a == 0 || b == 0 {
-		return max(a, b)
-	}
-	return min(a, b)
-}
-
 // totalMemory returns the memory of the machine in bytes.
 func totalMemory() (int64, error) {
 	file, err := os.Open(memoryInfoFile)
