Send nothing beside a call that another gateway has

In the trace a call is handed off, runs on two servers at the other gateway (the second after 0.9 s), and is handed off again by the first gateway 1.25 s after its arrival, to a third server; two are allowed.

Cause: the first-byte timeout of the first gateway started another attempt beside the handed-off one. The other gateway has the attempts of the call and tries other servers itself.

Change: nothing is sent beside a handed-off attempt while the other gateway is heard. One that is lost is overdue, as before. Result: TestSlowHandoffIsLeftToOtherGateway failed before and passes.

--- a/pkg/handoffconn/handoffconn.go
+++ b/pkg/handoffconn/handoffconn.go
@@ -136,6 +136,13 @@
 	}
 }
 
+// Lost implements proxy.Handoff.
+func (s *Sender) Lost(gateway *routing.Server) bool {
+	return !slices.ContainsFunc(s.config.Known(s.config.Now()), func(k gossip.HandoffCandidate) bool {
+		return k.Heard && k.Gateway.ID == gateway.ID && k.Gateway.Incarnation == gateway.Incarnation
+	})
+}
+
 // Failed implements proxy.Handoff.
 func (s *Sender) Failed(failed *routing.Server) {
 	now := s.config.Now()
--- a/pkg/proxy/handoff.go
+++ b/pkg/proxy/handoff.go
@@ -15,6 +15,8 @@
 	Required() bool
 	// Choose returns a gateway that is not in tried, nil if there is none.
 	Choose(tried []*routing.Server) *routing.Server
+	// Lost reports whether a gateway is no longer heard. It may have stopped working on its calls.
+	Lost(gateway *routing.Server) bool
 	// Failed records that a gateway declined a call or did not respond to it.
 	Failed(gateway *routing.Server)
 	// RoundTrip sends a request to a gateway, on a fresh connection if fresh is set; see
--- a/pkg/proxy/handoff_test.go
+++ b/pkg/proxy/handoff_test.go
@@ -30,6 +30,7 @@
 	isolated   atomic.Bool
 	gateways   []*routing.Server
 	failed     atomic.Int64
+	lost       atomic.Bool
 	transports *serverconn.Transports
 }
 
@@ -46,6 +47,8 @@
 	return nil
 }
 
+func (f *fakeHandoff) Lost(*routing.Server) bool { return f.lost.Load() }
+
 func (f *fakeHandoff) Failed(*routing.Server) { f.failed.Add(1) }
 
 func (f *fakeHandoff) RoundTrip(fresh bool, request *http.Request) (*http.Response, error) {
--- a/pkg/proxy/hedge.go
+++ b/pkg/proxy/hedge.go
@@ -205,9 +205,13 @@
 	h.startAttempt(c.newFreshAttempt(server))
 }
 
+// lostGatewayInterval is how often a call checks whether the gateway that has it is still heard.
+const lostGatewayInterval = 250 * time.Millisecond
+
 // onFirstByteTimeout runs when the first attempt has had no response within the
 // first-byte timeout, and again at the deadline. If no other attempt is in flight and
-// the limits allow one, it starts one at another server, so that a pool of unresponsive
+// the limits allow one, it starts one at another server, and for a call that was handed off
+// only if the other gateway is lost, so that a pool of unresponsive
 // connections delays each caller by a bounded time. At the deadline it cancels all
 // attempts. It returns the time until the timer must fire again, and false if it need not.
 func (h *hedgedCall) onFirstByteTimeout(now int64) (time.Duration, bool) {
@@ -218,6 +222,10 @@
 		}
 		return 0, false
 	}
+	if h.first.server.Gateway && !c.proxy.config.Handoff.Lost(h.first.server) {
+		// The other gateway has the attempts of the call, and tries other servers itself.
+		return min(lostGatewayInterval, c.attemptTimeout()), c.deadline != 0
+	}
 	h.set.MarkOverdue(h.first.inSet)
 	if !h.set.Promising() && c.mayStartAnother(now) && c.takeRetryToken(now) {
 		if server := h.serverAfterTimeout(); server != nil {
--- a/pkg/proxy/overdue_test.go
+++ b/pkg/proxy/overdue_test.go
@@ -191,3 +191,35 @@
 	assert.Equal(t, got.header.Get("Balsamhill-Outcome"), "not-run")
 	assert.Equal(t, requests.Load(), int64(1))
 }
+
+// TestSlowHandoffIsLeftToOtherGateway guards against a call that runs on more servers than its route
+// allows, because it is handed off again beside another gateway that uses its attempts; and against a
+// call that waits for a gateway that is gone.
+func TestSlowHandoffIsLeftToOtherGateway(t *testing.T) {
+	for lost, want := range map[bool]string{false: "first", true: "second"} {
+		t.Run(want, func(t *testing.T) {
+			t.Parallel()
+			var requests atomic.Int64
+			p := newHandoffProxy(t, testConfig{limits: withOverdueTimeout}, unusedAddress(t))
+			p.handoff.lost.Store(lost)
+			other := func(w http.ResponseWriter, r *http.Request) {
+				text := "second"
+				if requests.Add(1) == 1 {
+					text = "first"
+					select {
+					case <-time.After(overdueWork):
+					case <-r.Context().Done():
+					}
+				}
+				w.Header().Set(handoff.Header, string(handoff.Answered))
+				_, _ = io.WriteString(w, text)
+			}
+			p.handsOffTo(startServer(t, other), startServer(t, other))
+			got := do(t, newClient(t, false), newRequest(t, http.MethodGet, p.url+"/fetch", nil))
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusOK, got.body)
+			assert.Equal(t, got.body, want)
+			assert.Equal(t, requests.Load() == 1, !lost)
+		})
+	}
+}
