Refuse responses whose end nobody can tell from a lost connection

What callers saw: an instance answered an upload at once with a 200 that had neither a length nor chunks, sent a part of its body and reset the connection while the upload went on. The gateway accepted such a body if it ended within the 64 KiB that are buffered, and refused a longer one, and any in serve.

Cause: Linux reports a reset once. If the write of the upload meets it, the read that follows returns the end of the stream, and net/http takes the body for complete. Nobody can tell how an instance that closes a connection has ended: the kernel closes those of a process that crashes too.

Change: package responsecheck decides where a response ends, on the bytes of the connection and before net/http parses them; serverconn.CheckedTransport applies it to all responses of servers and of other gateways, in both daemons. A body with neither a length nor chunks is refused when its head ends, so that nothing depends on how much of it came or who met the reset. The attempt has failed as one whose connection was lost: an idempotent call is tried elsewhere, another one gets 502, which promises nothing. The crash guard does not count it, because the server has answered. Refusals are counted (balsamhill_responses_refused_total) and logged in both daemons.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -211,8 +211,10 @@
 	e.contact = contact.NewMonitor(contact.Config{
 		Dial: e.dial, Servers: e.contactServers, Now: e.now, Log: log, Metrics: e.metrics, Changed: e.contactChanged,
 	})
+	refused := serverconn.RecordRefusals(e.metrics, log)
 	e.transport = serverconn.NewShared(serverconn.SharedConfig{
 		Dial: serverconn.LimitDial(e.contact.Dial, shares.Servers), Connections: connectionsPerServer, Idle: idleTimeout, FreshIdle: nonRepeatableIdleTimeout,
+		Refused: refused,
 	})
 	e.limits.Store(&s.Limits)
 	e.setTableAges(s.Limits)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -94,12 +94,12 @@
 		events:      make(chan control.Event, eventQueueSize),
 		readNow:     make(chan struct{}, 1),
 		metrics:     metrics.NewSet(),
-		transport:   serverconn.New(s.Services, s.Peers.MaxGateways),
 		stop:        make(chan struct{}),
 		shares:      connlimit.Divide(machine.Usable(connlimit.Capacity{}, log)),
 
 		claimGate: newClaimGate(),
 	}
+	g.transport = serverconn.New(s.Services, s.Peers.MaxGateways, serverconn.RecordRefusals(g.metrics, log))
 	trusted, err := settings.ParsePrefixes(s.Traffic.TrustedProxies)
 	if err != nil {
 		return nil, err
--- a/pkg/proxy/attemptresult.go
+++ b/pkg/proxy/attemptresult.go
@@ -6,6 +6,7 @@
 
 	"balsamhill/pkg/attempts"
 	"balsamhill/pkg/crashguard"
+	"balsamhill/pkg/responsecheck"
 	"balsamhill/pkg/retry"
 	"balsamhill/pkg/serverconn"
 )
@@ -58,7 +59,11 @@
 }
 
 func (a *attempt) guardResult() crashguard.Result {
+	var refusal *responsecheck.Error
 	switch {
+	case errors.As(a.err, &refusal):
+		// What the server sent is no response, but it has not crashed.
+		return crashguard.ResultOther
 	case a.response != nil && (a.responseKind == ResponseNotRun || a.responseKind == ResponseWrongServer):
 		return crashguard.ResultOther
 	case a.response != nil:
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -17,6 +17,7 @@
 	"balsamhill/pkg/crashguard"
 	"balsamhill/pkg/handoff"
 	"balsamhill/pkg/preset"
+	"balsamhill/pkg/responsecheck"
 	"balsamhill/pkg/retry"
 	"balsamhill/pkg/routing"
 )
@@ -345,6 +346,8 @@
 		return
 	}
 	a.cancel(errCallEnded)
+	ended := c.proxy.config.Metrics.failed[a.result]
+	var refusal *responsecheck.Error
 	status, detail := http.StatusBadGateway, "the server did not answer"
 	switch {
 	case a.denyReason != "":
@@ -362,8 +365,13 @@
 		status, detail = http.StatusGatewayTimeout, "the server did not answer in time"
 	case a.result == retry.NeverWritten:
 		status, detail = http.StatusServiceUnavailable, "no connection to a server of "+c.serviceName
+	case errors.As(a.err, &refusal):
+		detail = "the server sent no valid response"
+		if refusal.Reason == responsecheck.ReasonUnframed {
+			ended = c.proxy.config.Metrics.unframedResponse
+		}
 	}
-	c.proxy.config.Metrics.failed[a.result].Inc()
+	ended.Inc()
 	c.refuse(status, detail)
 }
 
--- a/pkg/proxy/deliver.go
+++ b/pkg/proxy/deliver.go
@@ -25,16 +25,9 @@
 func (c *call) deliver(a *attempt) {
 	defer a.finish()
 	c.informational.close()
-	switch {
-	case a.response.StatusCode == http.StatusSwitchingProtocols:
+	if a.response.StatusCode == http.StatusSwitchingProtocols {
 		c.switchProtocols(a)
 		return
-	case !selfDelimiting(a.response):
-		// Without a length or chunks, a truncated response cannot be distinguished
-		// from a complete one.
-		c.proxy.config.Metrics.unframedResponse.Inc()
-		c.refuse(http.StatusBadGateway, "the server's answer has neither a length nor chunks")
-		return
 	}
 	header := c.w.Header()
 	copyResponseHeader(c.proxy.config.Protocol, header, a.response.Header)
@@ -70,13 +63,6 @@
 	setTrailers(c.proxy.config.Protocol, header, a.response.Trailer)
 }
 
-// selfDelimiting reports whether the end of a response body can be distinguished from
-// a lost connection.
-func selfDelimiting(response *http.Response) bool {
-	return response.ProtoMajor >= 2 || response.ContentLength >= 0 || len(response.TransferEncoding) > 0 ||
-		response.Body == http.NoBody || response.Request != nil && response.Request.Method == http.MethodHead
-}
-
 // setOutcomeHeader sets the header that states whether a failed call ran. What another gateway
 // said of that stays.
 func (c *call) setOutcomeHeader(a *attempt) {
--- a/pkg/proxy/harness_test.go
+++ b/pkg/proxy/harness_test.go
@@ -78,7 +78,7 @@
 	for _, server := range p.servers {
 		snapshot.ServersByID[server.ID] = server
 	}
-	transports := serverconn.New([]settings.Service{{Name: serviceName, MaxConnections: 800, HTTP2: config.http2}}, 1)
+	transports := serverconn.New([]settings.Service{{Name: serviceName, MaxConnections: 800, HTTP2: config.http2}}, 1, nil)
 	started := time.Now()
 	proxyConfig := proxy.Config{
 		Routes: routing.NewRouteTable([]routing.Route{
--- /dev/null
+++ b/pkg/responsecheck/head.go
@@ -0,0 +1,122 @@
+package responsecheck
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+// head is the head of a response as far as it has arrived.
+type head struct {
+	status int
+	// length is the value of Content-Length if hasLength is set.
+	length    int64
+	hasLength bool
+	chunked   bool
+}
+
+// The length of a status code, and its position in a status line such as "HTTP/1.1 200 OK".
+const (
+	statusDigits = 3
+	statusAt     = len("HTTP/1.x ")
+)
+
+// statusLine checks the first line of a head (RFC 9112, 4).
+func (h *head) statusLine(line []byte) *Error {
+	if len(line) < statusAt+statusDigits || !bytes.HasPrefix(line, []byte("HTTP/1.")) || line[statusAt-1] != ' ' {
+		return refuse(ReasonStatusLine, "invalid status line", line)
+	}
+	code, err := strconv.Atoi(string(line[statusAt : statusAt+statusDigits]))
+	if err != nil {
+		return refuse(ReasonStatusLine, "invalid status line", line)
+	}
+	h.status = code
+	return nil
+}
+
+// field checks a field line and records those that frame the body.
+func (h *head) field(line []byte) *Error {
+	name, value, refusal := splitField(line)
+	if refusal != nil {
+		return refusal
+	}
+	switch {
+	case isNamed(name, "Content-Length"):
+		return h.contentLength(value)
+	case isNamed(name, "Transfer-Encoding"):
+		if h.chunked || !strings.EqualFold(string(value), "chunked") {
+			return refuse(ReasonFraming, "unknown transfer coding", value)
+		}
+		h.chunked = true
+	}
+	return nil
+}
+
+// contentLength records a length. A repetition of the same one is not ambiguous (RFC 9112, 6.3).
+func (h *head) contentLength(value []byte) *Error {
+	length, err := parseDigits(value)
+	if err != nil || h.hasLength && length != h.length {
+		return refuse(ReasonFraming, "invalid or differing length", value)
+	}
+	h.length, h.hasLength = length, true
+	return nil
+}
+
+// end returns the phase that follows the head, and the length of a body with a length
+// (RFC 9112, 6.3).
+func (h *head) end(request Request) (next phase, length int64, refusal *Error) {
+	switch {
+	case h.status == http.StatusSwitchingProtocols:
+		return phaseTunnel, 0, nil
+	case h.status < http.StatusOK:
+		return phaseStatusLine, 0, nil
+	case request.Method == http.MethodHead || h.status == http.StatusNoContent || h.status == http.StatusNotModified:
+		return phaseIdle, 0, nil
+	case h.chunked:
+		return phaseChunkSize, 0, nil
+	case !h.hasLength:
+		return 0, 0, &Error{ReasonUnframed, "neither a length nor chunks"}
+	case h.length == 0:
+		return phaseIdle, 0, nil
+	default:
+		return phaseBody, h.length, nil
+	}
+}
+
+// splitField returns the name and the value of a field line, and refuses a line that is none
+// (RFC 9112, 5).
+func splitField(line []byte) (name, value []byte, refusal *Error) {
+	name, value, found := bytes.Cut(line, []byte(":"))
+	if !found {
+		return nil, nil, refuse(ReasonStatusLine, "field without a colon", name)
+	}
+	return name, bytes.Trim(value, " \t"), nil
+}
+
+// trailerField checks a field line after the last chunk.
+func trailerField(line []byte) *Error {
+	_, _, refusal := splitField(line)
+	return refusal
+}
+
+// isNamed reports whether the name of a field is the given one.
+func isNamed(name []byte, want string) bool {
+	return len(name) == len(want) && strings.EqualFold(string(name), want)
+}
+
+// parseChunkSize parses a chunk-size line without its end.
+func parseChunkSize(line []byte) (int64, *Error) {
+	digits, _, _ := bytes.Cut(bytes.TrimRight(line, " \t"), []byte(";"))
+	size, err := strconv.ParseUint(string(digits), 16, 63)
+	if err != nil {
+		return 0, refuse(ReasonFraming, "invalid chunk size", line)
+	}
+	return int64(size), nil
+}
+
+// parseDigits parses a decimal number without a sign.
+func parseDigits(text []byte) (int64, error) {
+	value, err := strconv.ParseUint(string(text), 10, 63)
+	return int64(value), err
+}
--- /dev/null
+++ b/pkg/serverconn/check.go
@@ -0,0 +1,131 @@
+package serverconn
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"balsamhill/pkg/responsecheck"
+)
+
+// RefusalFunc is called when the server at an address sends what is no response.
+type RefusalFunc func(address string, refusal *responsecheck.Error)
+
+// RecordRefusals returns a RefusalFunc that counts and logs refusals.
+func RecordRefusals(set *metrics.Set, log *slog.Logger) RefusalFunc {
+	return func(address string, refusal *responsecheck.Error) {
+		set.GetOrCreateCounter(`balsamhill_responses_refused_total{reason="` + string(refusal.Reason) + `"}`).Inc()
+		log.Info("response refused", "address", address, "reason", string(refusal.Reason), "error", refusal.Error())
+	}
+}
+
+// CheckedTransport returns only responses that package responsecheck accepts. Else the error is a
+// responsecheck.Error, and the connection is closed unless other requests share it. A body that
+// turns out to be invalid ends with such an error.
+type CheckedTransport struct {
+	*http.Transport
+	report RefusalFunc
+}
+
+// Check wraps a transport that was not used yet. report may be nil.
+func Check(transport *http.Transport, report RefusalFunc) *CheckedTransport {
+	if report == nil {
+		report = func(string, *responsecheck.Error) {}
+	}
+	dial := transport.DialContext
+	multiplexed := transport.Protocols != nil && transport.Protocols.UnencryptedHTTP2()
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		opened, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		conn := NewConn(opened, multiplexed)
+		conn.reportRefusal = func(refusal *responsecheck.Error) { report(address, refusal) }
+		return conn, nil
+	}
+	return &CheckedTransport{Transport: transport, report: report}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *CheckedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	var conn *Conn
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		conn, _ = info.Conn.(*Conn)
+		if conn != nil {
+			conn.expect(request)
+		}
+	}}
+	response, err := t.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if err != nil {
+		if conn != nil && conn.refusal() != nil {
+			return nil, conn.refusal()
+		}
+		return nil, err
+	}
+	refusal := responsecheck.Parsed(response)
+	if refusal != nil {
+		t.report(request.URL.Host, refusal)
+		_ = response.Body.Close()
+		return nil, refusal
+	}
+	return response, nil
+}
+
+// expect announces the request that is sent next.
+func (c *Conn) expect(request *http.Request) {
+	if c.multiplexed {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.checked = true
+	c.stream.Expect(responsecheck.Request{Method: request.Method})
+}
+
+// refusal returns why what the server sent was refused, nil if it was not.
+func (c *Conn) refusal() *responsecheck.Error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stream.Refusal()
+}
+
+// sending says that bytes are about to be written, and returns the refusal if they must not be.
+func (c *Conn) sending() *responsecheck.Error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stream.Sending()
+	return c.stream.Refusal()
+}
+
+// Read implements net.Conn. It returns no byte beyond the end of a response.
+func (c *Conn) Read(p []byte) (int, error) {
+	if refusal := c.refusal(); refusal != nil {
+		return 0, refusal
+	}
+	n, err := c.Conn.Read(p)
+	accepted, refusal := c.receive(p[:n])
+	if refusal == nil {
+		return n, err
+	}
+	if c.reportRefusal != nil {
+		c.reportRefusal(refusal)
+	}
+	if accepted == 0 {
+		return 0, refusal
+	}
+	return accepted, nil
+}
+
+// receive checks bytes that were read, and returns how many of them may be passed on.
+func (c *Conn) receive(data []byte) (accepted int, refusal *responsecheck.Error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.checked {
+		return len(data), nil
+	}
+	return c.stream.Receive(data)
+}
--- a/pkg/serverconn/conn.go
+++ b/pkg/serverconn/conn.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"balsamhill/pkg/responsecheck"
 )
 
 const (
@@ -33,17 +36,6 @@
 	return dialer.DialContext(ctx, network, address)
 }
 
-// tracked returns a function that opens connections of type Conn.
-func tracked(dial DialFunc, multiplexed bool) DialFunc {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return NewConn(conn, multiplexed), nil
-	}
-}
-
 // SetUserTimeout sets how long sent bytes may stay unacknowledged on a connection;
 // 0 means the kernel's default.
 func SetUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
@@ -58,7 +50,8 @@
 }
 
 // Conn counts the writes of which the kernel accepted at least one byte, so
-// that an attempt can determine whether any byte of its request was written.
+// that an attempt can determine whether any byte of its request was written. On a connection of
+// HTTP/1.x it also checks the responses.
 type Conn struct {
 	net.Conn
 	// multiplexed connections (HTTP/2) carry several requests at a time.
@@ -67,6 +60,15 @@
 	writes      atomic.Int64
 	// userTimeoutOff reports whether the TCP user timeout is disabled.
 	userTimeoutOff atomic.Bool
+
+	// reportRefusal is called once if the server sends what is no response. It may be nil.
+	reportRefusal func(*responsecheck.Error)
+	// mu guards the fields below.
+	mu sync.Mutex
+	// checked says that a request was announced. Connections whose bytes are not those of HTTP/1.x
+	// carry none that is.
+	checked bool
+	stream  responsecheck.Stream
 }
 
 // NewConn returns a connection without writes.
@@ -80,6 +82,9 @@
 	if c.closed.Load() {
 		return 0, net.ErrClosed
 	}
+	if refusal := c.sending(); refusal != nil {
+		return 0, refusal
+	}
 	c.writes.Add(1)
 	n, err := c.Conn.Write(p)
 	if n == 0 && err != nil {
--- a/pkg/serverconn/transport.go
+++ b/pkg/serverconn/transport.go
@@ -43,7 +43,7 @@
 
 type serviceTransports struct {
 	http2           bool
-	ordinary, fresh *http.Transport
+	ordinary, fresh *CheckedTransport
 	// idleClosedAt is the wall-clock time of the last CloseIdle in nanoseconds.
 	idleClosedAt atomic.Int64
 }
@@ -51,15 +51,15 @@
 // New returns the transports of all services. Each gateway opens at most
 // MaxConnections / maxGateways connections to a server, and at least 2. The two
 // transports of a service get half of them each, because neither can release a
-// connection to the other.
-func New(services []settings.Service, maxGateways int) *Transports {
+// connection to the other. report may be nil.
+func New(services []settings.Service, maxGateways int, report RefusalFunc) *Transports {
 	t := &Transports{services: map[string]*serviceTransports{}}
 	for _, s := range services {
 		limit := max(minConnections, s.MaxConnections/max(1, maxGateways))
 		t.services[s.Name] = &serviceTransports{
 			http2:    s.HTTP2,
-			ordinary: newTransport(Dial, s.HTTP2, limit-limit/2, connIdleTimeout),
-			fresh:    newTransport(Dial, s.HTTP2, limit/2, freshConnIdleTimeout),
+			ordinary: newTransport(Dial, s.HTTP2, limit-limit/2, connIdleTimeout, report),
+			fresh:    newTransport(Dial, s.HTTP2, limit/2, freshConnIdleTimeout, report),
 		}
 	}
 	return t
@@ -73,6 +73,8 @@
 	Connections int
 	// Idle and FreshIdle are the idle timeouts of ordinary and of fresh connections.
 	Idle, FreshIdle time.Duration
+	// Refused is called when a server sends what is no response. It may be nil.
+	Refused RefusalFunc
 }
 
 // NewShared returns one pair of transports for all services, for
@@ -80,8 +82,8 @@
 func NewShared(config SharedConfig) *Transports {
 	half := max(1, config.Connections/2)
 	return &Transports{fallback: &serviceTransports{
-		ordinary: newTransport(config.Dial, false, half, config.Idle),
-		fresh:    newTransport(config.Dial, false, half, config.FreshIdle),
+		ordinary: newTransport(config.Dial, false, half, config.Idle, config.Refused),
+		fresh:    newTransport(config.Dial, false, half, config.FreshIdle, config.Refused),
 	}}
 }
 
@@ -137,12 +139,12 @@
 	}
 }
 
-func newTransport(dial DialFunc, http2 bool, connections int, idle time.Duration) *http.Transport {
+func newTransport(dial DialFunc, http2 bool, connections int, idle time.Duration, report RefusalFunc) *CheckedTransport {
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(!http2)
 	protocols.SetUnencryptedHTTP2(http2)
-	return &http.Transport{
-		DialContext:            tracked(dial, http2),
+	return Check(&http.Transport{
+		DialContext:            dial,
 		Protocols:              protocols,
 		HTTP2:                  &http.HTTP2Config{SendPingTimeout: pingIdleTimeout, PingTimeout: pingTimeout},
 		DisableCompression:     true,
@@ -153,7 +155,7 @@
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		ReadBufferSize:         8 << 10,
 		WriteBufferSize:        8 << 10,
-	}
+	}, report)
 }
 
 // EmptyBody is an empty body that http.Transport does not recognize as empty.
