Refuse statuses that HTTP does not have

What callers saw: an instance answered with the status 000, 001, 099 or +20, and the caller's connection was closed without any response, also that of an idempotent call that another instance would have served. 600 and 999 were passed on. Over HTTP/2, -20 and 1000 closed the connection too.

Cause: net/http takes any three characters that it can read as a number, +20 as 20, and WriteHeader panics for statuses below 100 or above 999. The panic ended the handler: the server's record said that it had answered well, so that it was neither ejected nor another one tried; the call was counted under no outcome and had no log line but the stack; a claim ended as unknown. The text of the version was believed too: "HTTP/2.0" on a connection of HTTP/1.1 made a body without a length count as one whose end is known.

Change: a status line is HTTP/1.0 or HTTP/1.1 and a status of 100 to 599 (RFC 9110, 15). Responses over HTTP/2 are checked as they were parsed. TestUsualResponsesAreAccepted holds what must stay accepted.

--- a/pkg/proxy/http2_test.go
+++ b/pkg/proxy/http2_test.go
@@ -115,3 +115,53 @@
 		}
 	}
 }
+
+const (
+	frameData      = 0
+	flagEndStream  = 1
+	flagEndHeaders = 4
+)
+
+// statusField and lengthField are header fields as HPACK literals with an indexed name.
+func statusField(value string) []byte {
+	return append([]byte{0x08, byte(len(value))}, value...)
+}
+
+func lengthField(value string) []byte {
+	return append([]byte{0x0f, 0x0d, byte(len(value))}, value...)
+}
+
+// TestInvalidResponseOverHTTP2IsRefused guards against a response of an HTTP/2 server that is none,
+// or whose lengths differ, and that a caller gets as a response or as a closed connection.
+func TestInvalidResponseOverHTTP2IsRefused(t *testing.T) {
+	tests := map[string]struct {
+		header []byte
+		want   int
+	}{
+		"status 000":  {statusField("000"), http.StatusBadGateway},
+		"status 099":  {statusField("099"), http.StatusBadGateway},
+		"status +20":  {statusField("+20"), http.StatusBadGateway},
+		"status -20":  {statusField("-20"), http.StatusBadGateway},
+		"status 600":  {statusField("600"), http.StatusBadGateway},
+		"status 999":  {statusField("999"), http.StatusBadGateway},
+		"status 1000": {statusField("1000"), http.StatusBadGateway},
+		"no status":   {lengthField("2"), http.StatusBadGateway},
+		"status 200":  {statusField("200"), http.StatusOK},
+		"a length":    {append(statusField("200"), lengthField("2")...), http.StatusOK},
+	}
+	for desc, test := range tests {
+		t.Run(desc, func(t *testing.T) {
+			var requests atomic.Int64
+			p := newTestProxy(t, testConfig{http2: true}, startHTTP2FrameServer(t, &requests, func(stream uint32) []byte {
+				return append(frame(frameHeaders, flagEndHeaders, stream, test.header...), frame(frameData, flagEndStream, stream, []byte("ok")...)...)
+			}))
+			got := do(t, newClient(t, false), newRequest(t, "POST", p.url+"/x", nil))
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, test.want)
+			if test.want == http.StatusBadGateway {
+				assert.Equal(t, got.header.Get("Balsamhill-Outcome"), string(proxy.Unknown))
+			}
+			assert.Equal(t, requests.Load(), int64(1))
+		})
+	}
+}
--- a/pkg/proxy/invalid_response_test.go
+++ b/pkg/proxy/invalid_response_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,3 +99,143 @@
 		})
 	}
 }
+
+// invalidHeads are heads of what is no HTTP response, by their description. Each would have a body of
+// 2 bytes that is whole.
+var invalidHeads = map[string]string{
+	"status 000":                     "HTTP/1.1 000 X\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
+	"status 001":                     "HTTP/1.1 001 X\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
+	"status 099":                     "HTTP/1.1 099 X\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
+	"status +20":                     "HTTP/1.1 +20 X\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
+	"status -20":                     "HTTP/1.1 -20 X\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
+	"status 20":                      "HTTP/1.1 20 X\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
+	"status 600":                     "HTTP/1.1 600 X\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
+	"status 999":                     "HTTP/1.1 999 X\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
+	"status 1000":                    "HTTP/1.1 1000 X\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
+	"no status":                      "HTTP/1.1\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
+	"control byte in the first line": "HTTP/1.1 200 O\x00K\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
+	"empty line first":               "\r\nHTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
+	"version 2.0":                    "HTTP/2.0 200 OK\r\nId: 7\r\n\r\n",
+	"version 1.2":                    "HTTP/1.2 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
+	"version 0.9":                    "HTTP/0.9 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
+	"interim status 099":             "HTTP/1.1 099 X\r\n\r\nHTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
+
+	"neither a length nor chunks": "HTTP/1.1 200 OK\r\nId: 7\r\nConnection: close\r\n\r\n",
+}
+
+// fixedServer is a server that answers each request with the same bytes.
+type fixedServer struct {
+	text     string
+	requests atomic.Int64
+	// closed receives a value when the gateway has closed a connection after a response.
+	closed chan struct{}
+}
+
+func startFixedServer(t *testing.T, text string) (*fixedServer, string) {
+	server := &fixedServer{text: text, closed: make(chan struct{}, 64)}
+	return server, startRawServer(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for {
+			if _, err := readRequest(reader); err != nil {
+				break
+			}
+			server.requests.Add(1)
+			_, _ = io.WriteString(conn, server.text)
+		}
+		server.closed <- struct{}{}
+	})
+}
+
+// startWholeServer starts a server whose responses are valid.
+func startWholeServer(t *testing.T) string {
+	_, address := startFixedServer(t, "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 4\r\n\r\ngood")
+	return address
+}
+
+// TestInvalidResponseIsRefused guards against something that is no HTTP response and that a caller
+// gets as one, or for which a caller's connection is closed without a response. A call that may run
+// once is not sent again, and is not called not run; the server's connection is closed.
+func TestInvalidResponseIsRefused(t *testing.T) {
+	for desc, head := range invalidHeads {
+		t.Run(desc, func(t *testing.T) {
+			bothConfigs(t, preset.ClassBooking, func(t *testing.T, start func(...string) *testProxy) {
+				server, address := startFixedServer(t, head+"ok")
+				p := start(address)
+				received := rawCaller{p.address}.exchange(t, http.MethodPost, "x", false)
+				assert.Assert(t, strings.HasPrefix(received, "HTTP/1.1 502"), "%q", received)
+				assert.Assert(t, strings.Contains(received, "Outcome: unknown"), "%q", received)
+				assert.Equal(t, server.requests.Load(), int64(1))
+				assert.Equal(t, p.servers[0].Stats.Failures.Load(), uint64(1), "it counts as a failure of the server")
+				<-server.closed
+			})
+		})
+	}
+}
+
+// TestIdempotentCallIsServedElsewhereAfterInvalidResponse guards against a caller of an idempotent
+// call that gets a failure although another server answers well.
+func TestIdempotentCallIsServedElsewhereAfterInvalidResponse(t *testing.T) {
+	for desc, head := range invalidHeads {
+		t.Run(desc, func(t *testing.T) {
+			bothConfigs(t, preset.ClassFetch, func(t *testing.T, start func(...string) *testProxy) {
+				invalid, address := startFixedServer(t, head+"ok")
+				p := start(address, startWholeServer(t))
+				for invalid.requests.Load() == 0 {
+					received := rawCaller{p.address}.exchange(t, http.MethodGet, "", false)
+					assert.Assert(t, strings.HasPrefix(received, "HTTP/1.1 200") && strings.HasSuffix(received, "\r\n\r\ngood"), "%q", received)
+				}
+			})
+		})
+	}
+}
+
+// TestUsualResponsesAreAccepted guards against a check that refuses what servers that are well send.
+func TestUsualResponsesAreAccepted(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nId: 7\r\n"
+	tests := map[string]struct{ method, text, status, body string }{
+		"length":                       {"POST", ok + "Content-Length: 4\r\n\r\ngood", "200", "good"},
+		"the same length twice":        {"POST", ok + "Content-Length: 4\r\nContent-Length: 4\r\n\r\ngood", "200", "good"},
+		"chunks":                       {"POST", ok + "Transfer-Encoding: Chunked\r\n\r\n3\r\ngoo\r\n01\r\nd\r\n0\r\n\r\n", "200", "good"},
+		"chunk extension":              {"POST", ok + "Transfer-Encoding: chunked\r\n\r\n4;a=b\r\ngood\r\n0\r\n\r\n", "200", "good"},
+		"trailer":                      {"POST", ok + "Transfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\nSum: 1\r\n\r\n", "200", "good"},
+		"no body":                      {"POST", ok + "Content-Length: 0\r\n\r\n", "200", ""},
+		"no content":                   {"POST", "HTTP/1.1 204 No Content\r\nId: 7\r\n\r\n", "204", ""},
+		"not modified":                 {"GET", "HTTP/1.1 304 Not Modified\r\nId: 7\r\nContent-Length: 4\r\n\r\n", "304", ""},
+		"HEAD, length":                 {"HEAD", ok + "Content-Length: 4\r\n\r\n", "200", ""},
+		"HEAD, no length":              {"HEAD", ok + "\r\n", "200", ""},
+		"interim responses":            {"POST", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + ok + "Content-Length: 4\r\n\r\ngood", "200", "good"},
+		"no reason":                    {"POST", "HTTP/1.1 200\r\nId: 7\r\nContent-Length: 4\r\n\r\ngood", "200", "good"},
+		"empty reason":                 {"POST", "HTTP/1.1 200 \r\nId: 7\r\nContent-Length: 4\r\n\r\ngood", "200", "good"},
+		"unknown status of a class":    {"POST", "HTTP/1.1 599 X\r\nId: 7\r\nContent-Length: 4\r\n\r\ngood", "599", "good"},
+		"tab and other bytes in value": {"POST", ok + "A:\tb\tc \xe9\t\r\nContent-Length:4 \r\n\r\ngood", "200", "good"},
+		"unusual name":                 {"POST", ok + "a!#$%&'*+.^_`|~9: x\r\ncontent-LENGTH: 4\r\n\r\ngood", "200", "good"},
+		"line feeds only":              {"POST", "HTTP/1.1 200 OK\nId: 7\nContent-Length: 4\n\ngood", "200", "good"},
+		"HTTP/1.0":                     {"POST", "HTTP/1.0 200 OK\r\nId: 7\r\nContent-Length: 4\r\n\r\ngood", "200", "good"},
+	}
+	for desc, test := range tests {
+		t.Run(desc, func(t *testing.T) {
+			bothConfigs(t, preset.ClassFetch, func(t *testing.T, start func(...string) *testProxy) {
+				_, address := startFixedServer(t, test.text)
+				conn, err := net.Dial("tcp", start(address).address)
+				assert.NilError(t, err)
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for range 3 {
+					request, err := http.NewRequest(test.method, "http://x/a", nil)
+					assert.NilError(t, err)
+					request.Header.Set("Id", "7")
+					assert.NilError(t, request.Write(conn))
+					response, err := http.ReadResponse(reader, request)
+					for err == nil && response.StatusCode < http.StatusOK {
+						response, err = http.ReadResponse(reader, request)
+					}
+					assert.NilError(t, err)
+					body, err := io.ReadAll(response.Body)
+					assert.NilError(t, err)
+					assert.Equal(t, strings.Fields(response.Status)[0], test.status)
+					assert.Equal(t, string(body), test.body)
+				}
+			})
+		})
+	}
+}
--- a/pkg/responsecheck/head.go
+++ b/pkg/responsecheck/head.go
@@ -27,14 +27,27 @@
 	if len(line) < statusAt+statusDigits || !bytes.HasPrefix(line, []byte("HTTP/1.")) || line[statusAt-1] != ' ' {
 		return refuse(ReasonStatusLine, "invalid status line", line)
 	}
-	code, err := strconv.Atoi(string(line[statusAt : statusAt+statusDigits]))
-	if err != nil {
+	status, rest := line[statusAt:statusAt+statusDigits], line[statusAt+statusDigits:]
+	if len(rest) > 0 && rest[0] != ' ' || !isText(rest) {
 		return refuse(ReasonStatusLine, "invalid status line", line)
 	}
-	h.status = code
+	if version := line[statusAt-2]; version != '0' && version != '1' {
+		return refuse(ReasonStatusLine, "unknown version", line)
+	}
+	code, err := parseDigits(status)
+	if err != nil || !ValidStatus(int(code)) {
+		return refuse(ReasonStatus, "invalid status", status)
+	}
+	h.status = int(code)
 	return nil
 }
 
+// ValidStatus reports whether a status code is one of HTTP (RFC 9110, 15).
+func ValidStatus(code int) bool {
+	const minStatus, maxStatus = 100, 599
+	return code >= minStatus && code <= maxStatus
+}
+
 // field checks a field line and records those that frame the body.
 func (h *head) field(line []byte) *Error {
 	name, value, refusal := splitField(line)
@@ -120,3 +133,14 @@
 	value, err := strconv.ParseUint(string(text), 10, 63)
 	return int64(value), err
 }
+
+// isText reports whether text has no control bytes other than tabs (RFC 9110, 5.5).
+func isText(text []byte) bool {
+	const del = 0x7f
+	for _, b := range text {
+		if b < ' ' && b != '\t' || b == del {
+			return false
+		}
+	}
+	return true
+}
--- a/pkg/responsecheck/parsed.go
+++ b/pkg/responsecheck/parsed.go
@@ -5,6 +5,9 @@
 // Parsed checks a response as a client library returns it. It suffices for HTTP/2, where the library
 // checks the names of fields, and where the end of a stream tells a whole body.
 func Parsed(response *http.Response) *Error {
+	if !ValidStatus(response.StatusCode) {
+		return refuse(ReasonStatus, "invalid status", []byte(response.Status))
+	}
 	if !selfDelimiting(response) {
 		return &Error{ReasonUnframed, "neither a length nor chunks"}
 	}
--- a/pkg/responsecheck/responsecheck.go
+++ b/pkg/responsecheck/responsecheck.go
@@ -18,6 +18,8 @@
 	ReasonFraming Reason = "framing"
 	// ReasonStatusLine means that the first line is not that of an HTTP/1.x response.
 	ReasonStatusLine Reason = "status_line"
+	// ReasonStatus means that the status is not one of HTTP.
+	ReasonStatus Reason = "status"
 )
 
 // Error is the refusal of a response.
