Refuse heads with a line that is no field

What callers saw: an instance sent a head with a blank in or at the end of a field's name. The response was passed on without that line; where the name was that of Content-Length or Transfer-Encoding, callers got a 200 with the bytes that follow the body, or with the sizes of the chunks as the body. A blank before the name made the line a part of the value before it, which was passed on. The same held in interim responses.

Cause: net/http accepts blanks in names and keeps such a field under a key that nothing asks for, so that it frames the body by the other fields; lines that begin with a blank it joins to the line before. What it made of the head does not show the latter.

Change: the check on the received bytes accepts a line of a head if its name is a token (RFC 9112, 5.1) and its value has no control byte but tabs. Folded lines are refused, as RFC 9112, 5.2 allows.

--- a/pkg/proxy/invalid_response_test.go
+++ b/pkg/proxy/invalid_response_test.go
@@ -120,6 +120,26 @@
 	"version 0.9":                    "HTTP/0.9 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
 	"interim status 099":             "HTTP/1.1 099 X\r\n\r\nHTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
 
+	"blank in a name":               "HTTP/1.1 200 OK\r\nId: 7\r\nBad Name: x\r\nContent-Length: 2\r\n\r\n",
+	"blank after a name":            "HTTP/1.1 200 OK\r\nId: 7\r\nBad : x\r\nContent-Length: 2\r\n\r\n",
+	"blank before a name":           "HTTP/1.1 200 OK\r\nId: 7\r\nA: b\r\n Bad: x\r\nContent-Length: 2\r\n\r\n",
+	"blank before the first name":   "HTTP/1.1 200 OK\r\n Id: 7\r\nContent-Length: 2\r\n\r\n",
+	"tab before a name":             "HTTP/1.1 200 OK\r\nId: 7\r\nA: b\r\n\tBad: x\r\nContent-Length: 2\r\n\r\n",
+	"tab in a name":                 "HTTP/1.1 200 OK\r\nId: 7\r\nBad\tName: x\r\nContent-Length: 2\r\n\r\n",
+	"control byte in a name":        "HTTP/1.1 200 OK\r\nId: 7\r\nBad\x01: x\r\nContent-Length: 2\r\n\r\n",
+	"NUL in a name":                 "HTTP/1.1 200 OK\r\nId: 7\r\nBad\x00: x\r\nContent-Length: 2\r\n\r\n",
+	"DEL in a name":                 "HTTP/1.1 200 OK\r\nId: 7\r\nBad\x7f: x\r\nContent-Length: 2\r\n\r\n",
+	"CR in a name":                  "HTTP/1.1 200 OK\r\nId: 7\r\nBad\rName: x\r\nContent-Length: 2\r\n\r\n",
+	"empty name":                    "HTTP/1.1 200 OK\r\nId: 7\r\n: x\r\nContent-Length: 2\r\n\r\n",
+	"no colon":                      "HTTP/1.1 200 OK\r\nId: 7\r\nBad\r\nContent-Length: 2\r\n\r\n",
+	"control byte in a value":       "HTTP/1.1 200 OK\r\nId: 7\r\nBad: x\x01\r\nContent-Length: 2\r\n\r\n",
+	"CR in a value":                 "HTTP/1.1 200 OK\r\nId: 7\r\nBad: x\rContent-Length: 9\r\nContent-Length: 2\r\n\r\n",
+	"blank after Content-Length":    "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length : 1\r\nContent-Length: 2\r\n\r\n",
+	"blank after Transfer-Encoding": "HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding : chunked\r\nContent-Length: 2\r\n\r\n",
+	"blank in Content-Length":       "HTTP/1.1 200 OK\r\nId: 7\r\nContent Length: 1\r\nContent-Length: 2\r\n\r\n",
+	"interim, blank after a name":   "HTTP/1.1 103 Early Hints\r\nLink : x\r\n\r\nHTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
+	"interim, blank before a name":  "HTTP/1.1 103 Early Hints\r\nLink: x\r\n Bad: x\r\n\r\nHTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
+
 	"neither a length nor chunks": "HTTP/1.1 200 OK\r\nId: 7\r\nConnection: close\r\n\r\n",
 }
 
--- a/pkg/responsecheck/head.go
+++ b/pkg/responsecheck/head.go
@@ -98,11 +98,15 @@
 }
 
 // splitField returns the name and the value of a field line, and refuses a line that is none
-// (RFC 9112, 5).
+// (RFC 9112, 5). Lines that continue the one before are refused too: a parser may take them for
+// a field of their own.
 func splitField(line []byte) (name, value []byte, refusal *Error) {
 	name, value, found := bytes.Cut(line, []byte(":"))
-	if !found {
-		return nil, nil, refuse(ReasonStatusLine, "field without a colon", name)
+	switch {
+	case !found || !isToken(name):
+		return nil, nil, refuse(ReasonField, "invalid field name", name)
+	case !isText(value):
+		return nil, nil, refuse(ReasonField, "control byte in the value of a field", line)
 	}
 	return name, bytes.Trim(value, " \t"), nil
 }
@@ -134,6 +138,25 @@
 	return int64(value), err
 }
 
+// isToken reports whether text is a name (RFC 9110, 5.6.2).
+func isToken(text []byte) bool {
+	for _, b := range text {
+		if !isTokenByte(b) {
+			return false
+		}
+	}
+	return len(text) > 0
+}
+
+func isTokenByte(b byte) bool {
+	switch {
+	case 'a' <= b && b <= 'z', 'A' <= b && b <= 'Z', '0' <= b && b <= '9':
+		return true
+	default:
+		return strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+	}
+}
+
 // isText reports whether text has no control bytes other than tabs (RFC 9110, 5.5).
 func isText(text []byte) bool {
 	const del = 0x7f
--- a/pkg/responsecheck/responsecheck.go
+++ b/pkg/responsecheck/responsecheck.go
@@ -20,6 +20,8 @@
 	ReasonStatusLine Reason = "status_line"
 	// ReasonStatus means that the status is not one of HTTP.
 	ReasonStatus Reason = "status"
+	// ReasonField means that a line of the head or of the trailer is not a field.
+	ReasonField Reason = "field"
 )
 
 // Error is the refusal of a response.
