Refuse responses with contradictory lengths

What callers saw: a response with both a length and chunks was passed on as one in chunks. Over HTTP/2 one with two lengths, or with a length that is no number, was passed on with these. A gateway or a cache on the way may frame such a response by the other field.

Cause: net/http drops the length without saying so, and ignores lengths over HTTP/2 that it cannot use.

Evidence: "a length and chunks" failed before in both configurations of TestInvalidResponseIsRefused and of TestIdempotentCallIsServedElsewhereAfterInvalidResponse, "two lengths" and "signed" in TestInvalidResponseOverHTTP2IsRefused. Handled already, with their cases kept: two lengths, a list, a sign, no value, unknown codings, chunked twice over HTTP/1.1, chunks in HTTP/1.0 where nothing is buffered.

Change: RFC 9112, 6.3 asks to treat a length beside chunks as an error; it is refused, as are chunks in HTTP/1.0, which that version does not have.

--- a/pkg/proxy/http2_test.go
+++ b/pkg/proxy/http2_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -148,6 +149,8 @@
 		"no status":   {lengthField("2"), http.StatusBadGateway},
 		"status 200":  {statusField("200"), http.StatusOK},
 		"a length":    {append(statusField("200"), lengthField("2")...), http.StatusOK},
+		"two lengths": {slices.Concat(statusField("200"), lengthField("2"), lengthField("1")), http.StatusBadGateway},
+		"signed":      {append(statusField("200"), lengthField("+2")...), http.StatusBadGateway},
 	}
 	for desc, test := range tests {
 		t.Run(desc, func(t *testing.T) {
--- a/pkg/responsecheck/head.go
+++ b/pkg/responsecheck/head.go
@@ -10,6 +10,8 @@
 // head is the head of a response as far as it has arrived.
 type head struct {
 	status int
+	// minorVersion is the x of HTTP/1.x.
+	minorVersion int
 	// length is the value of Content-Length if hasLength is set.
 	length    int64
 	hasLength bool
@@ -31,7 +33,11 @@
 	if len(rest) > 0 && rest[0] != ' ' || !isText(rest) {
 		return refuse(ReasonStatusLine, "invalid status line", line)
 	}
-	if version := line[statusAt-2]; version != '0' && version != '1' {
+	switch line[statusAt-2] {
+	case '0':
+	case '1':
+		h.minorVersion = 1
+	default:
 		return refuse(ReasonStatusLine, "unknown version", line)
 	}
 	code, err := parseDigits(status)
@@ -80,6 +86,10 @@
 // (RFC 9112, 6.3).
 func (h *head) end(request Request) (next phase, length int64, refusal *Error) {
 	switch {
+	case h.chunked && h.hasLength:
+		return 0, 0, &Error{ReasonFraming, "both a length and chunks"}
+	case h.chunked && h.minorVersion == 0:
+		return 0, 0, &Error{ReasonFraming, "chunks in HTTP/1.0"}
 	case h.status == http.StatusSwitchingProtocols:
 		return phaseTunnel, 0, nil
 	case h.status < http.StatusOK:
--- a/pkg/responsecheck/parsed.go
+++ b/pkg/responsecheck/parsed.go
@@ -8,6 +8,15 @@
 	if !ValidStatus(response.StatusCode) {
 		return refuse(ReasonStatus, "invalid status", []byte(response.Status))
 	}
+	lengths := response.Header["Content-Length"]
+	if len(lengths) > 1 {
+		return &Error{ReasonFraming, "more than one length"}
+	}
+	if len(lengths) == 1 {
+		if _, err := parseDigits([]byte(lengths[0])); err != nil {
+			return refuse(ReasonFraming, "invalid length", []byte(lengths[0]))
+		}
+	}
 	if !selfDelimiting(response) {
 		return &Error{ReasonUnframed, "neither a length nor chunks"}
 	}
