Refuse a switch to another protocol that was not asked for

What callers saw: an idempotent call whose server answered 101 without having been asked got 502, although another server would have answered it. The server's record said that it had answered well.

Cause: the response was refused only when it was delivered, after the choice of the attempt that decides the call.

Evidence: "a switch nobody asked for" failed before in TestIdempotentCallIsServedElsewhereAfterInvalidResponse and TestInvalidResponseIsRefused, both configurations.

Change: the check of responses refuses a 101 if the request has no Upgrade field, or the response names no protocol. The check at delivery goes.

--- a/pkg/proxy/invalid_response_test.go
+++ b/pkg/proxy/invalid_response_test.go
@@ -140,14 +140,15 @@
 	"interim, blank after a name":   "HTTP/1.1 103 Early Hints\r\nLink : x\r\n\r\nHTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
 	"interim, blank before a name":  "HTTP/1.1 103 Early Hints\r\nLink: x\r\n Bad: x\r\n\r\nHTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
 
-	"a length and chunks": "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
-	"two lengths":         "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\nContent-Length: 1\r\n\r\n",
-	"a list of lengths":   "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2, 2\r\n\r\n",
-	"a signed length":     "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: +2\r\n\r\n",
-	"an empty length":     "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length:\r\n\r\n",
-	"an unknown coding":   "HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
-	"chunked twice":       "HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
-	"chunks in HTTP/1.0":  "HTTP/1.0 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"a length and chunks":       "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"two lengths":               "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\nContent-Length: 1\r\n\r\n",
+	"a list of lengths":         "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2, 2\r\n\r\n",
+	"a signed length":           "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: +2\r\n\r\n",
+	"an empty length":           "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length:\r\n\r\n",
+	"an unknown coding":         "HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"chunked twice":             "HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"chunks in HTTP/1.0":        "HTTP/1.0 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"a switch nobody asked for": "HTTP/1.1 101 Switching Protocols\r\nId: 7\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n",
 
 	"neither a length nor chunks": "HTTP/1.1 200 OK\r\nId: 7\r\nConnection: close\r\n\r\n",
 }
--- a/pkg/proxy/upgrade.go
+++ b/pkg/proxy/upgrade.go
@@ -37,7 +37,7 @@
 // of them ends.
 func (c *call) switchProtocols(a *attempt) {
 	server, ok := a.response.Body.(io.ReadWriteCloser)
-	if !ok || c.upgrade == "" {
+	if !ok {
 		c.refuse(http.StatusBadGateway, "the server switched protocols without being asked")
 		return
 	}
--- a/pkg/responsecheck/head.go
+++ b/pkg/responsecheck/head.go
@@ -16,6 +16,8 @@
 	length    int64
 	hasLength bool
 	chunked   bool
+	// upgrades says that the server names a protocol to which it switches.
+	upgrades bool
 }
 
 // The length of a status code, and its position in a status line such as "HTTP/1.1 200 OK".
@@ -68,6 +70,8 @@
 			return refuse(ReasonFraming, "unknown transfer coding", value)
 		}
 		h.chunked = true
+	case isNamed(name, "Upgrade"):
+		h.upgrades = len(value) > 0
 	}
 	return nil
 }
@@ -91,6 +95,9 @@
 	case h.chunked && h.minorVersion == 0:
 		return 0, 0, &Error{ReasonFraming, "chunks in HTTP/1.0"}
 	case h.status == http.StatusSwitchingProtocols:
+		if !request.Upgrade || !h.upgrades {
+			return 0, 0, &Error{ReasonUpgrade, "switch to another protocol that was not asked for"}
+		}
 		return phaseTunnel, 0, nil
 	case h.status < http.StatusOK:
 		return phaseStatusLine, 0, nil
--- a/pkg/responsecheck/responsecheck.go
+++ b/pkg/responsecheck/responsecheck.go
@@ -22,6 +22,8 @@
 	ReasonStatus Reason = "status"
 	// ReasonField means that a line of the head or of the trailer is not a field.
 	ReasonField Reason = "field"
+	// ReasonUpgrade means that the server switched protocols without being asked.
+	ReasonUpgrade Reason = "upgrade"
 )
 
 // Error is the refusal of a response.
--- a/pkg/responsecheck/stream.go
+++ b/pkg/responsecheck/stream.go
@@ -41,6 +41,8 @@
 // Request is what the response to a request depends on.
 type Request struct {
 	Method string
+	// Upgrade says that the request asks to switch protocols.
+	Upgrade bool
 }
 
 // Expect announces a request. The response to the one before must have ended.
--- a/pkg/serverconn/check.go
+++ b/pkg/serverconn/check.go
@@ -83,7 +83,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.checked = true
-	c.stream.Expect(responsecheck.Request{Method: request.Method})
+	c.stream.Expect(responsecheck.Request{Method: request.Method, Upgrade: len(request.Header["Upgrade"]) > 0})
 }
 
 // refusal returns why what the server sent was refused, nil if it was not.
