Refuse trailers that frame a body, and control bytes in chunk extensions

What callers saw: Content-Length and Transfer-Encoding in the trailer of a response were passed on as its trailers. A control byte in the extension of a chunk was accepted.

Cause: net/http refuses only trailers with these names that the head declares.

Evidence: "length in a trailer", "coding in a trailer" and "control byte in an extension" of TestInvalidBodyIsNotComplete failed before where responses are buffered; its 11 other cases were handled already and stay.

Change: the check refuses these fields in a trailer (RFC 9110, 6.5.1) and control bytes in a chunk-size line.

--- a/pkg/proxy/invalid_response_test.go
+++ b/pkg/proxy/invalid_response_test.go
@@ -153,6 +153,26 @@
 	"neither a length nor chunks": "HTTP/1.1 200 OK\r\nId: 7\r\nConnection: close\r\n\r\n",
 }
 
+// invalidBodies are responses whose head is valid and whose body or trailer is not.
+var invalidBodies = map[string]string{
+	"chunk size with a sign":             "+2\r\nok\r\n0\r\n\r\n",
+	"chunk size with a blank before":     " 2\r\nok\r\n0\r\n\r\n",
+	"chunk size with a prefix":           "0x2\r\nok\r\n0\r\n\r\n",
+	"chunk size too large":               "fffffffffffffffff\r\nok\r\n0\r\n\r\n",
+	"no chunk size":                      "\r\nok\r\n0\r\n\r\n",
+	"control byte in an extension":       "2;a=\x01\r\nok\r\n0\r\n\r\n",
+	"CR in an extension":                 "2;a\r2\r\nok\r\n0\r\n\r\n",
+	"chunk longer than its size":         "2\r\nokay\r\n0\r\n\r\n",
+	"blank after the name of a trailer":  "2\r\nok\r\n0\r\nSum : 1\r\n\r\n",
+	"blank in the name of a trailer":     "2\r\nok\r\n0\r\nMy Sum: 1\r\n\r\n",
+	"blank before the name of a trailer": "2\r\nok\r\n0\r\nSum: 1\r\n Bad: 1\r\n\r\n",
+	"control byte in a trailer":          "2\r\nok\r\n0\r\nSum: \x01\r\n\r\n",
+	"length in a trailer":                "2\r\nok\r\n0\r\nContent-Length: 1\r\n\r\n",
+	"coding in a trailer":                "2\r\nok\r\n0\r\nTransfer-Encoding: chunked\r\n\r\n",
+}
+
+const chunkedHead = "HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n"
+
 // fixedServer is a server that answers each request with the same bytes.
 type fixedServer struct {
 	text     string
@@ -202,6 +222,20 @@
 	}
 }
 
+// TestInvalidBodyIsNotComplete guards against a body or a trailer that is not valid and that a caller
+// gets as a complete response.
+func TestInvalidBodyIsNotComplete(t *testing.T) {
+	for desc, body := range invalidBodies {
+		t.Run(desc, func(t *testing.T) {
+			server, address := startFixedServer(t, chunkedHead+body)
+			received := rawCaller{newLatencyTargetProxy(t, preset.ClassBooking, address).address}.exchange(t, http.MethodPost, "x", false)
+			assert.Assert(t, strings.HasPrefix(received, "HTTP/1.1 502"), "%q", received)
+			<-server.closed
+			assert.Equal(t, server.requests.Load(), int64(1))
+		})
+	}
+}
+
 // TestIdempotentCallIsServedElsewhereAfterInvalidResponse guards against a caller of an idempotent
 // call that gets a failure although another server answers well.
 func TestIdempotentCallIsServedElsewhereAfterInvalidResponse(t *testing.T) {
--- a/pkg/responsecheck/head.go
+++ b/pkg/responsecheck/head.go
@@ -128,10 +128,17 @@
 	return name, bytes.Trim(value, " \t"), nil
 }
 
-// trailerField checks a field line after the last chunk.
+// trailerField checks a field line after the last chunk. One that would frame a body must not be
+// passed on (RFC 9110, 6.5.1).
 func trailerField(line []byte) *Error {
-	_, _, refusal := splitField(line)
-	return refusal
+	name, _, refusal := splitField(line)
+	if refusal != nil {
+		return refusal
+	}
+	if isNamed(name, "Content-Length") || isNamed(name, "Transfer-Encoding") {
+		return refuse(ReasonField, "field not allowed in a trailer", name)
+	}
+	return nil
 }
 
 // isNamed reports whether the name of a field is the given one.
@@ -143,7 +150,7 @@
 func parseChunkSize(line []byte) (int64, *Error) {
 	digits, _, _ := bytes.Cut(bytes.TrimRight(line, " \t"), []byte(";"))
 	size, err := strconv.ParseUint(string(digits), 16, 63)
-	if err != nil {
+	if err != nil || !isText(line) {
 		return 0, refuse(ReasonFraming, "invalid chunk size", line)
 	}
 	return int64(size), nil
