Answer callers whose response fails before any of it was sent

What callers saw: in serve, which streams responses, the connection of a caller was closed without any response when the body of the server's response broke off or turned out to be invalid before its first bytes were passed on, or in the same read as these.

Cause: the head of the response was written into the buffer of the caller's connection before the first read of the body, and could not be taken back. It left the gateway only with the first part of the body.

Change: the head is written when the first part or the end of the body has arrived, which is when it left the gateway before. A body that fails earlier is answered with 502, or 504 if the time ran out, and the outcome unknown. The server's record is as before: its head had counted as a response.

A response of which a part was sent still ends with the caller's connection, because nothing else tells that it is not whole.

--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -121,6 +121,8 @@
 	// header arrived, on the clock of Config.Now; 0 means not yet.
 	admittedAt int64
 	headerAt   int64
+	// headSent says that the caller was sent the head of a server's response.
+	headSent bool
 
 	// baseContext is the parent context of all attempts.
 	baseContext   context.Context
@@ -345,6 +347,11 @@
 		c.deliver(a)
 		return
 	}
+	c.refuseFailed(a)
+}
+
+// refuseFailed refuses a call because of the failure of its last attempt.
+func (c *call) refuseFailed(a *attempt) {
 	a.cancel(errCallEnded)
 	ended := c.proxy.config.Metrics.failed[a.result]
 	var refusal *responsecheck.Error
--- a/pkg/proxy/deliver.go
+++ b/pkg/proxy/deliver.go
@@ -29,20 +29,6 @@
 		c.switchProtocols(a)
 		return
 	}
-	header := c.w.Header()
-	copyResponseHeader(c.proxy.config.Protocol, header, a.response.Header)
-	c.setOutcomeHeader(a)
-	c.setHandoffOutcome(header, handoff.Answered)
-	declareTrailers(c.proxy.config.Protocol, header, a.response.Trailer)
-	if len(a.response.Trailer) > 0 && c.r.ProtoMajor == 1 && c.r.Method != http.MethodHead {
-		// HTTP/1.1 allows trailers only in chunked responses; HTTP/2 also allows
-		// them together with a Content-Length.
-		header.Del("Content-Length")
-	}
-	c.closeIfBodyUnread()
-	c.setWriteDeadline()
-	c.w.WriteHeader(a.response.StatusCode)
-	c.clearWriteDeadline()
 	if c.proxy.config.TimeoutIncludesBody {
 		stop := a.startTimeout(c.attemptTimeout())
 		defer stop()
@@ -50,6 +36,13 @@
 	recorder := &responseRecorder{enabled: c.ticket != nil}
 	err := c.streamResponse(a, recorder)
 	c.finishClaimedResponse(a, recorder, err)
+	if err != nil && !c.headSent {
+		a.err = err
+		a.result = retry.Classify(retry.Observation{Written: true, TimedOut: a.timedOut(), Canceled: a.ctx.Err() != nil})
+		c.reportFailedAttempt(a)
+		c.refuseFailed(a)
+		return
+	}
 	if err != nil {
 		c.reportIncomplete(a, err)
 		// Aborts the caller's connection or stream, so that the caller does not take
@@ -60,7 +53,26 @@
 	if observer := c.proxy.config.Observer; observer != nil {
 		observer.CallCompleted(c.callEvent(a))
 	}
-	setTrailers(c.proxy.config.Protocol, header, a.response.Trailer)
+	setTrailers(c.proxy.config.Protocol, c.w.Header(), a.response.Trailer)
+}
+
+// sendHead sends the head of a response to the caller.
+func (c *call) sendHead(a *attempt) {
+	c.headSent = true
+	header := c.w.Header()
+	copyResponseHeader(c.proxy.config.Protocol, header, a.response.Header)
+	c.setOutcomeHeader(a)
+	c.setHandoffOutcome(header, handoff.Answered)
+	declareTrailers(c.proxy.config.Protocol, header, a.response.Trailer)
+	if len(a.response.Trailer) > 0 && c.r.ProtoMajor == 1 && c.r.Method != http.MethodHead {
+		// HTTP/1.1 allows trailers only in chunked responses; HTTP/2 also allows
+		// them together with a Content-Length.
+		header.Del("Content-Length")
+	}
+	c.closeIfBodyUnread()
+	c.setWriteDeadline()
+	c.w.WriteHeader(a.response.StatusCode)
+	c.clearWriteDeadline()
 }
 
 // setOutcomeHeader sets the header that states whether a failed call ran. What another gateway
@@ -124,11 +136,12 @@
 
 func (e callerWriteError) Unwrap() error { return e.error }
 
-// streamResponse copies the response body to the caller. It flushes after each read
-// except the last. A body that arrives in one read is not flushed, because net/http
-// then sends header and body together.
+// streamResponse sends the response to the caller, nothing of it if its body fails before any of it
+// was sent. It flushes after each read except the last. A body that arrives in one read is not
+// flushed, because net/http then sends header and body together.
 func (c *call) streamResponse(a *attempt, recorder *responseRecorder) error {
 	if a.response.Body == http.NoBody {
+		c.sendHead(a)
 		return nil
 	}
 	pooled := bufferPool.Get().(*[]byte)
@@ -142,6 +155,14 @@
 	for {
 		n, err := a.response.Body.Read(buffer)
 		copied += int64(n)
+		ended := errors.Is(err, io.EOF)
+		switch {
+		case c.headSent:
+		case err != nil && !ended:
+			return err
+		case n > 0 || ended:
+			c.sendHead(a)
+		}
 		if n > 0 {
 			recorder.add(buffer[:n])
 			stall.Stop()
@@ -154,7 +175,7 @@
 			c.body.responseProgressed()
 			stall.Reset(idle)
 		}
-		if errors.Is(err, io.EOF) {
+		if ended {
 			return writeErr
 		}
 		if err != nil {
--- a/pkg/proxy/invalid_response_test.go
+++ b/pkg/proxy/invalid_response_test.go
@@ -223,7 +223,7 @@
 }
 
 // TestInvalidBodyIsNotComplete guards against a body or a trailer that is not valid and that a caller
-// gets as a complete response.
+// gets as a complete response. Without a buffer its beginning has been passed on when that shows.
 func TestInvalidBodyIsNotComplete(t *testing.T) {
 	for desc, body := range invalidBodies {
 		t.Run(desc, func(t *testing.T) {
@@ -231,7 +231,10 @@
 			received := rawCaller{newLatencyTargetProxy(t, preset.ClassBooking, address).address}.exchange(t, http.MethodPost, "x", false)
 			assert.Assert(t, strings.HasPrefix(received, "HTTP/1.1 502"), "%q", received)
 			<-server.closed
-			assert.Equal(t, server.requests.Load(), int64(1))
+			received = rawCaller{newTestProxy(t, testConfig{}, address).address}.exchange(t, http.MethodPost, "x", false)
+			complete := strings.HasPrefix(received, "HTTP/1.1 200") && strings.HasSuffix(received, "0\r\n\r\n")
+			assert.Assert(t, received != "" && !complete, "%q", received)
+			assert.Equal(t, server.requests.Load(), int64(2))
 		})
 	}
 }
