Take no bytes after a response for the next one

What callers saw: an instance sent further bytes after a whole response, and the next caller whose request used that connection got them as its response (MIXED).

Cause: http.Transport gives a connection to a waiting request as soon as a response has ended, before it looks whether more bytes are there.

Change: the check on the received bytes knows where a response ends. Bytes that come while no request has been written are refused, and are never passed to the parser; where they come with the end of a response, that is read as the end of the connection, so that http.Transport does not use it again. Nothing is written to a refused connection, so that a request that was given to it has certainly not been sent and may go elsewhere.

--- a/pkg/proxy/invalid_response_test.go
+++ b/pkg/proxy/invalid_response_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,6 +15,8 @@
 	"gotest.tools/v3/assert"
 
 	"balsamhill/pkg/preset"
+	"balsamhill/pkg/proxy"
+	"balsamhill/pkg/serverconn"
 )
 
 // uploadBytes is more than the buffers of the connections hold, so that the gateway still writes
@@ -192,7 +195,10 @@
 			server.requests.Add(1)
 			_, _ = io.WriteString(conn, server.text)
 		}
-		server.closed <- struct{}{}
+		select {
+		case server.closed <- struct{}{}:
+		default:
+		}
 	})
 }
 
@@ -306,3 +312,34 @@
 		})
 	}
 }
+
+// TestBytesAfterResponseReachNobody guards against bytes that follow a whole response and that the
+// next caller gets as the response to its request. The callers share one connection, so that most
+// requests wait for it and get it as soon as the response before has ended.
+func TestBytesAfterResponseReachNobody(t *testing.T) {
+	const callers, calls = 16, 250
+	for name, text := range map[string]string{
+		"after a length": "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngoodHTTP/1.1 500 X\r\nContent-Length: 5\r\n\r\nextra",
+		"without a body": "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 500 X\r\nContent-Length: 5\r\n\r\nextra",
+		"after chunks":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\nHTTP/1.1 500 X\r\nContent-Length: 5\r\n\r\nextra",
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, server := startFixedServer(t, text)
+			transport := serverconn.NewShared(serverconn.SharedConfig{Dial: serverconn.Dial, Connections: 2, Idle: time.Second, FreshIdle: time.Second})
+			defer transport.CloseIdleConnections()
+			p := newTestProxy(t, testConfig{class: preset.ClassFetch, configure: func(config *proxy.Config) { config.Transport = transport }}, server)
+			var group sync.WaitGroup
+			for range callers {
+				group.Go(func() {
+					client := newClient(t, false)
+					for range calls {
+						got := do(t, client, newRequest(t, http.MethodGet, p.url+"/a", nil))
+						assert.Check(t, got.err)
+						assert.Check(t, got.status == http.StatusOK, "status %d, body %q", got.status, got.body)
+					}
+				})
+			}
+			group.Wait()
+		})
+	}
+}
--- a/pkg/responsecheck/responsecheck.go
+++ b/pkg/responsecheck/responsecheck.go
@@ -24,6 +24,8 @@
 	ReasonField Reason = "field"
 	// ReasonUpgrade means that the server switched protocols without being asked.
 	ReasonUpgrade Reason = "upgrade"
+	// ReasonUnrequested means that the server sent bytes while no response was due.
+	ReasonUnrequested Reason = "unrequested"
 )
 
 // Error is the refusal of a response.
--- a/pkg/responsecheck/stream.go
+++ b/pkg/responsecheck/stream.go
@@ -57,6 +57,9 @@
 		return
 	}
 	s.expected = false
+	if s.phase != phaseIdle && s.refusal == nil {
+		s.refusal = &Error{ReasonUnrequested, "a request was sent before the response to the last one had ended"}
+	}
 	s.phase, s.head = phaseStatusLine, head{}
 }
 
@@ -78,7 +81,10 @@
 // next processes a part of data and returns its length, 0 if the stream is refused.
 func (s *Stream) next(data []byte) int {
 	switch s.phase {
-	case phaseIdle, phaseTunnel:
+	case phaseIdle:
+		s.refusal = refuse(ReasonUnrequested, "bytes without a request", data)
+		return 0
+	case phaseTunnel:
 		return len(data)
 	case phaseBody, phaseChunkData:
 		return s.takeBody(len(data))
--- a/pkg/serverconn/check.go
+++ b/pkg/serverconn/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -114,10 +115,15 @@
 	if c.reportRefusal != nil {
 		c.reportRefusal(refusal)
 	}
-	if accepted == 0 {
+	switch {
+	case accepted == 0:
 		return 0, refusal
+	case refusal.Reason == responsecheck.ReasonUnrequested:
+		// http.Transport uses no connection again that has ended.
+		return accepted, io.EOF
+	default:
+		return accepted, nil
 	}
-	return accepted, nil
 }
 
 // receive checks bytes that were read, and returns how many of them may be passed on.
