--- a/pkg/proxy/invalid_response_test.go
+++ b/pkg/proxy/invalid_response_test.go
@@ -16,6 +16,7 @@
 
 	"balsamhill/pkg/preset"
 	"balsamhill/pkg/proxy"
+	"balsamhill/pkg/responsecheck/responsechecktest"
 	"balsamhill/pkg/serverconn"
 )
 
@@ -103,59 +104,6 @@
 	}
 }
 
-// invalidHeads are heads of what is no HTTP response, by their description. Each would have a body of
-// 2 bytes that is whole.
-var invalidHeads = map[string]string{
-	"status 000":                     "HTTP/1.1 000 X\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
-	"status 001":                     "HTTP/1.1 001 X\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
-	"status 099":                     "HTTP/1.1 099 X\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
-	"status +20":                     "HTTP/1.1 +20 X\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
-	"status -20":                     "HTTP/1.1 -20 X\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
-	"status 20":                      "HTTP/1.1 20 X\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
-	"status 600":                     "HTTP/1.1 600 X\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
-	"status 999":                     "HTTP/1.1 999 X\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
-	"status 1000":                    "HTTP/1.1 1000 X\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
-	"no status":                      "HTTP/1.1\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
-	"control byte in the first line": "HTTP/1.1 200 O\x00K\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
-	"empty line first":               "\r\nHTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
-	"version 2.0":                    "HTTP/2.0 200 OK\r\nId: 7\r\n\r\n",
-	"version 1.2":                    "HTTP/1.2 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
-	"version 0.9":                    "HTTP/0.9 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
-	"interim status 099":             "HTTP/1.1 099 X\r\n\r\nHTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
-
-	"blank in a name":               "HTTP/1.1 200 OK\r\nId: 7\r\nBad Name: x\r\nContent-Length: 2\r\n\r\n",
-	"blank after a name":            "HTTP/1.1 200 OK\r\nId: 7\r\nBad : x\r\nContent-Length: 2\r\n\r\n",
-	"blank before a name":           "HTTP/1.1 200 OK\r\nId: 7\r\nA: b\r\n Bad: x\r\nContent-Length: 2\r\n\r\n",
-	"blank before the first name":   "HTTP/1.1 200 OK\r\n Id: 7\r\nContent-Length: 2\r\n\r\n",
-	"tab before a name":             "HTTP/1.1 200 OK\r\nId: 7\r\nA: b\r\n\tBad: x\r\nContent-Length: 2\r\n\r\n",
-	"tab in a name":                 "HTTP/1.1 200 OK\r\nId: 7\r\nBad\tName: x\r\nContent-Length: 2\r\n\r\n",
-	"control byte in a name":        "HTTP/1.1 200 OK\r\nId: 7\r\nBad\x01: x\r\nContent-Length: 2\r\n\r\n",
-	"NUL in a name":                 "HTTP/1.1 200 OK\r\nId: 7\r\nBad\x00: x\r\nContent-Length: 2\r\n\r\n",
-	"DEL in a name":                 "HTTP/1.1 200 OK\r\nId: 7\r\nBad\x7f: x\r\nContent-Length: 2\r\n\r\n",
-	"CR in a name":                  "HTTP/1.1 200 OK\r\nId: 7\r\nBad\rName: x\r\nContent-Length: 2\r\n\r\n",
-	"empty name":                    "HTTP/1.1 200 OK\r\nId: 7\r\n: x\r\nContent-Length: 2\r\n\r\n",
-	"no colon":                      "HTTP/1.1 200 OK\r\nId: 7\r\nBad\r\nContent-Length: 2\r\n\r\n",
-	"control byte in a value":       "HTTP/1.1 200 OK\r\nId: 7\r\nBad: x\x01\r\nContent-Length: 2\r\n\r\n",
-	"CR in a value":                 "HTTP/1.1 200 OK\r\nId: 7\r\nBad: x\rContent-Length: 9\r\nContent-Length: 2\r\n\r\n",
-	"blank after Content-Length":    "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length : 1\r\nContent-Length: 2\r\n\r\n",
-	"blank after Transfer-Encoding": "HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding : chunked\r\nContent-Length: 2\r\n\r\n",
-	"blank in Content-Length":       "HTTP/1.1 200 OK\r\nId: 7\r\nContent Length: 1\r\nContent-Length: 2\r\n\r\n",
-	"interim, blank after a name":   "HTTP/1.1 103 Early Hints\r\nLink : x\r\n\r\nHTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
-	"interim, blank before a name":  "HTTP/1.1 103 Early Hints\r\nLink: x\r\n Bad: x\r\n\r\nHTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\n",
-
-	"a length and chunks":       "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
-	"two lengths":               "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\nContent-Length: 1\r\n\r\n",
-	"a list of lengths":         "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2, 2\r\n\r\n",
-	"a signed length":           "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: +2\r\n\r\n",
-	"an empty length":           "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length:\r\n\r\n",
-	"an unknown coding":         "HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
-	"chunked twice":             "HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
-	"chunks in HTTP/1.0":        "HTTP/1.0 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
-	"a switch nobody asked for": "HTTP/1.1 101 Switching Protocols\r\nId: 7\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n",
-
-	"neither a length nor chunks": "HTTP/1.1 200 OK\r\nId: 7\r\nConnection: close\r\n\r\n",
-}
-
 // invalidBodies are responses whose head is valid and whose body or trailer is not.
 var invalidBodies = map[string]string{
 	"chunk size with a sign":             "+2\r\nok\r\n0\r\n\r\n",
@@ -212,10 +160,10 @@
 // gets as one, or for which a caller's connection is closed without a response. A call that may run
 // once is not sent again, and is not called not run; the server's connection is closed.
 func TestInvalidResponseIsRefused(t *testing.T) {
-	for desc, head := range invalidHeads {
+	for desc, text := range responsechecktest.Invalid("Id: 7\r\n") {
 		t.Run(desc, func(t *testing.T) {
 			bothConfigs(t, preset.ClassBooking, func(t *testing.T, start func(...string) *testProxy) {
-				server, address := startFixedServer(t, head+"ok")
+				server, address := startFixedServer(t, text)
 				p := start(address)
 				received := rawCaller{p.address}.exchange(t, http.MethodPost, "x", false)
 				assert.Assert(t, strings.HasPrefix(received, "HTTP/1.1 502"), "%q", received)
@@ -248,10 +196,10 @@
 // TestIdempotentCallIsServedElsewhereAfterInvalidResponse guards against a caller of an idempotent
 // call that gets a failure although another server answers well.
 func TestIdempotentCallIsServedElsewhereAfterInvalidResponse(t *testing.T) {
-	for desc, head := range invalidHeads {
+	for desc, text := range responsechecktest.Invalid("Id: 7\r\n") {
 		t.Run(desc, func(t *testing.T) {
 			bothConfigs(t, preset.ClassFetch, func(t *testing.T, start func(...string) *testProxy) {
-				invalid, address := startFixedServer(t, head+"ok")
+				invalid, address := startFixedServer(t, text)
 				p := start(address, startWholeServer(t))
 				for invalid.requests.Load() == 0 {
 					received := rawCaller{p.address}.exchange(t, http.MethodGet, "", false)
