Check the responses to health checks

What was seen: a server counted as responsive, and its load, limit and leaving were believed, although what it sent to a probe was no response.

Cause: the probes of the platform's daemon use a transport of their own, which checked nothing. Those of serve use the transport of its calls.

Change: the transport of the probes checks like that of the calls.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -157,7 +157,7 @@
 	// ordinaryResponses counts successful first-attempt responses, of which a sample is
 	// logged.
 	ordinaryResponses atomic.Uint64
-	probeTransport    *http.Transport
+	probeTransport    *serverconn.CheckedTransport
 	metrics           *metrics.Set
 	counters          *counters
 
@@ -225,7 +225,7 @@
 		Region: s.Region, FailureDomain: s.FailureDomain, Required: e.contact.Isolated, Known: e.handoffCandidates, Now: e.now,
 		Dial: serverconn.LimitDial(serverconn.Dial, shares.Gateways),
 	})
-	e.probeTransport = newProbeTransport(e.contact.Dial)
+	e.probeTransport = newProbeTransport(e.contact.Dial, refused)
 	for index, table := range feed.Tables() {
 		e.watchers = append(e.watchers, newWatcher(e, table, index))
 	}
--- a/pkg/edge/probes.go
+++ b/pkg/edge/probes.go
@@ -35,8 +35,8 @@
 	maxProbeHeaderBytes = 8 << 10
 )
 
-func newProbeTransport(dial serverconn.DialFunc) *http.Transport {
-	return &http.Transport{
+func newProbeTransport(dial serverconn.DialFunc, refused serverconn.RefusalFunc) *serverconn.CheckedTransport {
+	return serverconn.Check(&http.Transport{
 		DialContext:         dial,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 1,
@@ -46,7 +46,7 @@
 		WriteBufferSize:     1 << 10,
 
 		MaxResponseHeaderBytes: maxProbeHeaderBytes,
-	}
+	}, refused)
 }
 
 // probeState is the state of the probes of one server.
--- a/pkg/gateway/probes_test.go
+++ b/pkg/gateway/probes_test.go
@@ -19,6 +19,7 @@
 	"balsamhill/pkg/platform/httpplatform"
 	"balsamhill/pkg/platform/standin"
 	"balsamhill/pkg/presetstore"
+	"balsamhill/pkg/responsecheck/responsechecktest"
 	"balsamhill/pkg/routing"
 	"balsamhill/pkg/settings"
 )
@@ -143,3 +144,24 @@
 	cancel()
 	assert.NilError(t, <-done)
 }
+
+// TestInvalidProbeResponseReportsNothing guards against a load that is taken from what is no response
+// of a server.
+func TestInvalidProbeResponseReportsNothing(t *testing.T) {
+	g, _ := newTestGateway(t)
+	service := g.settings.Services[0]
+	gr := g.budgets.probes[service.Name]
+	gr.request(2, 4)
+	gr.holder.Plan(budget.RowRead{SentAt: g.now(), Time: time.Now()}, 2, 4)
+	gr.holder.WriteCompleted(true)
+	probe := func(text string) bool {
+		server := &routing.Server{ID: "s", Address: responsechecktest.Serve(t, text), Stats: &routing.Stats{}}
+		g.probe(t.Context(), service, gr, server)
+		return server.Stats.ReportedAt() != 0
+	}
+	const report = loadreport.Header + ": TEXT named_metrics.in_flight=3\r\n"
+	for desc, text := range responsechecktest.Invalid(report) {
+		t.Run(desc, func(t *testing.T) { assert.Assert(t, !probe(text)) })
+	}
+	assert.Assert(t, probe("HTTP/1.1 200 OK\r\n"+report+"Content-Length: 2\r\n\r\n{}"))
+}
--- a/pkg/serverconn/check.go
+++ b/pkg/serverconn/check.go
@@ -37,7 +37,10 @@
 	if report == nil {
 		report = func(string, *responsecheck.Error) {}
 	}
-	dial := transport.DialContext
+	dial := DialFunc(transport.DialContext)
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
 	multiplexed := transport.Protocols != nil && transport.Protocols.UnencryptedHTTP2()
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		opened, err := dial(ctx, network, address)
@@ -51,6 +54,11 @@
 	return &CheckedTransport{Transport: transport, report: report}
 }
 
+// NewClient returns a client whose responses are checked; see Check.
+func NewClient(transport *http.Transport) *http.Client {
+	return &http.Client{Transport: Check(transport, nil)}
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t *CheckedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
 	var conn *Conn
