Check the responses of other gateways to reads of tables

What was seen: a gateway took a table from what was no response of another one: after another program had got the address of a gateway, or from a faulty machine between them.

Cause: the client of the gateways' tables and of the bootstrap requests checked nothing.

Evidence: TestInvalidTableResponseIsRefused before: 15 of 45 forms were taken for a table.

Change: the client checks; a refused response is a failed read, which is logged and tried elsewhere as before. Refusals of handed-off calls are counted and logged as those of servers are.

Result: the test passes.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -223,7 +223,7 @@
 	e.serverLimits = newServerLimits(e)
 	e.handoffs = handoffconn.NewSender(handoffconn.Config{
 		Region: s.Region, FailureDomain: s.FailureDomain, Required: e.contact.Isolated, Known: e.handoffCandidates, Now: e.now,
-		Dial: serverconn.LimitDial(serverconn.Dial, shares.Gateways),
+		Dial: serverconn.LimitDial(serverconn.Dial, shares.Gateways), Refused: refused,
 	})
 	e.probeTransport = newProbeTransport(e.contact.Dial, refused)
 	for index, table := range feed.Tables() {
--- a/pkg/edge/tableclient.go
+++ b/pkg/edge/tableclient.go
@@ -12,19 +12,20 @@
 	"github.com/rotisserie/eris"
 
 	"balsamhill/pkg/feed"
+	"balsamhill/pkg/serverconn"
 	"balsamhill/pkg/tablecodec"
 	"balsamhill/pkg/transfer"
 )
 
 // peerClient reads tables from other gateways and sends bootstrap requests.
-var peerClient = &http.Client{Transport: &http.Transport{
+var peerClient = serverconn.NewClient(&http.Transport{
 	DialContext:         (&net.Dialer{Timeout: peerTimeout}).DialContext,
 	DisableCompression:  true,
 	MaxIdleConnsPerHost: 1,
 	IdleConnTimeout:     10 * time.Second,
 
 	MaxResponseHeaderBytes: maxPeerHeaderBytes,
-}}
+})
 
 // maxPeerHeaderBytes bounds the header of a response of another gateway.
 const maxPeerHeaderBytes = 64 << 10
--- a/pkg/handoffconn/handoffconn.go
+++ b/pkg/handoffconn/handoffconn.go
@@ -34,6 +34,8 @@
 	Region, FailureDomain string
 	// Dial opens connections to gateways.
 	Dial serverconn.DialFunc
+	// Refused is called when a gateway sends what is no response.
+	Refused serverconn.RefusalFunc
 	// Required reports whether this gateway reaches no server.
 	Required func() bool
 	// Known returns the gateways that may take calls.
@@ -67,6 +69,7 @@
 		config: config, gateways: make(map[string]*gateway),
 		transports: serverconn.NewShared(serverconn.SharedConfig{
 			Dial: config.Dial, Connections: connections, Idle: idleTimeout, FreshIdle: freshIdleTimeout,
+			Refused: config.Refused,
 		}),
 	}
 }
