Check the responses of the table service

What was seen: rows, objects and the result of a commit were taken from what was no response of the store, an object of which the connection had brought only a part among them: one without a length or chunks.

Cause: the client, which serve, the demo, the stand-ins and the operator's tool share, checked nothing but the status that net/http had parsed.

Change: the client checks. A read with a refused response has failed; a commit may have been applied, so that its outcome is looked up as after a lost response.

Result: the test passes.

--- a/pkg/platform/httpplatform/client.go
+++ b/pkg/platform/httpplatform/client.go
@@ -20,6 +20,7 @@
 	"github.com/rotisserie/eris"
 
 	"balsamhill/pkg/platform"
+	"balsamhill/pkg/serverconn"
 )
 
 // maxResponseBytes bounds the memory that one response of the platform can take.
@@ -45,16 +46,13 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
 	}
 	transferred := &byteCounter{}
-	transport := &http.Transport{
+	client := serverconn.NewClient(&http.Transport{
 		DialContext:         transferred.wrapDial(dialer.DialContext),
 		MaxIdleConnsPerHost: 16,
 		IdleConnTimeout:     15 * time.Second,
-	}
-	client := &http.Client{
-		Transport: transport,
-		// A redirect would send a transaction a second time, to another address.
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	})
+	// A redirect would send a transaction a second time, to another address.
+	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{baseURL: strings.TrimRight(base, "/"), http: client, transferred: transferred}
 }
 
--- a/pkg/platform/httpplatform/client_test.go
+++ b/pkg/platform/httpplatform/client_test.go
@@ -4,11 +4,13 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"balsamhill/pkg/platform"
+	"balsamhill/pkg/responsecheck/responsechecktest"
 )
 
 // Guards against a commit that is reported as not applied although it may have
@@ -50,3 +52,21 @@
 		})
 	}
 }
+
+// TestInvalidResponseIsNotBelieved guards against rows, an object or the result of a commit that are
+// taken from what is no response of the store. A commit with such a response may have been applied.
+func TestInvalidResponseIsNotBelieved(t *testing.T) {
+	for desc, text := range responsechecktest.Invalid("") {
+		t.Run(desc, func(t *testing.T) {
+			client := New("http://" + responsechecktest.Serve(t, text))
+			defer client.Close()
+			_, err := client.Get(t.Context(), "k")
+			assert.Check(t, err != nil)
+			_, err = client.GetObject(t.Context(), "o")
+			assert.Check(t, err != nil)
+			commit := New("http://" + responsechecktest.Serve(t, strings.ReplaceAll(text, "200", "409")))
+			defer commit.Close()
+			assert.Check(t, commit.Commit(t.Context(), platform.Txn{}).Status == platform.CommitUnknown)
+		})
+	}
+}
