Check the responses of gateways to the operator's tool

What was seen: the operator's tool showed a gateway as reachable, with the state, the preset and the revision from what was no response of it.

Cause: the client of the tool checked nothing but the status that net/http had parsed.

Evidence: TestInvalidStatusIsNotBelieved before: 15 of 45 forms were believed.

Change: the client checks. A gateway whose response is refused is shown by its row in the table service, as one that cannot be reached.

Result: the test passes.

--- a/pkg/operator/gateways.go
+++ b/pkg/operator/gateways.go
@@ -16,6 +16,7 @@
 	"balsamhill/pkg/gateway"
 	"balsamhill/pkg/membership"
 	"balsamhill/pkg/platform"
+	"balsamhill/pkg/serverconn"
 )
 
 const (
@@ -30,7 +31,7 @@
 
 // adminClient connects to admin addresses directly and ignores the proxy settings
 // of the environment.
-var adminClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second}}
+var adminClient = serverconn.NewClient(&http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second})
 
 // gatewayRow is the row of a gateway in the table service, with its age by the
 // clock of the store.
