Follow no redirects of the store, of gateways or to the operator's tool

What was seen: a response 307 of the platform's store, of another gateway, or of a gateway to the operator's tool sent the read or the write on to the address that it named. The client of the table service alone did not follow it.

Cause: http.Client follows redirects unless it is told not to; three of four clients were not.

Change: the function that builds all these clients sets this too. A redirect is a response with an unexpected status, as it was at the table service.

--- a/pkg/platform/httpplatform/client.go
+++ b/pkg/platform/httpplatform/client.go
@@ -51,8 +51,6 @@
 		MaxIdleConnsPerHost: 16,
 		IdleConnTimeout:     15 * time.Second,
 	})
-	// A redirect would send a transaction a second time, to another address.
-	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{baseURL: strings.TrimRight(base, "/"), http: client, transferred: transferred}
 }
 
--- a/pkg/serverconn/check.go
+++ b/pkg/serverconn/check.go
@@ -54,9 +54,13 @@
 	return &CheckedTransport{Transport: transport, report: report}
 }
 
-// NewClient returns a client whose responses are checked; see Check.
+// NewClient returns a client whose responses are checked; see Check. It follows no redirects, which
+// would send a request a second time, to another address.
 func NewClient(transport *http.Transport) *http.Client {
-	return &http.Client{Transport: Check(transport, nil)}
+	return &http.Client{
+		Transport:     Check(transport, nil),
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
 
 // RoundTrip implements http.RoundTripper.
