--- a/pkg/proxy/handoff_test.go
+++ b/pkg/proxy/handoff_test.go
@@ -21,6 +21,7 @@
 	"balsamhill/pkg/handoff"
 	"balsamhill/pkg/preset"
 	"balsamhill/pkg/proxy"
+	"balsamhill/pkg/responsecheck/responsechecktest"
 	"balsamhill/pkg/routing"
 	"balsamhill/pkg/serverconn"
 )
@@ -403,3 +404,33 @@
 	assert.Assert(t, second.servers[0].Stats.Withdrawal.Withdrawn(second.now()))
 	assert.Assert(t, !first.servers[0].Stats.Withdrawal.Withdrawn(first.now()))
 }
+
+// TestInvalidResponsePassesNoGateway guards against what is no response and that a caller gets through a
+// call that was handed off: from the server of the second gateway, a part beside an upload among it, or
+// from a faulty program at the address of that gateway.
+func TestInvalidResponsePassesNoGateway(t *testing.T) {
+	send := func(t *testing.T, first *handoffProxy, body string) {
+		received := rawCaller{first.address}.exchange(t, http.MethodPost, body, false)
+		assert.Assert(t, strings.HasPrefix(received, "HTTP/1.1 502") && strings.Contains(received, "Balsamhill-Outcome: unknown"), "%q", received)
+	}
+	for desc, text := range responsechecktest.Invalid(handoff.Header + ": " + string(handoff.Answered) + "\r\n") {
+		t.Run(desc, func(t *testing.T) {
+			server, address := startFixedServer(t, text)
+			second := newHandoffProxy(t, testConfig{}, address)
+			first := newHandoffProxy(t, testConfig{}, unusedAddress(t))
+			first.handsOffTo(second.others)
+			send(t, first, "x")
+			assert.Equal(t, server.requests.Load(), int64(1), "at the second gateway")
+			first = newHandoffProxy(t, testConfig{}, unusedAddress(t))
+			first.handsOffTo(address)
+			send(t, first, "x")
+			assert.Equal(t, server.requests.Load(), int64(2), "at the first gateway")
+		})
+	}
+	second := newHandoffProxy(t, testConfig{configure: func(config *proxy.Config) { config.ResponseBufferBytes = 64 << 10 }}, startRawServer(t, earlyPart(true)))
+	first := newHandoffProxy(t, testConfig{configure: func(config *proxy.Config) { config.ResponseBufferBytes = 64 << 10 }}, unusedAddress(t))
+	first.handsOffTo(second.others)
+	for range 120 {
+		send(t, first, strings.Repeat("u", uploadBytes))
+	}
+}
--- a/pkg/responsecheck/responsechecktest/responsechecktest.go
+++ b/pkg/responsecheck/responsechecktest/responsechecktest.go
@@ -80,6 +80,12 @@
 // Serve returns the address of a server that answers one request on each connection with the text and
 // then closes it.
 func Serve(t testing.TB, text string) string {
+	t.Helper()
+	return ServeEach(t, func() string { return text })
+}
+
+// ServeEach is Serve with a text that next returns for each request.
+func ServeEach(t testing.TB, next func() string) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -90,13 +96,13 @@
 			if err != nil {
 				return
 			}
-			go answer(conn, text)
+			go answer(conn, next)
 		}
 	}()
 	return listener.Addr().String()
 }
 
-func answer(conn net.Conn, text string) {
+func answer(conn net.Conn, next func() string) {
 	defer func() { _ = conn.Close() }()
 	request, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
@@ -104,5 +110,5 @@
 	}
 	// The test fails by what it reads if this does.
 	_, _ = io.Copy(io.Discard, request.Body)
-	_, _ = io.WriteString(conn, text)
+	_, _ = io.WriteString(conn, next())
 }
