--- a/pkg/proxy/invalid_response_test.go
+++ b/pkg/proxy/invalid_response_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"balsamhill/pkg/crashguard"
 	"balsamhill/pkg/preset"
 	"balsamhill/pkg/proxy"
 	"balsamhill/pkg/responsecheck/responsechecktest"
@@ -176,6 +177,16 @@
 	}
 }
 
+// TestInvalidResponseIsNoCrash guards against a request that is held back, because what its servers sent
+// is no response, as one that crashes them.
+func TestInvalidResponseIsNoCrash(t *testing.T) {
+	guard := &fakeGuard{admission: crashguard.Allowed}
+	_, address := startFixedServer(t, "HTTP/1.1 200 OK\r\nBad : x\r\nContent-Length: 2\r\n\r\nok")
+	p := newTestProxy(t, testConfig{configure: func(config *proxy.Config) { config.CrashGuard = guard }}, address)
+	rawCaller{p.address}.exchange(t, http.MethodPost, "x", false)
+	assert.DeepEqual(t, guard.results, []crashguard.Result{crashguard.ResultOther})
+}
+
 // TestInvalidBodyIsNotComplete guards against a body or a trailer that is not valid and that a caller
 // gets as a complete response. Without a buffer its beginning has been passed on when that shows.
 func TestInvalidBodyIsNotComplete(t *testing.T) {
--- a/pkg/proxy/overdue_test.go
+++ b/pkg/proxy/overdue_test.go
@@ -16,6 +16,7 @@
 	"balsamhill/pkg/handoff"
 	"balsamhill/pkg/preset"
 	"balsamhill/pkg/proxy"
+	"balsamhill/pkg/responsecheck"
 )
 
 const (
@@ -103,6 +104,10 @@
 			desc: "connection lost", want: "first",
 			next: connectAndReturn(func(*http.Request) (*http.Response, error) { return nil, io.ErrUnexpectedEOF }),
 		},
+		{
+			desc: "second server sends no valid response", want: "first",
+			next: connectAndReturn(func(*http.Request) (*http.Response, error) { return nil, &responsecheck.Error{} }),
+		},
 		{
 			desc: "second server full", want: "first",
 			next: connectAndReturn(func(r *http.Request) (*http.Response, error) {
