Keep the stand-ins that send invalid responses in one package

The server that answers with a fixed text, the caller that reads bytes, and the forms of bodies and of usual responses move to pkg/responsecheck/responsechecktest, which the tests of both daemons and of all other readers use. All forms and checks are the same.

--- a/pkg/proxy/handoff_test.go
+++ b/pkg/proxy/handoff_test.go
@@ -410,21 +410,21 @@
 // from a faulty program at the address of that gateway.
 func TestInvalidResponsePassesNoGateway(t *testing.T) {
 	send := func(t *testing.T, first *handoffProxy, body string) {
-		received := rawCaller{first.address}.exchange(t, http.MethodPost, body, false)
+		received := responsechecktest.Call(t, first.address, http.MethodPost, body, false)
 		assert.Assert(t, strings.HasPrefix(received, "HTTP/1.1 502") && strings.Contains(received, "Balsamhill-Outcome: unknown"), "%q", received)
 	}
 	for desc, text := range responsechecktest.Invalid(handoff.Header + ": " + string(handoff.Answered) + "\r\n") {
 		t.Run(desc, func(t *testing.T) {
-			server, address := startFixedServer(t, text)
-			second := newHandoffProxy(t, testConfig{}, address)
+			server := responsechecktest.Start(t, text)
+			second := newHandoffProxy(t, testConfig{}, server.Address)
 			first := newHandoffProxy(t, testConfig{}, unusedAddress(t))
 			first.handsOffTo(second.others)
 			send(t, first, "x")
-			assert.Equal(t, server.requests.Load(), int64(1), "at the second gateway")
+			assert.Equal(t, server.Requests.Load(), int64(1), "at the second gateway")
 			first = newHandoffProxy(t, testConfig{}, unusedAddress(t))
-			first.handsOffTo(address)
+			first.handsOffTo(server.Address)
 			send(t, first, "x")
-			assert.Equal(t, server.requests.Load(), int64(2), "at the first gateway")
+			assert.Equal(t, server.Requests.Load(), int64(2), "at the first gateway")
 		})
 	}
 	second := newHandoffProxy(t, testConfig{configure: func(config *proxy.Config) { config.ResponseBufferBytes = 64 << 10 }}, startRawServer(t, earlyPart(true)))
--- a/pkg/responsecheck/responsechecktest/responsechecktest.go
+++ b/pkg/responsecheck/responsechecktest/forms.go
@@ -1,16 +1,7 @@
 // Package responsechecktest has what is no HTTP response, for the tests of all that read responses.
 package responsechecktest
 
-import (
-	"bufio"
-	"io"
-	"net"
-	"net/http"
-	"strings"
-	"testing"
-
-	"gotest.tools/v3/assert"
-)
+import "strings"
 
 // fieldsMark stands for the fields that the caller of Invalid adds.
 const fieldsMark = "FIELDS"
@@ -77,38 +68,61 @@
 	return texts
 }
 
-// Serve returns the address of a server that answers one request on each connection with the text and
-// then closes it.
-func Serve(t testing.TB, text string) string {
-	t.Helper()
-	return ServeEach(t, func() string { return text })
+// invalidChunked holds what is no body in chunks, by what is wrong.
+var invalidChunked = map[string]string{
+	"chunk size with a sign":             "+2\r\nok\r\n0\r\n\r\n",
+	"chunk size with a blank before":     " 2\r\nok\r\n0\r\n\r\n",
+	"chunk size with a prefix":           "0x2\r\nok\r\n0\r\n\r\n",
+	"chunk size too large":               "fffffffffffffffff\r\nok\r\n0\r\n\r\n",
+	"no chunk size":                      "\r\nok\r\n0\r\n\r\n",
+	"control byte in an extension":       "2;a=\x01\r\nok\r\n0\r\n\r\n",
+	"CR in an extension":                 "2;a\r2\r\nok\r\n0\r\n\r\n",
+	"chunk longer than its size":         "2\r\nokay\r\n0\r\n\r\n",
+	"blank after the name of a trailer":  "2\r\nok\r\n0\r\nSum : 1\r\n\r\n",
+	"blank in the name of a trailer":     "2\r\nok\r\n0\r\nMy Sum: 1\r\n\r\n",
+	"blank before the name of a trailer": "2\r\nok\r\n0\r\nSum: 1\r\n Bad: 1\r\n\r\n",
+	"control byte in a trailer":          "2\r\nok\r\n0\r\nSum: \x01\r\n\r\n",
+	"length in a trailer":                "2\r\nok\r\n0\r\nContent-Length: 1\r\n\r\n",
+	"coding in a trailer":                "2\r\nok\r\n0\r\nTransfer-Encoding: chunked\r\n\r\n",
+}
+
+// InvalidBodies returns responses whose head is valid and whose body or trailer is not, by what is wrong.
+func InvalidBodies(fields string) map[string]string {
+	texts := make(map[string]string, len(invalidChunked))
+	for desc, text := range invalidChunked {
+		texts[desc] = "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + text
+	}
+	return texts
 }
 
-// ServeEach is Serve with a text that next returns for each request.
-func ServeEach(t testing.TB, next func() string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go answer(conn, next)
-		}
-	}()
-	return listener.Addr().String()
+// Exchange is a response to a request with a method, and what its caller must get.
+type Exchange struct {
+	Method, Response string
+	Status           int
+	Body             string
 }
 
-func answer(conn net.Conn, next func() string) {
-	defer func() { _ = conn.Close() }()
-	request, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
+// Usual returns what servers that are well send, by what is special.
+func Usual(fields string) map[string]Exchange {
+	ok := "HTTP/1.1 200 OK\r\n" + fields
+	return map[string]Exchange{
+		"length":                       {"POST", ok + "Content-Length: 4\r\n\r\ngood", 200, "good"},
+		"the same length twice":        {"POST", ok + "Content-Length: 4\r\nContent-Length: 4\r\n\r\ngood", 200, "good"},
+		"chunks":                       {"POST", ok + "Transfer-Encoding: Chunked\r\n\r\n3\r\ngoo\r\n01\r\nd\r\n0\r\n\r\n", 200, "good"},
+		"chunk extension":              {"POST", ok + "Transfer-Encoding: chunked\r\n\r\n4;a=b\r\ngood\r\n0\r\n\r\n", 200, "good"},
+		"trailer":                      {"POST", ok + "Transfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\nSum: 1\r\n\r\n", 200, "good"},
+		"no body":                      {"POST", ok + "Content-Length: 0\r\n\r\n", 200, ""},
+		"no content":                   {"POST", "HTTP/1.1 204 No Content\r\n" + fields + "\r\n", 204, ""},
+		"not modified":                 {"GET", "HTTP/1.1 304 Not Modified\r\n" + fields + "Content-Length: 4\r\n\r\n", 304, ""},
+		"HEAD, length":                 {"HEAD", ok + "Content-Length: 4\r\n\r\n", 200, ""},
+		"HEAD, no length":              {"HEAD", ok + "\r\n", 200, ""},
+		"interim responses":            {"POST", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + ok + "Content-Length: 4\r\n\r\ngood", 200, "good"},
+		"no reason":                    {"POST", "HTTP/1.1 200\r\n" + fields + "Content-Length: 4\r\n\r\ngood", 200, "good"},
+		"empty reason":                 {"POST", "HTTP/1.1 200 \r\n" + fields + "Content-Length: 4\r\n\r\ngood", 200, "good"},
+		"unknown status of a class":    {"POST", "HTTP/1.1 599 X\r\n" + fields + "Content-Length: 4\r\n\r\ngood", 599, "good"},
+		"tab and other bytes in value": {"POST", ok + "A:\tb\tc \xe9\t\r\nContent-Length:4 \r\n\r\ngood", 200, "good"},
+		"unusual name":                 {"POST", ok + "a!#$%&'*+.^_`|~9: x\r\ncontent-LENGTH: 4\r\n\r\ngood", 200, "good"},
+		"line feeds only":              {"POST", strings.ReplaceAll(ok, "\r\n", "\n") + "Content-Length: 4\n\ngood", 200, "good"},
+		"HTTP/1.0":                     {"POST", "HTTP/1.0 200 OK\r\n" + fields + "Content-Length: 4\r\n\r\ngood", 200, "good"},
 	}
-	// The test fails by what it reads if this does.
-	_, _ = io.Copy(io.Discard, request.Body)
-	_, _ = io.WriteString(conn, next())
 }
