Move the buffering of responses, the transport of probes and the record of a claim out of proxy and edge

serverconn.BufferBody reads the beginning of a body, where bodies are checked; serverconn.NewProbes is beside the other transports; claim.Recorder keeps the body for the row of a claim.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -225,7 +225,7 @@
 		Region: s.Region, FailureDomain: s.FailureDomain, Required: e.contact.Isolated, Known: e.handoffCandidates, Now: e.now,
 		Dial: serverconn.LimitDial(serverconn.Dial, shares.Gateways), Refused: refused,
 	})
-	e.probeTransport = newProbeTransport(e.contact.Dial, refused)
+	e.probeTransport = serverconn.NewProbes(e.contact.Dial, refused)
 	for index, table := range feed.Tables() {
 		e.watchers = append(e.watchers, newWatcher(e, table, index))
 	}
--- a/pkg/edge/probes.go
+++ b/pkg/edge/probes.go
@@ -11,7 +11,6 @@
 	"balsamhill/pkg/prober"
 	"balsamhill/pkg/proxy"
 	"balsamhill/pkg/routing"
-	"balsamhill/pkg/serverconn"
 )
 
 const (
@@ -30,25 +29,8 @@
 	unresponsiveProbeInterval = 200 * time.Millisecond
 	// maxProbeBodyBytes bounds how much of the body of a probe response is read.
 	maxProbeBodyBytes = 4 << 10
-	// maxProbeHeaderBytes bounds the header of a probe response. Without it, net/http reads
-	// up to 10 MB for each probe in flight.
-	maxProbeHeaderBytes = 8 << 10
 )
 
-func newProbeTransport(dial serverconn.DialFunc, refused serverconn.RefusalFunc) *serverconn.CheckedTransport {
-	return serverconn.Check(&http.Transport{
-		DialContext:         dial,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: 1,
-		MaxConnsPerHost:     2,
-		IdleConnTimeout:     5 * time.Second,
-		ReadBufferSize:      2 << 10,
-		WriteBufferSize:     1 << 10,
-
-		MaxResponseHeaderBytes: maxProbeHeaderBytes,
-	}, refused)
-}
-
 // probeState is the state of the probes of one server.
 type probeState struct {
 	server *routing.Server
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -1,10 +1,8 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"maps"
 	"net/http"
 	"net/http/httptrace"
@@ -250,37 +248,21 @@
 }
 
 // bufferResponse reads up to ResponseBufferBytes of the response body. If the body
-// breaks off within them, the attempt has failed and can be retried; if it ends
-// within them, the response gets a Content-Length.
+// breaks off within them, the attempt has failed and can be retried.
 func (a *attempt) bufferResponse() {
 	limit := a.call.proxy.config.ResponseBufferBytes
-	body := a.response.Body
-	if limit == 0 || body == http.NoBody || a.response.StatusCode == http.StatusSwitchingProtocols ||
+	if limit == 0 || a.response.Body == http.NoBody || a.response.StatusCode == http.StatusSwitchingProtocols ||
 		!a.call.mayKeep(bufferSize(a.response.ContentLength, limit), false) {
 		return
 	}
-	data, err := io.ReadAll(io.LimitReader(body, int64(limit)+1))
-	switch {
-	case err != nil:
+	err := serverconn.BufferBody(a.response, limit)
+	if err != nil {
 		// The response is as unusable as one to another request.
 		a.responseKind = ResponseMismatched
 		a.dropResponse(err)
-	case len(data) > limit:
-		a.response.Body = prefixedBody{io.MultiReader(bytes.NewReader(data), body), body}
-	default:
-		_ = body.Close()
-		a.response.Body = io.NopCloser(bytes.NewReader(data))
-		a.response.ContentLength = int64(len(data))
-		a.response.TransferEncoding = nil
 	}
 }
 
-// prefixedBody returns the buffered bytes and then the rest of a body.
-type prefixedBody struct {
-	io.Reader
-	io.Closer
-}
-
 // gotConn is called by the transport immediately before it writes the request.
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
 	if a.gotConnection && !a.onMultiplexedConn() && a.written() {
--- a/pkg/proxy/attemptresult.go
+++ b/pkg/proxy/attemptresult.go
@@ -41,6 +41,15 @@
 	}
 }
 
+// refused returns why what the server sent was no response, empty if it was one.
+func (a *attempt) refused() responsecheck.Reason {
+	var refusal *responsecheck.Error
+	if errors.As(a.err, &refusal) {
+		return refusal.Reason
+	}
+	return ""
+}
+
 func (a *attempt) timedOut() bool {
 	cause := context.Cause(a.ctx)
 	return errors.Is(cause, errDeadline) || errors.Is(cause, errIdle)
@@ -59,12 +68,9 @@
 }
 
 func (a *attempt) guardResult() crashguard.Result {
-	var refusal *responsecheck.Error
 	switch {
-	case errors.As(a.err, &refusal):
-		// What the server sent is no response, but it has not crashed.
-		return crashguard.ResultOther
-	case a.response != nil && (a.responseKind == ResponseNotRun || a.responseKind == ResponseWrongServer):
+	case a.refused() != "", a.response != nil && (a.responseKind == ResponseNotRun || a.responseKind == ResponseWrongServer):
+		// A server whose response was refused has not crashed.
 		return crashguard.ResultOther
 	case a.response != nil:
 		return crashguard.ResultResponded
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -354,7 +354,6 @@
 func (c *call) refuseFailed(a *attempt) {
 	a.cancel(errCallEnded)
 	ended := c.proxy.config.Metrics.failed[a.result]
-	var refusal *responsecheck.Error
 	status, detail := http.StatusBadGateway, "the server did not answer"
 	switch {
 	case a.denyReason != "":
@@ -372,11 +371,10 @@
 		status, detail = http.StatusGatewayTimeout, "the server did not answer in time"
 	case a.result == retry.NeverWritten:
 		status, detail = http.StatusServiceUnavailable, "no connection to a server of "+c.serviceName
-	case errors.As(a.err, &refusal):
+	case a.refused() == responsecheck.ReasonUnframed:
+		ended, detail = c.proxy.config.Metrics.unframedResponse, "the server's answer has neither a length nor chunks"
+	case a.refused() != "":
 		detail = "the server sent no valid response"
-		if refusal.Reason == responsecheck.ReasonUnframed {
-			ended = c.proxy.config.Metrics.unframedResponse
-		}
 	}
 	ended.Inc()
 	c.refuse(status, detail)
--- a/pkg/proxy/deliver.go
+++ b/pkg/proxy/deliver.go
@@ -33,7 +33,7 @@
 		stop := a.startTimeout(c.attemptTimeout())
 		defer stop()
 	}
-	recorder := &responseRecorder{enabled: c.ticket != nil}
+	recorder := &claim.Recorder{Enabled: c.ticket != nil}
 	err := c.streamResponse(a, recorder)
 	c.finishClaimedResponse(a, recorder, err)
 	if err != nil && !c.headSent {
@@ -112,25 +112,6 @@
 	}
 }
 
-// responseRecorder keeps a copy of a response body for the claim row.
-type responseRecorder struct {
-	enabled    bool
-	body       []byte
-	overflowed bool
-}
-
-func (r *responseRecorder) add(data []byte) {
-	if !r.enabled || r.overflowed {
-		return
-	}
-	if len(r.body)+len(data) > claim.MaxResponseBytes {
-		r.overflowed = true
-		r.body = nil
-		return
-	}
-	r.body = append(r.body, data...)
-}
-
 // callerWriteError marks a failure to write to the caller.
 type callerWriteError struct{ error }
 
@@ -139,7 +120,7 @@
 // streamResponse sends the response to the caller, nothing of it if its body fails before any of it
 // was sent. It flushes after each read except the last. A body that arrives in one read is not
 // flushed, because net/http then sends header and body together.
-func (c *call) streamResponse(a *attempt, recorder *responseRecorder) error {
+func (c *call) streamResponse(a *attempt, recorder *claim.Recorder) error {
 	if a.response.Body == http.NoBody {
 		c.sendHead(a)
 		return nil
@@ -164,12 +145,12 @@
 			c.sendHead(a)
 		}
 		if n > 0 {
-			recorder.add(buffer[:n])
+			recorder.Add(buffer[:n])
 			stall.Stop()
 			if writeErr == nil {
 				writeErr = c.writeBody(buffer[:n], err != nil || copied == a.response.ContentLength)
 			}
-			if writeErr != nil && (!recorder.enabled || recorder.overflowed) {
+			if writeErr != nil && !recorder.Recording() {
 				return writeErr
 			}
 			c.body.responseProgressed()
@@ -233,7 +214,7 @@
 // finishClaimedResponse records the result of a claimed call whose response was
 // delivered or truncated. A complete response of at most claim.MaxResponseBytes is
 // recorded for replay.
-func (c *call) finishClaimedResponse(a *attempt, recorder *responseRecorder, err error) {
+func (c *call) finishClaimedResponse(a *attempt, recorder *claim.Recorder, err error) {
 	if c.ticket == nil || c.claimFinished {
 		return
 	}
@@ -244,10 +225,10 @@
 	result := claim.Result{Kind: claim.ResultDone}
 	var writeErr callerWriteError
 	complete := err == nil || errors.As(err, &writeErr) && !errors.Is(err, io.ErrUnexpectedEOF) && a.ctx.Err() == nil
-	if complete && !recorder.overflowed {
+	if complete && !recorder.Overflowed() {
 		header := http.Header{}
 		copyResponseHeader(c.proxy.config.Protocol, header, a.response.Header)
-		result.Response = &claim.RecordedResponse{Status: a.response.StatusCode, Header: header, Body: recorder.body}
+		result.Response = &claim.RecordedResponse{Status: a.response.StatusCode, Header: header, Body: recorder.Body()}
 	}
 	c.finishClaim(result)
 }
--- a/pkg/serverconn/transport.go
+++ b/pkg/serverconn/transport.go
@@ -158,6 +158,24 @@
 	}, report)
 }
 
+// maxProbeHeaderBytes bounds the header of a probe response. Without it, net/http reads
+// up to 10 MB for each probe in flight.
+const maxProbeHeaderBytes = 8 << 10
+
+// NewProbes returns the transport of the probes of servers.
+func NewProbes(dial DialFunc, report RefusalFunc) *CheckedTransport {
+	return Check(&http.Transport{
+		DialContext:            dial,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    1,
+		MaxConnsPerHost:        2,
+		IdleConnTimeout:        5 * time.Second,
+		MaxResponseHeaderBytes: maxProbeHeaderBytes,
+		ReadBufferSize:         2 << 10,
+		WriteBufferSize:        1 << 10,
+	}, report)
+}
+
 // EmptyBody is an empty body that http.Transport does not recognize as empty.
 // http.Transport may resend requests without a body on its own.
 type EmptyBody struct{}
