--- a/pkg/responsecheck/stream.go
+++ b/pkg/responsecheck/stream.go
@@ -6,6 +6,9 @@
 // heads; see http.Transport.MaxResponseHeaderBytes.
 const maxLineBytes = 256 << 10
 
+// keptLineBytes is how much memory for lines a connection keeps between them.
+const keptLineBytes = 4 << 10
+
 // phase is the part of a response that the next byte belongs to.
 type phase int
 
@@ -122,6 +125,9 @@
 	}
 	s.refusal = s.endLine(bytes.TrimSuffix(line, []byte("\r")))
 	s.line = s.line[:0]
+	if cap(s.line) > keptLineBytes {
+		s.line = nil
+	}
 	if s.refusal != nil {
 		return 0
 	}
