Check responses over TLS too

Cause: the check sits on the connection that is dialed, where TLS shows encrypted bytes only, so that just the parsed response was checked there. Found in the last reading of the diff, which asked where "all connections" in a comment holds.

Change: serverconn.Check opens connections with TLS itself and checks the decrypted bytes. It offers HTTP/1.1, as net/http does for these transports, and verifies the server by the configuration of the transport, as before; the test has a server that is not trusted too. Connections without TLS are not concerned.

--- a/pkg/responsecheck/responsechecktest/serve.go
+++ b/pkg/responsecheck/responsechecktest/serve.go
@@ -38,21 +38,36 @@
 }
 
 func start(t testing.TB, s *Server) *Server {
+	t.Helper()
+	listener := Listen(t)
+	s.Address, s.Closed = listener.Addr().String(), make(chan struct{}, 1)
+	go s.serve(listener)
+	return s
+}
+
+// Listen returns a listener on a free port that is closed when the test ends.
+func Listen(t testing.TB) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	s.Address, s.Closed = listener.Addr().String(), make(chan struct{}, 1)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.answer(conn)
+	return listener
+}
+
+// Answer is Serve on a listener, until that is closed.
+func Answer(listener net.Listener, text string) {
+	s := &Server{next: func() string { return text }, once: true}
+	s.serve(listener)
+}
+
+func (s *Server) serve(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
 		}
-	}()
-	return s
+		go s.answer(conn)
+	}
 }
 
 func (s *Server) answer(conn net.Conn) {
--- a/pkg/serverconn/check.go
+++ b/pkg/serverconn/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"log/slog"
@@ -43,16 +44,48 @@
 		dial = (&net.Dialer{}).DialContext
 	}
 	multiplexed := transport.Protocols != nil && transport.Protocols.UnencryptedHTTP2()
-	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+	checked := func(dial DialFunc) DialFunc {
+		return func(ctx context.Context, network, address string) (net.Conn, error) {
+			opened, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			conn := NewConn(opened, multiplexed)
+			conn.reportRefusal = func(refusal *responsecheck.Error) { report(address, refusal) }
+			return conn, nil
+		}
+	}
+	transport.DialContext = checked(dial)
+	transport.DialTLSContext = checked(dialTLS(dial, transport.TLSClientConfig))
+	return &CheckedTransport{Transport: transport, report: report}
+}
+
+// dialTLS returns a function that opens connections with TLS over those of dial. It offers HTTP/1.1
+// alone, whose bytes are checked.
+func dialTLS(dial DialFunc, config *tls.Config) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		opened, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		conn := NewConn(opened, multiplexed)
-		conn.reportRefusal = func(refusal *responsecheck.Error) { report(address, refusal) }
-		return conn, nil
+		own := &tls.Config{}
+		if config != nil {
+			own = config.Clone()
+		}
+		own.NextProtos = []string{"http/1.1"}
+		if own.ServerName == "" {
+			own.ServerName, _, err = net.SplitHostPort(address)
+		}
+		secured := tls.Client(opened, own)
+		if err == nil {
+			err = secured.HandshakeContext(ctx)
+		}
+		if err != nil {
+			_ = opened.Close()
+			return nil, err
+		}
+		return secured, nil
 	}
-	return &CheckedTransport{Transport: transport, report: report}
 }
 
 // NewClient returns a client whose responses are checked; see Check. It follows no redirects, which
--- a/pkg/serverconn/check_test.go
+++ b/pkg/serverconn/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -35,6 +36,31 @@
 	}
 }
 
+// TestInvalidResponseOverTLSIsRefused guards against a check that sees only the encrypted bytes of a
+// connection.
+func TestInvalidResponseOverTLSIsRefused(t *testing.T) {
+	server := httptest.NewTLSServer(http.NotFoundHandler())
+	defer server.Close()
+	get := func(text string) error {
+		listener := tls.NewListener(responsechecktest.Listen(t), server.TLS)
+		go responsechecktest.Answer(listener, text)
+		client := serverconn.NewClient(&http.Transport{TLSClientConfig: server.Client().Transport.(*http.Transport).TLSClientConfig})
+		defer client.CloseIdleConnections()
+		response, err := client.Get("https://" + listener.Addr().String())
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		return err
+	}
+	for desc, text := range responsechecktest.Invalid("") {
+		t.Run(desc, func(t *testing.T) { assert.Assert(t, get(text) != nil) })
+	}
+	assert.NilError(t, get("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"))
+	untrusting := serverconn.NewClient(&http.Transport{})
+	_, err := untrusting.Get(server.URL)
+	assert.ErrorContains(t, err, "certificate")
+}
+
 // TestRedirectIsNotFollowed guards against a write or a read that a faulty store or gateway sends on to
 // another address.
 func TestRedirectIsNotFollowed(t *testing.T) {
--- a/pkg/serverconn/conn.go
+++ b/pkg/serverconn/conn.go
@@ -65,8 +65,7 @@
 	reportRefusal func(*responsecheck.Error)
 	// mu guards the fields below.
 	mu sync.Mutex
-	// checked says that a request was announced. Connections whose bytes are not those of HTTP/1.x
-	// carry none that is.
+	// checked says that a request was announced.
 	checked bool
 	stream  responsecheck.Stream
 }
--- a/pkg/serverconn/transport.go
+++ b/pkg/serverconn/transport.go
@@ -1,6 +1,8 @@
 // Package serverconn opens and keeps the connections of a gateway to servers. A connection
-// counts its writes, so that the proxy can determine whether a request was sent. The gateways
-// of both daemons set it up; package proxy and the probes use it.
+// counts its writes, so that the proxy can determine whether a request was sent, and checks what
+// comes back; see package responsecheck. The gateways of both daemons set it up; package proxy and
+// the probes use it. The clients of the store, of other gateways and of the operator's tool are made
+// here too.
 package serverconn
 
 import (
